--- /dev/null
+++ b/crates/bench/src/lib.rs
@@ -0,0 +1,1 @@
+//! Measuring commands for the decision cores in virtual time.
--- /dev/null
+++ b/crates/entry/src/lib.rs
@@ -0,0 +1,1 @@
+//! The entry daemon: settings, HTTP API and the loops that join decisions with clients.
--- /dev/null
+++ b/crates/model/src/lib.rs
@@ -0,0 +1,31 @@
+//! Checked values of the scheduler: names, ids, times, shapes, jobs, outcomes and configuration.
+//!
+//! Raw input becomes one of these types through `TryFrom` or `check`, which name the field, the value
+//! and the rule that it broke. The crate does no input or output.
+
+mod centre;
+mod clock;
+mod config;
+mod field_error;
+mod id;
+mod job;
+mod name;
+mod outcome;
+mod shape;
+
+pub use centre::CentreState;
+pub use clock::{ClockTime, PlatformTime, WorkerTime};
+pub use config::{AccountConfig, CellGuarantee, ConfigChange, PoolConfig};
+pub use field_error::FieldError;
+pub use id::{
+    AttemptNumber, CallerKey, ConfigRevision, JobId, LeaseEpoch, MAX_KEY_BYTES, OrderNumber, WriteId,
+};
+pub use job::{JobClass, JobSpec, MAX_PAYLOAD_BYTES};
+pub use name::{
+    AccountName, CentreName, MAX_NAME_BYTES, OwnerName, RackName, ServiceName, UpstreamName, VmName,
+    WorkerName,
+};
+pub use outcome::{DoubtReason, FinalOutcome, RefusalReason, ResultRef};
+pub use shape::{
+    CellLevel, GangAdjacency, GangShape, MAX_GANG_TASKS, RACK_WORKERS, WORKER_ACCELERATORS, WorkerCapacity,
+};
--- /dev/null
+++ b/crates/peer/src/lib.rs
@@ -0,0 +1,1 @@
+//! Messages between entry VMs and their framing.
--- /dev/null
+++ b/crates/records/src/lib.rs
@@ -0,0 +1,1 @@
+//! Rows of the platform's table and the conditional transactions that change them.
--- /dev/null
+++ b/crates/route/src/lib.rs
@@ -0,0 +1,1 @@
+//! Request routing decisions: choice of upstream, limits, retries, ejection and shedding.
