--- /dev/null
+++ b/crates/holder/tests/gang_whole.rs
@@ -0,0 +1,78 @@
+//! Guards against gangs that run in part, are reported wrongly, or are left running, while calls and answers
+//! are lost, workers fail, restart and fall silent, and the start transaction is refused or unresolved.
+
+mod support;
+
+use arbutuspick_holder::AttemptRules;
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngAlgorithm, RngSeed, TestRunner};
+use support::{Fault, GangBench};
+
+fn fault() -> impl Strategy<Value = Fault> {
+    prop_oneof![
+        30 => Just(Fault::None),
+        6 => (0..3_usize).prop_map(Fault::LoseCall),
+        6 => (0..3_usize).prop_map(Fault::LoseAnswer),
+        2 => (0..3_usize).prop_map(Fault::Silence),
+        1 => (0..3_usize).prop_map(Fault::Restart),
+        2 => (0..3_usize).prop_map(Fault::RefusePrepare),
+        2 => (0..3_usize).prop_map(Fault::FailTask),
+        1 => Just(Fault::Preempt),
+        1 => Just(Fault::Cancel),
+        1 => Just(Fault::RefuseCommit),
+        1 => Just(Fault::LoseCommit),
+        1 => Just(Fault::PauseHolder),
+    ]
+}
+
+fn runner() -> TestRunner {
+    let cases = std::env::var("ARBUTUSPICK_FUZZ_CASES")
+        .ok()
+        .and_then(|v| v.parse().ok())
+        .unwrap_or(600);
+    let seed = std::env::var("ARBUTUSPICK_FUZZ_SEED")
+        .ok()
+        .and_then(|v| v.parse().ok())
+        .unwrap_or(11);
+    TestRunner::new(Config {
+        cases,
+        rng_seed: RngSeed::Fixed(seed),
+        rng_algorithm: RngAlgorithm::ChaCha,
+        failure_persistence: None,
+        ..Config::default()
+    })
+}
+
+fn check(idempotent: bool, checkpointable: bool) {
+    let faults = (1..4_usize, proptest::collection::vec(fault(), 0..60));
+    let rules = AttemptRules {
+        idempotent,
+        checkpointable,
+    };
+    let result = runner().run(&faults, |(workers, faults)| {
+        let mut bench = GangBench::new(workers, rules);
+        for fault in faults {
+            bench.step(fault);
+        }
+        bench.settle();
+        bench.check().map_err(TestCaseError::fail)
+    });
+    if let Err(error) = result {
+        panic!("{error}");
+    }
+}
+
+#[test]
+fn repeatable_gangs() {
+    check(true, false);
+}
+
+#[test]
+fn single_run_gangs() {
+    check(false, false);
+}
+
+#[test]
+fn checkpointed_gangs() {
+    check(false, true);
+}
