Add records of the table and their transactions

The daemon, the holder and the stand-ins change the platform's table through conditional transactions, and each of them needs the same rules about which change a row allows.

--- /dev/null
+++ b/crates/records/src/centre_lifecycle.rs
@@ -0,0 +1,76 @@
+use arbutuspick_model::CentreState;
+use statig::Outcome;
+use statig::blocking::{IntoStateMachine, State};
+
+use crate::lifecycle::{Lifecycle, TransitionError, next_state};
+
+/// What happens to a data centre.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum CentreEvent {
+    /// Operators take it out, or change the drain deadline while it is leaving.
+    OrderOut,
+    /// The placement holder finds that nothing runs any more.
+    Drained,
+    /// Operators bring it back.
+    OrderIn,
+    /// The placement holder uses all workers again.
+    Ramped,
+}
+
+/// State machine of a data centre.
+///
+/// ```
+/// use arbutuspick_model::CentreState;
+/// use arbutuspick_records::{CentreEvent, CentreLifecycle};
+/// let lifecycle = CentreLifecycle::default();
+/// assert_eq!(lifecycle.next(CentreState::In, CentreEvent::OrderOut), Ok(CentreState::Leaving));
+/// assert!(lifecycle.next(CentreState::In, CentreEvent::Drained).is_err());
+/// ```
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct CentreLifecycle {
+    accepted: bool,
+}
+
+impl CentreLifecycle {
+    /// Returns the state that follows `state` on `event`.
+    pub fn next(self, state: CentreState, event: CentreEvent) -> Result<CentreState, TransitionError> {
+        next_state(self, state, event)
+    }
+}
+
+impl IntoStateMachine for CentreLifecycle {
+    type Event<'evt> = CentreEvent;
+    type Context<'ctx> = ();
+    type State = CentreState;
+    type Superstate<'sub> = ();
+
+    fn initial() -> CentreState {
+        CentreState::In
+    }
+
+    fn after_transition(&mut self, _: &CentreState, _: &CentreState, (): &mut ()) {
+        self.accepted = true;
+    }
+}
+
+impl State<CentreLifecycle> for CentreState {
+    fn call_handler(&mut self, _: &mut CentreLifecycle, event: &CentreEvent, (): &mut ()) -> Outcome<Self> {
+        match (self, event) {
+            (Self::In | Self::Leaving | Self::Returning, CentreEvent::OrderOut) => {
+                Outcome::Transition(Self::Leaving)
+            }
+            (Self::Leaving, CentreEvent::Drained) => Outcome::Transition(Self::Out),
+            (Self::Leaving | Self::Out, CentreEvent::OrderIn) => Outcome::Transition(Self::Returning),
+            (Self::Returning, CentreEvent::Ramped) => Outcome::Transition(Self::In),
+            _ => Outcome::Super,
+        }
+    }
+}
+
+impl Lifecycle for CentreLifecycle {
+    const SUBJECT: &'static str = "data centre";
+
+    fn accepted(&self) -> bool {
+        self.accepted
+    }
+}
--- /dev/null
+++ b/crates/records/src/key_record.rs
@@ -0,0 +1,254 @@
+use std::sync::Arc;
+
+use arbutuspick_model::{AccountName, CallerKey, DoubtReason, JobId, PlatformTime, WriteId};
+use serde::{Deserialize, Serialize};
+use snafu::Snafu;
+
+use crate::versioned::encode;
+use crate::{BodyDigest, PlannedChange, RecordedResponse, RowKey, TableTransaction, Versioned, VmIdentity};
+
+/// Outcome of a request that was sent under a claim.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(tag = "outcome", rename_all = "snake_case")]
+pub enum ClaimOutcome {
+    /// The upstream answered.
+    Answered {
+        /// Its response.
+        response: RecordedResponse,
+    },
+    /// The request may have run.
+    Unknown {
+        /// Why it is not known.
+        reason: DoubtReason,
+    },
+}
+
+/// State of a claim.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(tag = "state", rename_all = "snake_case")]
+pub enum ClaimState {
+    /// The claimant alone may send the request.
+    Claimed,
+    /// The outcome is final.
+    Finished {
+        /// Outcome.
+        #[serde(flatten)]
+        outcome: ClaimOutcome,
+    },
+    /// The request was not sent, or the upstream said that it did not run.
+    Withdrawn,
+}
+
+/// What a caller's idempotency key is used for.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(tag = "usage", rename_all = "snake_case")]
+pub enum KeyUsage {
+    /// Submission of a job.
+    Job {
+        /// Job.
+        job: JobId,
+    },
+    /// A non-idempotent request.
+    Claim {
+        /// Process that holds or held the claim.
+        claimant: VmIdentity,
+        /// State.
+        #[serde(flatten)]
+        state: ClaimState,
+    },
+}
+
+/// Row `key/{account}/{key}`: use of a caller's idempotency key.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct KeyRecord {
+    /// Digest of the body that the key came with.
+    pub digest: BodyDigest,
+    /// Use.
+    #[serde(flatten)]
+    pub usage: KeyUsage,
+    /// Time after which the row may be deleted.
+    ///
+    /// Until then a repeated or delayed transaction finds the row. It must be far later than any
+    /// transaction can be delayed.
+    pub delete_after: PlatformTime,
+    /// Transaction that wrote the row.
+    pub write_id: WriteId,
+}
+
+/// A claim that an entry VM wants to make for a request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RequestClaim {
+    /// Client account.
+    pub account: AccountName,
+    /// Idempotency key.
+    pub key: CallerKey,
+    /// Digest of the request.
+    pub digest: BodyDigest,
+    /// Process that claims.
+    pub claimant: VmIdentity,
+    /// Time after which the row may be deleted.
+    pub delete_after: PlatformTime,
+}
+
+/// A change of a key row that its record does not allow.
+#[derive(Clone, Debug, PartialEq, Eq, Snafu)]
+#[snafu(module, visibility(pub(crate)))]
+pub enum ClaimError {
+    /// The key came with a different body or for a different use before.
+    #[snafu(display("idempotency key was used with a different body"))]
+    KeyReused,
+    /// The key cannot be claimed now.
+    #[snafu(display("idempotency key is claimed by {claimant} or has an outcome"))]
+    NotFree {
+        /// Process that holds or held the claim.
+        claimant: VmIdentity,
+    },
+    /// Only the claimant changes a claim, and only before its outcome.
+    #[snafu(display("{claimant} holds no unfinished claim on this idempotency key"))]
+    NotHeld {
+        /// Process that asked for the change.
+        claimant: VmIdentity,
+    },
+    /// The row must be kept longer.
+    #[snafu(display("row of the idempotency key must be kept until {delete_after}"))]
+    TooEarly {
+        /// Time after which it may be deleted.
+        delete_after: PlatformTime,
+    },
+}
+
+impl RequestClaim {
+    /// Returns the key of the row.
+    pub fn row_key(&self) -> RowKey {
+        RowKey::Key(self.account.clone(), self.key.clone())
+    }
+
+    fn record(&self, state: ClaimState, write_id: WriteId) -> KeyRecord {
+        KeyRecord {
+            digest: self.digest,
+            usage: KeyUsage::Claim {
+                claimant: self.claimant.clone(),
+                state,
+            },
+            delete_after: self.delete_after,
+            write_id,
+        }
+    }
+
+    fn planned(
+        &self,
+        row: Option<&Versioned<KeyRecord>>,
+        state: ClaimState,
+        write_id: WriteId,
+    ) -> PlannedChange<KeyRecord> {
+        let record = self.record(state, write_id);
+        let key: Arc<str> = self.row_key().into();
+        let transaction = TableTransaction::new(write_id)
+            .check(key.clone(), Versioned::version_of(row))
+            .put(key, encode(&record));
+        PlannedChange { transaction, record }
+    }
+
+    /// Plans the claim: the row is absent, or holds a withdrawn claim for the same body.
+    ///
+    /// The request may be sent only after this transaction is known to have committed.
+    pub fn claim(
+        &self,
+        row: Option<&Versioned<KeyRecord>>,
+        write_id: WriteId,
+    ) -> Result<PlannedChange<KeyRecord>, ClaimError> {
+        if let Some(row) = row {
+            self.check_free(&row.record)?;
+        }
+        Ok(self.planned(row, ClaimState::Claimed, write_id))
+    }
+
+    /// Plans to record the outcome of the request.
+    pub fn finish(
+        &self,
+        row: &Versioned<KeyRecord>,
+        outcome: ClaimOutcome,
+        write_id: WriteId,
+    ) -> Result<PlannedChange<KeyRecord>, ClaimError> {
+        let claimant = &self.claimant;
+        snafu::ensure!(
+            row.record.is_claimed_by(claimant),
+            claim_error::NotHeldSnafu {
+                claimant: claimant.clone()
+            }
+        );
+        Ok(self.planned(Some(row), ClaimState::Finished { outcome }, write_id))
+    }
+
+    /// Plans to withdraw a claim whose request did not run; nothing when there is nothing to withdraw.
+    ///
+    /// An absent row or a withdrawn claim is overwritten as well, so that a delayed claim of this
+    /// process, whose answer was lost, can no longer commit.
+    pub fn withdraw(
+        &self,
+        row: Option<&Versioned<KeyRecord>>,
+        write_id: WriteId,
+    ) -> Option<PlannedChange<KeyRecord>> {
+        let needed = match row.map(|row| &row.record) {
+            None => true,
+            Some(record) => {
+                record.digest == self.digest
+                    && (record.is_claimed_by(&self.claimant) || record.is_withdrawn())
+            }
+        };
+        needed.then(|| self.planned(row, ClaimState::Withdrawn, write_id))
+    }
+
+    fn check_free(&self, record: &KeyRecord) -> Result<(), ClaimError> {
+        snafu::ensure!(record.digest == self.digest, claim_error::KeyReusedSnafu);
+        match &record.usage {
+            KeyUsage::Job { .. } => claim_error::KeyReusedSnafu.fail(),
+            KeyUsage::Claim {
+                state: ClaimState::Withdrawn,
+                ..
+            } => Ok(()),
+            KeyUsage::Claim { claimant, .. } => claim_error::NotFreeSnafu {
+                claimant: claimant.clone(),
+            }
+            .fail(),
+        }
+    }
+}
+
+impl KeyRecord {
+    /// Creates the record of a job submission.
+    pub fn for_job(job: JobId, digest: BodyDigest, delete_after: PlatformTime, write_id: WriteId) -> Self {
+        Self {
+            digest,
+            usage: KeyUsage::Job { job },
+            delete_after,
+            write_id,
+        }
+    }
+
+    /// Returns whether this process holds the claim and no outcome is recorded.
+    pub fn is_claimed_by(&self, process: &VmIdentity) -> bool {
+        matches!(&self.usage, KeyUsage::Claim { claimant, state: ClaimState::Claimed } if claimant == process)
+    }
+
+    fn is_withdrawn(&self) -> bool {
+        let state = &ClaimState::Withdrawn;
+        matches!(&self.usage, KeyUsage::Claim { state: found, .. } if found == state)
+    }
+}
+
+impl Versioned<KeyRecord> {
+    /// Plans to delete the row after its time.
+    pub fn delete(
+        &self,
+        key: &RowKey,
+        now: PlatformTime,
+        write_id: WriteId,
+    ) -> Result<TableTransaction, ClaimError> {
+        let delete_after = self.record.delete_after;
+        snafu::ensure!(now > delete_after, claim_error::TooEarlySnafu { delete_after });
+        Ok(TableTransaction::new(write_id)
+            .check(key, self.version)
+            .delete(key))
+    }
+}
--- a/crates/records/src/lib.rs
+++ b/crates/records/src/lib.rs
@@ -1,8 +1,71 @@
 //! Rows of the platform's table and the conditional transactions that change them.
+//!
+//! Each record enforces its own rules: its methods take rows that were read and the platform's time, and
+//! return a [`PlannedChange`] to commit or an error value. The crate does no input or output.
+//! [`CommitProgress`] resolves commits whose answers are lost.
 
+mod account_request;
+mod body_digest;
+mod calendar_month;
+mod centre_lifecycle;
+mod centre_record;
+mod claim_verdict;
+mod commit_progress;
+mod epoch_record;
+mod holder_guard;
+mod inbox_record;
+mod job_change;
+mod job_lifecycle;
+mod job_record;
+mod key_record;
+mod lease_record;
+mod lifecycle;
+pub mod memory;
+mod object_key;
+mod placed_record;
+mod planned_change;
+mod proposal_id;
+mod proposal_lifecycle;
+mod proposal_record;
+mod questionnaire;
+mod recorded_response;
+mod revision_record;
+mod row_key;
 mod table;
+mod turn_record;
+mod versioned;
+mod vm_identity;
 
+pub use account_request::{AccountImportance, AccountRequest};
+pub use body_digest::BodyDigest;
+pub use calendar_month::{CalendarMonth, civil_from_days};
+pub use centre_lifecycle::{CentreEvent, CentreLifecycle};
+pub use centre_record::{CentreOrder, CentreRecord, OrderError, OrderKind, START_PERMIT_MS, in_force_at};
+pub use claim_verdict::{ClaimVerdict, judge_claim, judge_submission};
+pub use commit_progress::{CommitAnswer, CommitProgress, CommitResolution, CommitStep};
+pub use epoch_record::{EpochRecord, HeldLease, LeaseTakeover};
+pub use holder_guard::HolderGuard;
+pub use inbox_record::{InboxRecord, JobNotice};
+pub use job_change::JobStart;
+pub use job_lifecycle::{JobEvent, JobLifecycle, JobState, RequeueReason};
+pub use job_record::{JobEnding, JobError, JobRecord, JobSubmission, PlacedMember};
+pub use key_record::{ClaimError, ClaimOutcome, ClaimState, KeyRecord, KeyUsage, RequestClaim};
+pub use lease_record::{LEASE_TERM_MS, LeaseError, LeaseRecord};
+pub use lifecycle::TransitionError;
+pub use object_key::ObjectKey;
+pub use placed_record::PlacedRecord;
+pub use planned_change::PlannedChange;
+pub use proposal_id::ProposalId;
+pub use proposal_lifecycle::{ProposalEvent, ProposalLifecycle, ProposalState};
+pub use proposal_record::{AcceptanceBase, OwnerDecision, ProposalError, ProposalRecord};
+pub use questionnaire::Questionnaire;
+pub use recorded_response::{MAX_INLINE_BODY_BYTES, RECORDED_HEADERS, RecordedBody, RecordedResponse};
+pub use revision_record::{HeadRecord, RevisionRecord};
+pub use row_key::RowKey;
 pub use table::{
     CommitResult, ReadQuery, RowCheck, RowPage, RowVersion, RowWrite, ScanQuery, TableAnswer, TableRow,
     TableTransaction,
 };
+pub use turn_record::{TurnError, TurnRecord};
+pub use versioned::{DecodeError, Versioned, is_mine};
+pub use vm_identity::VmIdentity;
--- /dev/null
+++ b/crates/records/src/lifecycle.rs
@@ -0,0 +1,47 @@
+use std::fmt::Debug;
+
+use snafu::Snafu;
+use statig::blocking::{IntoStateMachine, IntoStateMachineExt, State, Superstate};
+
+/// A change that the state of a record does not allow.
+#[derive(Clone, Debug, PartialEq, Eq, Snafu)]
+#[snafu(display("{subject} in state {state} does not allow {event}"))]
+pub struct TransitionError {
+    /// Kind of record.
+    pub subject: &'static str,
+    /// State of the record.
+    pub state: String,
+    /// Refused event.
+    pub event: String,
+}
+
+/// A state machine that reports whether its last event caused a transition.
+pub(crate) trait Lifecycle: IntoStateMachine {
+    /// Kind of record, for errors.
+    const SUBJECT: &'static str;
+
+    /// Returns whether the last event caused a transition.
+    fn accepted(&self) -> bool;
+}
+
+/// Returns the state that follows `state` on `event`.
+pub(crate) fn next_state<M, E>(lifecycle: M, state: M::State, event: E) -> Result<M::State, TransitionError>
+where
+    M: Lifecycle + for<'a> IntoStateMachine<Event<'a> = E, Context<'a> = ()>,
+    M::State: State<M> + Copy + Debug,
+    for<'sub> M::Superstate<'sub>: Superstate<M>,
+    E: Debug,
+{
+    let mut machine = lifecycle.uninitialized_state_machine();
+    *machine.state_mut() = state;
+    let mut machine = machine.init();
+    machine.handle(&event);
+    if machine.inner().accepted() {
+        return Ok(*machine.state());
+    }
+    Err(TransitionError {
+        subject: M::SUBJECT,
+        state: format!("{state:?}"),
+        event: format!("{event:?}"),
+    })
+}
--- /dev/null
+++ b/crates/records/src/placed_record.rs
@@ -0,0 +1,11 @@
+use arbutuspick_model::{JobId, WriteId};
+use serde::{Deserialize, Serialize};
+
+/// Row `placed/{dc}/{job}`: index entry of an unfinished job that a data centre has taken up.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PlacedRecord {
+    /// Job.
+    pub job: JobId,
+    /// Transaction that wrote the row.
+    pub write_id: WriteId,
+}
--- /dev/null
+++ b/crates/records/src/questionnaire.rs
@@ -0,0 +1,113 @@
+use arbutuspick_model::{AccountName, CentreName, FieldError, OwnerName};
+use serde::{Deserialize, Serialize};
+
+use crate::{AccountImportance, AccountRequest};
+
+/// Most accelerators of one job: a gang of 1024 tasks with 8 accelerators each.
+const MAX_JOB_ACCELERATORS: u32 = 8192;
+/// Most large jobs at once that a questionnaire may ask for, so that counts of cells cannot overflow.
+const MAX_LARGE_JOBS: u32 = 1024;
+/// Most small jobs at once that a questionnaire may ask for: the accelerators of the target scale.
+const MAX_SMALL_JOBS: u32 = 16_000;
+/// Longest queue that a questionnaire may ask for: twice the jobs of a day at the target scale.
+const MAX_PEAK_QUEUE: u32 = 106_000;
+
+/// Answers of a new team, before any check.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Questionnaire {
+    /// Name for the client account.
+    pub account: String,
+    /// Owner of the account.
+    pub owner: String,
+    /// Data centre in which the guarantees are to be.
+    pub home_data_centre: String,
+    /// Accelerators of the largest job, 0 when there are only small jobs.
+    #[serde(default)]
+    pub largest_job_accelerators: u32,
+    /// Whether the accelerators of the largest job must be adjacent.
+    #[serde(default)]
+    pub adjacent: bool,
+    /// Number of such jobs that run at once.
+    #[serde(default)]
+    pub large_jobs_at_once: u32,
+    /// Number of jobs with one accelerator that run at once.
+    #[serde(default)]
+    pub small_jobs_at_once: u32,
+    /// Most jobs that wait at once.
+    pub peak_queue: u32,
+    /// Importance among the accounts: `low`, `normal` or `high`.
+    #[serde(default)]
+    pub importance: String,
+}
+
+impl TryFrom<Questionnaire> for AccountRequest {
+    type Error = FieldError;
+    fn try_from(answers: Questionnaire) -> Result<Self, FieldError> {
+        answers.check_numbers()?;
+        let Questionnaire {
+            account,
+            owner,
+            home_data_centre,
+            largest_job_accelerators,
+            adjacent,
+            large_jobs_at_once,
+            small_jobs_at_once,
+            peak_queue,
+            importance,
+        } = answers;
+        Ok(Self {
+            account: AccountName::try_from(account)?,
+            owner: OwnerName::try_from(owner)?,
+            home_data_centre: CentreName::try_from(home_data_centre).map_err(rename_centre)?,
+            largest_job_accelerators,
+            adjacent,
+            large_jobs_at_once,
+            small_jobs_at_once,
+            peak_queue,
+            importance: AccountImportance::try_from(importance.as_str())?,
+        })
+    }
+}
+
+impl Questionnaire {
+    fn check_numbers(&self) -> Result<(), FieldError> {
+        let &Self {
+            largest_job_accelerators: largest,
+            large_jobs_at_once: large,
+            small_jobs_at_once: small,
+            peak_queue,
+            ..
+        } = self;
+        check_most("largest_job_accelerators", largest, MAX_JOB_ACCELERATORS)?;
+        check_most("large_jobs_at_once", large, MAX_LARGE_JOBS)?;
+        check_most("small_jobs_at_once", small, MAX_SMALL_JOBS)?;
+        check_most("peak_queue", peak_queue, MAX_PEAK_QUEUE)?;
+        if peak_queue == 0 {
+            return Err(FieldError::new("peak_queue", peak_queue, "must be at least 1"));
+        }
+        if large > 0 && largest == 0 {
+            let rule = "must be at least 1 when large jobs run";
+            return Err(FieldError::new("largest_job_accelerators", largest, rule));
+        }
+        if self.adjacent && largest == 0 {
+            let rule = "must be false without a largest job";
+            return Err(FieldError::new("adjacent", true, rule));
+        }
+        Ok(())
+    }
+}
+
+fn rename_centre(error: FieldError) -> FieldError {
+    FieldError {
+        field: "home_data_centre".into(),
+        ..error
+    }
+}
+
+fn check_most(field: &str, value: u32, most: u32) -> Result<(), FieldError> {
+    if value > most {
+        return Err(FieldError::new(field, value, format!("must be at most {most}")));
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/records/src/versioned.rs
@@ -0,0 +1,78 @@
+use std::sync::Arc;
+
+use arbutuspick_model::WriteId;
+use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
+use snafu::{ResultExt, Snafu};
+
+use crate::{RowVersion, TableRow};
+
+/// A row whose value is not the JSON document that its key promises.
+#[derive(Debug, Snafu)]
+#[snafu(display("row {key:?} does not hold a valid record: {source}"))]
+pub struct DecodeError {
+    /// Key of the row.
+    pub key: Arc<str>,
+    /// Error of the JSON parser.
+    pub source: serde_json::Error,
+}
+
+/// A record together with the version of the row that holds it.
+///
+/// ```
+/// use arbutuspick_records::{LeaseRecord, RowVersion, TableRow, Versioned};
+/// let row = TableRow { key: "lease/trent".into(), version: RowVersion(3), value: "[]".into() };
+/// let error = Versioned::<LeaseRecord>::try_from(&row).unwrap_err();
+/// assert!(error.to_string().starts_with("row \"lease/trent\" does not hold"));
+/// ```
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Versioned<R> {
+    /// Record.
+    pub record: R,
+    /// Version of its row.
+    pub version: RowVersion,
+}
+
+impl<R> Versioned<R> {
+    /// Joins a record and the version of its row.
+    pub fn new(record: R, version: RowVersion) -> Self {
+        Self { record, version }
+    }
+
+    /// Returns the version of a row that may be absent.
+    pub fn version_of(row: Option<&Self>) -> RowVersion {
+        row.map_or(RowVersion::ABSENT, |row| row.version)
+    }
+}
+
+impl<R> TryFrom<&TableRow> for Versioned<R>
+where
+    R: DeserializeOwned,
+{
+    type Error = DecodeError;
+    fn try_from(row: &TableRow) -> Result<Self, DecodeError> {
+        let record = serde_json::from_str(&row.value).context(DecodeSnafu { key: row.key.clone() })?;
+        Ok(Self::new(record, row.version))
+    }
+}
+
+#[derive(Deserialize)]
+struct WriteMark {
+    write_id: WriteId,
+}
+
+/// Returns whether the row was last written by the transaction with this id.
+pub fn is_mine(row: &TableRow, write_id: WriteId) -> bool {
+    serde_json::from_str::<WriteMark>(&row.value).is_ok_and(|mark| mark.write_id == write_id)
+}
+
+/// Encodes a record as the value of a row.
+pub(crate) fn encode<R>(record: &R) -> Arc<str>
+where
+    R: Serialize,
+{
+    // Records have only string map keys and derived implementations, so encoding cannot fail.
+    serde_json::to_string(record)
+        .expect("record encodes as JSON")
+        .into()
+}
--- /dev/null
+++ b/crates/records/tests/record_json.rs
@@ -0,0 +1,67 @@
+//! Guards against records that cannot be read back, and against errors that hide which row is bad.
+
+mod support;
+
+use arbutuspick_model::{DoubtReason, RefusalReason};
+use arbutuspick_records::{
+    BodyDigest, ClaimOutcome, ClaimState, JobEnding, JobRecord, KeyRecord, KeyUsage, RecordedBody,
+    RecordedResponse, RowVersion, TableRow, Versioned, is_mine,
+};
+use support::*;
+
+fn row(value: String) -> TableRow {
+    TableRow {
+        key: "key/parks/slot-7".into(),
+        version: RowVersion(3),
+        value: value.into(),
+    }
+}
+
+#[yare::parameterized(
+    claimed = { ClaimState::Claimed },
+    withdrawn = { ClaimState::Withdrawn },
+    unknown = { ClaimState::Finished { outcome: ClaimOutcome::Unknown { reason: DoubtReason::ConnectionLost } } },
+    answered = { ClaimState::Finished { outcome: ClaimOutcome::Answered { response: RecordedResponse::new(
+        201, [("ETag", "a")], RecordedBody::Inline { bytes: vec![0, 255] }).unwrap() } } },
+)]
+fn claim_states(state: ClaimState) {
+    let record = KeyRecord {
+        digest: BodyDigest::of(&[b"body"]),
+        usage: KeyUsage::Claim {
+            claimant: process("vm-1"),
+            state,
+        },
+        delete_after: NOW,
+        write_id: write(1),
+    };
+    let row = row(serde_json::to_string(&record).unwrap());
+    let decoded: Versioned<KeyRecord> = Versioned::try_from(&row).unwrap();
+    assert_eq!(decoded, Versioned::new(record, RowVersion(3)));
+    assert!(is_mine(&row, write(1)) && !is_mine(&row, write(2)));
+}
+
+#[test]
+fn finished_job() {
+    let mut table = Default::default();
+    let guard = guard(&mut table, "trent", NOW);
+    let job = submit(&mut table, false);
+    let ending = JobEnding::Refused(RefusalReason::NeverFits);
+    let ended = commit(&mut table, job.finish(ending, &guard, write(5)).unwrap());
+    let key = arbutuspick_records::RowKey::Job(job.record.job);
+    assert_eq!(table.load::<JobRecord>(&key).unwrap(), Some(ended));
+}
+
+#[test]
+fn unknown_fields() {
+    let job = submit(&mut Default::default(), true).record;
+    let mut value = serde_json::to_value(&job).unwrap();
+    value["added_later"] = true.into();
+    let row = row(value.to_string());
+    assert_eq!(Versioned::<JobRecord>::try_from(&row).unwrap().record, job);
+}
+
+#[test]
+fn bad_json() {
+    let error = Versioned::<KeyRecord>::try_from(&row("{}".into())).unwrap_err();
+    assert!(error.to_string().contains("key/parks/slot-7"), "{error}");
+}
