Add clients of the platform, workers and upstreams

The entry daemon and the placement holder need to know of every failed call whether it may have had an effect, and must stay within the platform's budget.

Adds TableClient, ObjectClient, VmClient, WorkerClient, UpstreamClient and ProcessClock on hyper's client connections. CallError separates calls that were not sent, ambiguous calls and rejections; 5xx and cut or undecodable answers are ambiguous. A gate in front of the platform's clients holds token buckets, the limit of calls in flight, shedding by priority, and back-off with one probe and a slow restart.

--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -4,12 +4,38 @@
 //! `POST /v1/table/read` and `POST /v1/table/scan` with a [`TableAnswer`](arbutuspick_records::TableAnswer);
 //! the object store `PUT`, `GET` and `DELETE /v1/objects/{key}` with the bytes of the object; the list of VMs
 //! `GET /v1/vms`. A worker answers the calls named at the request types.
+//!
+//! Every client says of a failed call whether it may have had an effect ([`CallError`]).
 
+mod back_off;
+mod call_error;
+mod call_gate;
+mod call_priority;
+mod client_options;
+mod gated_caller;
+mod http_caller;
+mod json_call;
+mod object_client;
+mod process_clock;
+mod table_client;
+mod token_bucket;
+mod upstream_client;
 mod vm_api;
+mod vm_client;
 mod worker_api;
+mod worker_client;
 
+pub use call_error::CallError;
+pub use call_priority::CallPriority;
+pub use client_options::ClientOptions;
+pub use object_client::ObjectClient;
+pub use process_clock::ProcessClock;
+pub use table_client::TableClient;
+pub use upstream_client::{UpstreamAnswer, UpstreamClient, UpstreamRequest};
 pub use vm_api::{VmEntry, VmList, VmRole};
+pub use vm_client::VmClient;
 pub use worker_api::{
     AttemptRequest, EpochRequest, LeaseExtension, MemberPart, MemberResult, PartState, PartStatus,
     PrepareRequest, RefusalBody, RenewRequest, StartRequest, WorkerRefusal, WorkerStatus,
 };
+pub use worker_client::{WorkerAnswer, WorkerClient};
--- /dev/null
+++ b/crates/platform/src/upstream_client.rs
@@ -0,0 +1,116 @@
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use arbutuspick_model::ClockTime;
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::header::{CONNECTION, CONTENT_LENGTH, HOST, TRANSFER_ENCODING, UPGRADE};
+use hyper::{HeaderMap, Method, Request, StatusCode};
+use tokio::sync::Semaphore;
+
+use crate::http_caller::HttpCaller;
+use crate::{CallError, ProcessClock};
+
+/// Largest answer of an upstream.
+const MAX_ANSWER_BYTES: usize = 1024 * 1024;
+
+/// One request to an upstream.
+#[derive(Clone, Debug)]
+pub struct UpstreamRequest {
+    /// Method.
+    pub method: Method,
+    /// Path and query.
+    pub path: Arc<str>,
+    /// Headers; those that concern the connection are replaced.
+    pub headers: HeaderMap,
+    /// Body.
+    pub body: Bytes,
+    /// Time after which the answer is not waited for and the connection is closed.
+    pub deadline: ClockTime,
+}
+
+/// A whole answer of an upstream, whatever its status.
+#[derive(Clone, Debug)]
+pub struct UpstreamAnswer {
+    /// Status.
+    pub status: StatusCode,
+    /// Headers.
+    pub headers: HeaderMap,
+    /// Whole body.
+    pub body: Bytes,
+}
+
+/// Client of one upstream; each connection carries one request at a time.
+///
+/// ```no_run
+/// # async fn example() -> Result<(), arbutuspick_platform::CallError> {
+/// use arbutuspick_platform::{ProcessClock, UpstreamClient, UpstreamRequest};
+/// let client = UpstreamClient::new("127.0.0.1:7200".parse().unwrap(), 9);
+/// let request = UpstreamRequest {
+///     method: hyper::Method::POST,
+///     path: "/".into(),
+///     headers: hyper::HeaderMap::new(),
+///     body: "{}".into(),
+///     deadline: ProcessClock::new().now() + 1_000,
+/// };
+/// println!("{}", client.send(request).await?.status);
+/// # Ok(())
+/// # }
+/// ```
+#[derive(Clone, Debug)]
+pub struct UpstreamClient {
+    caller: HttpCaller,
+    connections: Arc<Semaphore>,
+    clock: ProcessClock,
+}
+
+impl UpstreamClient {
+    /// Creates a client with a limit on its connections; it connects with the first request.
+    pub fn new(address: SocketAddr, max_connections: usize) -> Self {
+        Self {
+            caller: HttpCaller::new(address, MAX_ANSWER_BYTES),
+            connections: Arc::new(Semaphore::new(max_connections)),
+            clock: ProcessClock::new(),
+        }
+    }
+
+    /// Returns the address of the upstream.
+    pub fn address(&self) -> SocketAddr {
+        self.caller.address()
+    }
+
+    /// Sends one request; the error says whether bytes of it may have been sent.
+    pub async fn send(&self, request: UpstreamRequest) -> Result<UpstreamAnswer, CallError> {
+        let deadline = self.clock.instant(request.deadline);
+        let _permit = self
+            .connections
+            .try_acquire()
+            .map_err(|_| CallError::not_sent("all connections to the upstream are in use"))?;
+        let answer = self.caller.call(build(request)?, deadline).await?;
+        Ok(UpstreamAnswer {
+            status: answer.status,
+            headers: answer.headers,
+            body: answer.body,
+        })
+    }
+}
+
+fn build(request: UpstreamRequest) -> Result<Request<Full<Bytes>>, CallError> {
+    let UpstreamRequest {
+        method,
+        path,
+        mut headers,
+        body,
+        deadline: _,
+    } = request;
+    for name in [CONNECTION, CONTENT_LENGTH, HOST, TRANSFER_ENCODING, UPGRADE] {
+        headers.remove(name);
+    }
+    let mut built = Request::builder()
+        .method(method)
+        .uri(path.as_ref())
+        .body(Full::new(body))
+        .map_err(|e| CallError::not_sent(format!("invalid request: {e}")))?;
+    *built.headers_mut() = headers;
+    Ok(built)
+}
--- /dev/null
+++ b/crates/platform/tests/platform_time.rs
@@ -0,0 +1,26 @@
+//! An estimate ahead of the platform would let a lease be taken before its deadline.
+
+mod support;
+
+use std::time::Duration;
+
+use arbutuspick_model::PlatformTime;
+use arbutuspick_platform::{CallPriority, ClientOptions, TableClient};
+use support::{FakeServer, HeldTime, Script, empty_page};
+use tokio::time::advance;
+
+#[tokio::test]
+async fn never_ahead() {
+    let _held = HeldTime::pause();
+    let server = FakeServer::start(|_| Script::Answer(empty_page(5_000))).await;
+    let client = TableClient::new(ClientOptions::new(server.address));
+    assert_eq!(client.platform_time(), None);
+    client
+        .read(&["turn".into()], CallPriority::StatusRead)
+        .await
+        .unwrap();
+    assert_eq!(client.platform_time(), Some(PlatformTime(5_000)));
+    advance(Duration::from_millis(700)).await;
+    let estimate = client.platform_time().unwrap();
+    assert!((5_690..=5_700).contains(&estimate.0), "{estimate}");
+}
--- /dev/null
+++ b/crates/platform/tests/shedding.rs
@@ -0,0 +1,78 @@
+//! Over the limits, calls of low priority must go first and renewals of a lease must never be shed.
+
+mod support;
+
+use std::time::Duration;
+
+use arbutuspick_platform::{CallError, CallPriority, ClientOptions, TableClient};
+use support::{FakeServer, HeldTime, Script, empty_page};
+use tokio::time::advance;
+
+async fn admitted(client: &TableClient, priority: CallPriority) -> usize {
+    let mut count = 0;
+    while count < 100 {
+        match client.read(&["turn".into()], priority).await {
+            Ok(_) => count += 1,
+            Err(CallError::NotSent { .. }) => break,
+            Err(e) => panic!("{e}"),
+        }
+    }
+    count
+}
+
+async fn start(reads_per_s: u32) -> (FakeServer, TableClient) {
+    let server = FakeServer::start(|_| Script::Answer(empty_page(1))).await;
+    let options = ClientOptions::new(server.address).with_reads_per_s(reads_per_s);
+    let client = TableClient::new(options);
+    (server, client)
+}
+
+#[tokio::test]
+async fn lower_first() {
+    let _held = HeldTime::pause();
+    let (server, client) = start(80).await;
+    assert_eq!(admitted(&client, CallPriority::StatusRead).await, 50);
+    assert_eq!(admitted(&client, CallPriority::KeyedRequest).await, 10);
+    assert_eq!(admitted(&client, CallPriority::Submission).await, 10);
+    assert_eq!(admitted(&client, CallPriority::Submission).await, 0);
+    assert_eq!(admitted(&client, CallPriority::Essential).await, 100);
+    assert_eq!(server.request_count(), 170);
+}
+
+#[tokio::test]
+async fn bucket_refills() {
+    let _held = HeldTime::pause();
+    let (_server, client) = start(80).await;
+    assert_eq!(admitted(&client, CallPriority::Submission).await, 70);
+    advance(Duration::from_millis(500)).await;
+    assert_eq!(admitted(&client, CallPriority::Submission).await, 40);
+    advance(Duration::from_secs(60)).await;
+    assert_eq!(admitted(&client, CallPriority::Submission).await, 70);
+}
+
+#[tokio::test]
+async fn in_flight_limit() {
+    let _held = HeldTime::pause();
+    let server = FakeServer::start(|_| Script::Hang).await;
+    let client = TableClient::new(ClientOptions::new(server.address));
+    let hanging: Vec<_> = (0..32)
+        .map(|_| {
+            let client = client.clone();
+            tokio::spawn(async move { client.read(&["turn".into()], CallPriority::Essential).await })
+        })
+        .collect();
+    tokio::task::yield_now().await;
+    let error = client
+        .read(&["turn".into()], CallPriority::Submission)
+        .await
+        .unwrap_err();
+    assert!(matches!(error, CallError::NotSent { .. }), "{error}");
+    for call in hanging {
+        call.abort();
+        // An aborted call gives its place back.
+        let _ = call.await;
+    }
+    let probe = tokio::spawn(async move { client.read(&["turn".into()], CallPriority::StatusRead).await });
+    tokio::task::yield_now().await;
+    assert!(!probe.is_finished(), "the call must have been sent");
+}
