route: add the request routing core

Cause: the entry daemon needs decisions for the choice of upstream, limits, retries, waiting and outcomes that do no input or output.

--- /dev/null
+++ b/crates/route/src/candidate_group.rs
@@ -0,0 +1,170 @@
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+
+use arbutuspick_model::{ClockTime, UpstreamName};
+
+use crate::RequestKind;
+use crate::ejection_timer::EjectionPhase;
+use crate::random_source::RandomSource;
+use crate::slot_permit::SlotClaim;
+use crate::upstream_state::UpstreamState;
+
+/// Upstreams of one service that are drawn from together: those of the own data centre, or all others.
+#[derive(Debug, Default)]
+pub(crate) struct CandidateGroup {
+    pub(crate) members: Vec<Arc<UpstreamState>>,
+    /// Held while ejections change, so that concurrent failures do not eject more than half.
+    ejecting: AtomicBool,
+}
+
+/// What a request asks of a group.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct GroupQuery<'query> {
+    pub(crate) kind: RequestKind,
+    pub(crate) excluded: &'query [UpstreamName],
+    pub(crate) cap: u32,
+    pub(crate) now: ClockTime,
+}
+
+/// What a group had to offer to one request.
+#[derive(Debug, Default)]
+pub(crate) struct GroupOffer {
+    pub(crate) claim: Option<SlotClaim>,
+    /// Whether any member is live.
+    pub(crate) any_live: bool,
+    /// Whether any member is live, admitted and not excluded.
+    pub(crate) any_admitted: bool,
+}
+
+impl CandidateGroup {
+    /// Claims a slot: a due probe first, then the better of two random candidates with room.
+    pub(crate) fn offer(&self, query: GroupQuery<'_>, random: &RandomSource) -> GroupOffer {
+        self.readmit_excess(query.now);
+        let mut offer = GroupOffer::default();
+        let mut candidates = Vec::with_capacity(self.members.len());
+        for member in self.members.iter().filter(|member| member.is_live(query.now)) {
+            offer.any_live = true;
+            if query.excluded.contains(&member.entry.name) {
+                continue;
+            }
+            match member.ejection.phase(query.now) {
+                EjectionPhase::Admitted => {
+                    offer.any_admitted = true;
+                    if member.slots.load().has_room(query.cap) {
+                        candidates.push(member);
+                    }
+                }
+                EjectionPhase::Ejected => {}
+                EjectionPhase::ProbeDue => {
+                    if let Some(claim) = claim_probe(member, query) {
+                        offer.claim = Some(claim);
+                        return offer;
+                    }
+                }
+            }
+        }
+        offer.claim = claim_better(candidates, query, random);
+        offer
+    }
+
+    /// Ejects the member unless more than half of the live members would then be ejected.
+    ///
+    /// Does nothing while another thread changes ejections; the next failure tries again.
+    pub(crate) fn eject(&self, upstream: &UpstreamState, now: ClockTime) {
+        self.change_ejections(|| {
+            let (live, ejected) = self.count_ejected(now);
+            if !upstream.ejection.is_ejected() && (ejected + 1) * 2 <= live {
+                upstream.ejection.eject(now);
+            }
+        });
+    }
+
+    /// Ends the oldest ejections when more than half of the live members are ejected.
+    ///
+    /// Members that leave or fall silent lower the number of live members after others were ejected.
+    fn readmit_excess(&self, now: ClockTime) {
+        let (live, ejected) = self.count_ejected(now);
+        if ejected * 2 <= live {
+            return;
+        }
+        self.change_ejections(|| {
+            let (live, ejected) = self.count_ejected(now);
+            let mut members: Vec<_> = self.ejected_members(now).collect();
+            members.sort_by_key(|member| member.ejection.until());
+            for member in members.into_iter().take(ejected.saturating_sub(live / 2)) {
+                member.ejection.admit(now);
+            }
+        });
+    }
+
+    fn change_ejections<Change>(&self, change: Change)
+    where
+        Change: FnOnce(),
+    {
+        if !self.ejecting.swap(true, Ordering::AcqRel) {
+            change();
+            self.ejecting.store(false, Ordering::Release);
+        }
+    }
+
+    fn count_ejected(&self, now: ClockTime) -> (usize, usize) {
+        let live = self.members.iter().filter(|member| member.is_live(now)).count();
+        (live, self.ejected_members(now).count())
+    }
+
+    fn ejected_members(&self, now: ClockTime) -> impl Iterator<Item = &Arc<UpstreamState>> {
+        self.members
+            .iter()
+            .filter(move |member| member.is_live(now) && member.ejection.is_ejected())
+    }
+}
+
+/// Claims the probe of an ejected upstream for an idempotent request that was not sent before.
+fn claim_probe(member: &Arc<UpstreamState>, query: GroupQuery<'_>) -> Option<SlotClaim> {
+    if !query.kind.is_idempotent() || !query.excluded.is_empty() || !member.ejection.try_probe(query.now) {
+        return None;
+    }
+    let generation = member.slots.try_take(query.cap);
+    if generation.is_none() {
+        member.ejection.end_probe();
+    }
+    generation.map(|generation| SlotClaim {
+        upstream: Arc::clone(member),
+        generation,
+        probe: true,
+    })
+}
+
+/// Claims the better of two random candidates, and draws again when another thread took its last slot.
+fn claim_better(
+    mut candidates: Vec<&Arc<UpstreamState>>,
+    query: GroupQuery<'_>,
+    random: &RandomSource,
+) -> Option<SlotClaim> {
+    while !candidates.is_empty() {
+        let chosen = draw_better(&candidates, random);
+        let upstream = candidates.swap_remove(chosen);
+        if let Some(generation) = upstream.slots.try_take(query.cap) {
+            return Some(SlotClaim {
+                upstream: Arc::clone(upstream),
+                generation,
+                probe: false,
+            });
+        }
+    }
+    None
+}
+
+fn draw_better(candidates: &[&Arc<UpstreamState>], random: &RandomSource) -> usize {
+    let first = random.below(candidates.len());
+    if candidates.len() == 1 {
+        return first;
+    }
+    let distance = 1 + random.below(candidates.len() - 1);
+    let second = (first + distance) % candidates.len();
+    if candidates[second].is_better_than(candidates[first]) {
+        second
+    } else {
+        first
+    }
+}
--- /dev/null
+++ b/crates/route/src/fair_queue.rs
@@ -0,0 +1,271 @@
+use std::collections::{BTreeMap, VecDeque};
+
+use arbutuspick_model::{AccountName, ClockTime, RefusalReason, ServiceName};
+use parking_lot::Mutex;
+use serde::Serialize;
+
+use crate::account_shares::AccountShares;
+use crate::{QueueRefusal, QueueTicket, TicketId};
+
+/// Requests that may wait in one entry VM.
+pub const QUEUE_BOUND: usize = 256;
+
+/// Bounded wait queue that is fair across client accounts by weight.
+///
+/// Every request that is pushed leaves in exactly one way: popped, removed, or returned as refused.
+///
+/// ```
+/// use arbutuspick_model::{AccountName, ClockTime, ServiceName};
+/// use arbutuspick_route::{FairQueue, QueueTicket};
+/// let queue = FairQueue::default();
+/// let booking = ServiceName::try_from("booking")?;
+/// let account = AccountName::try_from("parks")?;
+/// let deadline = ClockTime(100);
+/// let ticket = QueueTicket { account, weight: 1, service: booking.clone(), deadline, waiter: 7 };
+/// assert!(queue.push(ticket, ClockTime(0)).admitted.is_some());
+/// assert_eq!(queue.pop(&booking, ClockTime(1)).waiter, Some(7));
+/// # Ok::<(), arbutuspick_model::FieldError>(())
+/// ```
+#[derive(Debug)]
+pub struct FairQueue<Waiter> {
+    bound: usize,
+    content: Mutex<QueueContent<Waiter>>,
+}
+
+/// Result of a push.
+#[derive(Debug)]
+#[must_use = "refused waiters must be told that they were not run"]
+pub struct PushResult<Waiter> {
+    /// Identifier of the new request, or nothing when it is among the refused.
+    pub admitted: Option<TicketId>,
+    /// Requests that left the queue or did not enter it.
+    pub refused: Vec<QueueRefusal<Waiter>>,
+}
+
+/// Result of a pop.
+#[derive(Debug)]
+#[must_use = "refused waiters must be told that they were not run"]
+pub struct PopResult<Waiter> {
+    /// The request to start.
+    pub waiter: Option<Waiter>,
+    /// Requests whose deadline passed.
+    pub refused: Vec<QueueRefusal<Waiter>>,
+}
+
+/// State of a wait queue, for the state dump.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct QueueState {
+    /// Most requests that may wait.
+    pub bound: usize,
+    /// Whether it takes no more requests.
+    pub closed: bool,
+    /// Waiting requests by account.
+    pub queued: BTreeMap<AccountName, usize>,
+}
+
+#[derive(Debug)]
+struct QueueContent<Waiter> {
+    closed: bool,
+    next_id: u64,
+    /// In order of arrival.
+    entries: VecDeque<(TicketId, QueueTicket<Waiter>)>,
+    shares: AccountShares,
+}
+
+impl<Waiter> Default for FairQueue<Waiter> {
+    fn default() -> Self {
+        Self::with_bound(QUEUE_BOUND)
+    }
+}
+
+impl<Waiter> FairQueue<Waiter> {
+    /// Creates a queue for at most `bound` requests.
+    pub fn with_bound(bound: usize) -> Self {
+        let content = QueueContent {
+            closed: false,
+            next_id: 0,
+            entries: VecDeque::with_capacity(bound),
+            shares: AccountShares::default(),
+        };
+        Self {
+            bound,
+            content: Mutex::new(content),
+        }
+    }
+
+    /// Adds a request, or refuses it or the newest request of the account with the most queued.
+    pub fn push(&self, ticket: QueueTicket<Waiter>, now: ClockTime) -> PushResult<Waiter> {
+        let mut content = self.content.lock();
+        let mut refused = content.remove_expired(now);
+        let reason = content.refusal_of(&ticket, now);
+        let reason = reason.or_else(|| content.make_room(&ticket, self.bound, &mut refused));
+        let admitted = match reason {
+            Some(reason) => {
+                let waiter = ticket.waiter;
+                refused.push(QueueRefusal { waiter, reason });
+                None
+            }
+            None => Some(content.insert(ticket)),
+        };
+        PushResult { admitted, refused }
+    }
+
+    /// Takes the request of this service that starts next.
+    pub fn pop(&self, service: &ServiceName, now: ClockTime) -> PopResult<Waiter> {
+        let mut content = self.content.lock();
+        let refused = content.remove_expired(now);
+        let waiter = content.position_of_next(service).map(|position| {
+            content.charge_start(position);
+            content.take(position).waiter
+        });
+        PopResult { waiter, refused }
+    }
+
+    /// Removes a request whose caller went away.
+    pub fn remove(&self, id: TicketId) -> Option<Waiter> {
+        let mut content = self.content.lock();
+        let position = content.entries.iter().position(|(entry, _)| *entry == id)?;
+        Some(content.take(position).waiter)
+    }
+
+    /// Removes the requests whose deadline passed.
+    #[must_use = "refused waiters must be told that they were not run"]
+    pub fn remove_expired(&self, now: ClockTime) -> Vec<QueueRefusal<Waiter>> {
+        self.content.lock().remove_expired(now)
+    }
+
+    /// Returns the earliest deadline of a waiting request.
+    pub fn next_deadline(&self) -> Option<ClockTime> {
+        let content = self.content.lock();
+        content.entries.iter().map(|(_, ticket)| ticket.deadline).min()
+    }
+
+    /// Takes no more requests; those that wait may still be popped.
+    pub fn close(&self) {
+        self.content.lock().closed = true;
+    }
+
+    /// Takes no more requests and refuses those that wait.
+    #[must_use = "refused waiters must be told that they were not run"]
+    pub fn close_and_drain(&self) -> Vec<QueueRefusal<Waiter>> {
+        let mut content = self.content.lock();
+        content.closed = true;
+        content.remove_where(RefusalReason::Stopping, |_| true)
+    }
+
+    /// Returns the number of waiting requests.
+    pub fn len(&self) -> usize {
+        self.content.lock().entries.len()
+    }
+
+    /// Returns whether no request waits.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    /// Returns the state of the queue.
+    pub fn state(&self) -> QueueState {
+        let content = self.content.lock();
+        QueueState {
+            bound: self.bound,
+            closed: content.closed,
+            queued: content.shares.queued(),
+        }
+    }
+}
+
+impl<Waiter> QueueContent<Waiter> {
+    fn refusal_of(&self, ticket: &QueueTicket<Waiter>, now: ClockTime) -> Option<RefusalReason> {
+        if self.closed {
+            Some(RefusalReason::Stopping)
+        } else if ticket.deadline <= now {
+            Some(RefusalReason::DeadlinePassed)
+        } else {
+            None
+        }
+    }
+
+    /// Displaces a request when the queue is full, or returns why the new one does not enter.
+    fn make_room(
+        &mut self,
+        ticket: &QueueTicket<Waiter>,
+        bound: usize,
+        refused: &mut Vec<QueueRefusal<Waiter>>,
+    ) -> Option<RefusalReason> {
+        let reason = RefusalReason::Overloaded;
+        if self.entries.len() < bound {
+            return None;
+        }
+        if !self.shares.is_below_share(&ticket.account, ticket.weight, bound) {
+            return Some(reason);
+        }
+        let Some(victim) = self.shares.most_queued_except(&ticket.account) else {
+            return Some(reason);
+        };
+        let newest = self
+            .entries
+            .iter()
+            .rposition(|(_, entry)| entry.account == victim);
+        let displaced = newest.map(|position| self.take(position).waiter);
+        refused.extend(displaced.map(|waiter| QueueRefusal { waiter, reason }));
+        None
+    }
+
+    fn insert(&mut self, ticket: QueueTicket<Waiter>) -> TicketId {
+        let id = TicketId(self.next_id);
+        self.next_id += 1;
+        self.shares.add(&ticket.account, ticket.weight);
+        self.entries.push_back((id, ticket));
+        id
+    }
+
+    /// Finds the oldest request of the service in the account that is next to start.
+    fn position_of_next(&self, service: &ServiceName) -> Option<usize> {
+        let entries = self.entries.iter().enumerate();
+        entries
+            .filter(|(_, (_, ticket))| ticket.service == *service)
+            .min_by_key(|(position, (_, ticket))| (self.shares.next_start(&ticket.account), *position))
+            .map(|(position, _)| position)
+    }
+
+    fn charge_start(&mut self, position: usize) {
+        let Self { entries, shares, .. } = self;
+        if let Some((_, ticket)) = entries.get(position) {
+            shares.charge_start(&ticket.account);
+        }
+    }
+
+    fn remove_expired(&mut self, now: ClockTime) -> Vec<QueueRefusal<Waiter>> {
+        self.remove_where(RefusalReason::DeadlinePassed, |ticket| ticket.deadline <= now)
+    }
+
+    fn remove_where<Condition>(
+        &mut self,
+        reason: RefusalReason,
+        condition: Condition,
+    ) -> Vec<QueueRefusal<Waiter>>
+    where
+        Condition: Fn(&QueueTicket<Waiter>) -> bool,
+    {
+        let mut refused = Vec::new();
+        let mut position = 0;
+        while position < self.entries.len() {
+            if condition(&self.entries[position].1) {
+                let waiter = self.take(position).waiter;
+                refused.push(QueueRefusal { waiter, reason });
+            } else {
+                position += 1;
+            }
+        }
+        refused
+    }
+
+    fn take(&mut self, position: usize) -> QueueTicket<Waiter> {
+        let (_, ticket) = self
+            .entries
+            .remove(position)
+            .expect("positions come from the same locked queue");
+        self.shares.remove(&ticket.account);
+        ticket
+    }
+}
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -1,1 +1,42 @@
 //! Request routing decisions: choice of upstream, limits, retries, ejection and shedding.
+//!
+//! The crate does no input or output and reads no clock; callers pass `now`. `RoutingTable` chooses
+//! upstreams, `FairQueue` holds requests that wait for a slot, and `RequestPlan` decides what the caller
+//! of one request is told.
+
+mod account_shares;
+mod attempt_result;
+mod candidate_group;
+mod ejection_timer;
+mod fair_queue;
+mod list_keeper;
+mod plan_machine;
+mod queue_ticket;
+mod random_source;
+mod request_kind;
+mod request_outcome;
+mod request_plan;
+mod retry_budget;
+mod route_refusal;
+mod route_snapshot;
+mod routing_options;
+mod routing_table;
+mod slot_counter;
+mod slot_permit;
+mod table_state;
+mod upstream_entry;
+mod upstream_state;
+
+pub use attempt_result::AttemptResult;
+pub use fair_queue::{FairQueue, PopResult, PushResult, QUEUE_BOUND, QueueState};
+pub use queue_ticket::{QueueRefusal, QueueTicket, TicketId};
+pub use request_kind::RequestKind;
+pub use request_outcome::RequestOutcome;
+pub use request_plan::{PlanEvent, PlanStep, RequestAttempt, RequestPlan};
+pub use retry_budget::{MAX_REQUEST_RETRIES, RetryBudget};
+pub use route_refusal::RouteRefusal;
+pub use routing_options::{MAX_UPSTREAM_LIMIT, RoutingOptions, UPSTREAM_CONNECTIONS};
+pub use routing_table::RoutingTable;
+pub use slot_permit::SlotPermit;
+pub use table_state::{TableState, UpstreamReport};
+pub use upstream_entry::UpstreamEntry;
--- /dev/null
+++ b/crates/route/src/request_kind.rs
@@ -0,0 +1,18 @@
+use serde::{Deserialize, Serialize};
+
+/// Whether a request may run more than once.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum RequestKind {
+    /// May run more than once.
+    Idempotent,
+    /// Runs at most once.
+    NonIdempotent,
+}
+
+impl RequestKind {
+    /// Returns whether a request of this kind may run more than once.
+    pub fn is_idempotent(self) -> bool {
+        self == Self::Idempotent
+    }
+}
