--- a/crates/route/src/list_keeper.rs
+++ b/crates/route/src/list_keeper.rs
@@ -55,7 +55,7 @@
         initial_limit: u16,
         now: ClockTime,
     ) -> Arc<UpstreamState> {
-        let leaving = entry.leaving || self.has_left(old, &entry);
+        let leaving = entry.leaving || self.has_left(old, &entry, now);
         let upstream = match old {
             Some(old) if old.entry.is_same_incarnation(&entry) => Arc::clone(old),
             _ => {
@@ -70,12 +70,12 @@
     }
 
     /// Returns whether the incarnation at this address was already known to leave.
-    fn has_left(&self, old: Option<&Arc<UpstreamState>>, entry: &UpstreamEntry) -> bool {
+    fn has_left(&self, old: Option<&Arc<UpstreamState>>, entry: &UpstreamEntry, now: ClockTime) -> bool {
         let listed = old.is_some_and(|old| old.entry.address == entry.address && old.is_leaving());
         let departed = self
             .departed
             .get(&entry.name)
-            .is_some_and(|mark| mark.address == entry.address);
+            .is_some_and(|mark| mark.address == entry.address && now < mark.forget_at);
         listed || departed
     }
 
--- a/crates/route/src/slot_permit.rs
+++ b/crates/route/src/slot_permit.rs
@@ -1,7 +1,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use arbutuspick_model::{ClockTime, UpstreamName};
+use arbutuspick_model::{ClockTime, ServiceName, UpstreamName};
 
 use crate::AttemptResult;
 use crate::route_snapshot::SharedSnapshot;
@@ -41,6 +41,11 @@
         &self.claim.upstream.entry.name
     }
 
+    /// Returns the service that the upstream serves.
+    pub fn service(&self) -> &ServiceName {
+        &self.claim.upstream.entry.service
+    }
+
     /// Returns the address of the upstream.
     pub fn address(&self) -> SocketAddr {
         self.claim.upstream.entry.address
--- /dev/null
+++ b/crates/route/tests/limits.rs
@@ -0,0 +1,63 @@
+//! Adaptive limit and connection cap.
+
+mod support;
+
+use arbutuspick_model::ClockTime;
+use arbutuspick_route::AttemptResult;
+use support::{attempt, entry, report, table_of, take};
+use yare::parameterized;
+
+/// Guards against a limit that collapses because all requests of one round trip are refused.
+#[test]
+fn halved_once() {
+    let table = table_of(vec![entry(0)], 8);
+    for expected in [4, 2, 1, 1] {
+        let permits: Vec<_> = std::iter::from_fn(|| take(&table, 1).ok()).collect();
+        for permit in permits {
+            permit.finish(AttemptResult::RefusedNotRun, ClockTime(2));
+        }
+        assert_eq!(report(&table, 0, 2).limit, expected);
+    }
+}
+
+/// Guards against a limit that rises too fast or beyond the slots of an upstream.
+#[parameterized(
+    one = { 1, 1, 2 },
+    short = { 4, 3, 4 },
+    four = { 4, 4, 5 },
+    top = { 8, 100, 8 },
+)]
+fn raised_after(limit: u16, successes: usize, expected: u16) {
+    let table = table_of(vec![entry(0)], limit);
+    for _ in 0..successes {
+        attempt(&table, &[], AttemptResult::Succeeded, 1);
+    }
+    assert_eq!(report(&table, 0, 1).limit, expected);
+}
+
+/// Guards against more connections than an upstream gives to all entry VMs together.
+#[parameterized(
+    one = { 1, 64, 8 },
+    seven = { 7, 9, 8 },
+    twenty = { 20, 3, 3 },
+    all = { 64, 1, 1 },
+    more = { 100, 1, 1 },
+)]
+fn connection_cap(entry_vms: u32, cap: u32, in_flight: usize) {
+    let table = table_of(vec![entry(0)], 8);
+    table.set_entry_vms(entry_vms);
+    assert_eq!(table.connection_cap(), cap);
+    let permits: Vec<_> = std::iter::from_fn(|| take(&table, 1).ok()).collect();
+    assert_eq!(permits.len(), in_flight);
+}
+
+/// Guards against slots that stay taken when the caller went away.
+#[test]
+fn drop_releases() {
+    let table = table_of(vec![entry(0)], 4);
+    let permits: Vec<_> = std::iter::from_fn(|| take(&table, 1).ok()).collect();
+    assert_eq!(report(&table, 0, 1).in_flight, 4);
+    drop(permits);
+    let report = report(&table, 0, 1);
+    assert_eq!((report.in_flight, report.limit), (0, 4));
+}
--- /dev/null
+++ b/crates/route/tests/queue.rs
@@ -0,0 +1,132 @@
+//! Wait queue.
+
+mod support;
+
+use arbutuspick_model::{AccountName, ClockTime, RefusalReason, ServiceName};
+use arbutuspick_route::{FairQueue, PushResult, QueueRefusal, QueueTicket};
+use support::service;
+
+fn ticket(account: &str, weight: u32, waiter: u32) -> QueueTicket<u32> {
+    QueueTicket {
+        account: AccountName::try_from(account).unwrap(),
+        weight,
+        service: service(),
+        deadline: ClockTime(100),
+        waiter,
+    }
+}
+
+fn push(queue: &FairQueue<u32>, account: &str, weight: u32, waiter: u32) -> PushResult<u32> {
+    queue.push(ticket(account, weight, waiter), ClockTime(0))
+}
+
+fn refusal(waiter: u32, reason: RefusalReason) -> QueueRefusal<u32> {
+    QueueRefusal { waiter, reason }
+}
+
+fn drain(queue: &FairQueue<u32>, count: usize) -> Vec<u32> {
+    (0..count)
+        .filter_map(|_| queue.pop(&service(), ClockTime(1)).waiter)
+        .collect()
+}
+
+/// Guards against a large account that starts first because it queued first.
+#[test]
+fn fair_order() {
+    let queue = FairQueue::default();
+    for waiter in 0..8 {
+        let _ = push(&queue, "large", 1, waiter);
+    }
+    for waiter in 100..102 {
+        let _ = push(&queue, "small", 1, waiter);
+    }
+    assert_eq!(drain(&queue, 6), [0, 100, 1, 101, 2, 3]);
+}
+
+/// Guards against starts that ignore the weights.
+#[test]
+fn weighted_order() {
+    let queue = FairQueue::default();
+    for waiter in 0..40 {
+        let _ = push(&queue, "heavy", 3, waiter);
+        let _ = push(&queue, "light", 1, 100 + waiter);
+    }
+    let heavy = drain(&queue, 40)
+        .into_iter()
+        .filter(|waiter| *waiter < 100)
+        .count();
+    assert_eq!(heavy, 30);
+}
+
+/// Guards against an account that is served twice as often because its queue runs empty after each start.
+#[test]
+fn returning_account() {
+    let queue = FairQueue::default();
+    for waiter in 0..20 {
+        let _ = push(&queue, "steady", 1, waiter);
+    }
+    let mut started = Vec::new();
+    for waiter in 100..110 {
+        let _ = push(&queue, "returning", 1, waiter);
+        started.extend(drain(&queue, 1));
+        if started.last() == Some(&waiter) {
+            continue;
+        }
+        started.extend(drain(&queue, 1));
+    }
+    let returning = started.iter().filter(|waiter| **waiter >= 100).count();
+    assert!(returning * 2 <= started.len() + 1, "{started:?}");
+}
+
+/// Guards against a full queue that shuts out accounts below their share.
+#[test]
+fn newest_displaced() {
+    let queue = FairQueue::with_bound(4);
+    for waiter in 0..4 {
+        let _ = push(&queue, "large", 1, waiter);
+    }
+    let result = push(&queue, "small", 1, 100);
+    assert_eq!(result.refused, [refusal(3, RefusalReason::Overloaded)]);
+    let result = push(&queue, "large", 1, 4);
+    assert_eq!(result.refused, [refusal(4, RefusalReason::Overloaded)]);
+    let result = push(&queue, "small", 1, 101);
+    assert_eq!(result.refused, [refusal(2, RefusalReason::Overloaded)]);
+    let result = push(&queue, "small", 1, 102);
+    assert_eq!(result.refused, [refusal(102, RefusalReason::Overloaded)]);
+}
+
+/// Guards against requests that wait past their deadline, and against a slot given to one of them.
+#[test]
+fn expired_refused() {
+    let queue = FairQueue::default();
+    let _ = push(&queue, "a", 1, 1);
+    assert_eq!(queue.next_deadline(), Some(ClockTime(100)));
+    let result = queue.pop(&service(), ClockTime(100));
+    assert_eq!(result.waiter, None);
+    assert_eq!(result.refused, [refusal(1, RefusalReason::DeadlinePassed)]);
+    let late = queue.push(ticket("a", 1, 2), ClockTime(100));
+    assert_eq!(late.refused, [refusal(2, RefusalReason::DeadlinePassed)]);
+}
+
+/// Guards against a request that is started for a slot of another service, and against lost removals.
+#[test]
+fn service_matched() {
+    let queue = FairQueue::default();
+    let id = push(&queue, "a", 1, 1).admitted.unwrap();
+    let canopy = ServiceName::try_from("canopy").unwrap();
+    assert_eq!(queue.pop(&canopy, ClockTime(1)).waiter, None);
+    assert_eq!((queue.remove(id), queue.remove(id)), (Some(1), None));
+}
+
+/// Guards against a planned stop that loses waiting requests or takes new ones.
+#[test]
+fn planned_stop() {
+    let queue = FairQueue::default();
+    let _ = push(&queue, "a", 1, 1);
+    let _ = push(&queue, "a", 1, 2);
+    queue.close();
+    let result = push(&queue, "a", 1, 3);
+    assert_eq!(result.refused, [refusal(3, RefusalReason::Stopping)]);
+    assert_eq!(drain(&queue, 1), [1]);
+    assert_eq!(queue.close_and_drain(), [refusal(2, RefusalReason::Stopping)]);
+}
--- /dev/null
+++ b/crates/route/tests/support/mod.rs
@@ -0,0 +1,73 @@
+#![allow(dead_code)] // Each test file uses a part of these helpers.
+
+use arbutuspick_model::{CentreName, ClockTime, ServiceName, UpstreamName};
+use arbutuspick_route::{
+    AttemptResult, RequestKind, RouteRefusal, RoutingOptions, RoutingTable, SlotPermit, UpstreamEntry,
+    UpstreamReport,
+};
+
+pub(crate) fn centre(name: &str) -> CentreName {
+    CentreName::try_from(name).unwrap()
+}
+
+pub(crate) fn service() -> ServiceName {
+    ServiceName::try_from("booking").unwrap()
+}
+
+pub(crate) fn upstream(index: usize) -> UpstreamName {
+    UpstreamName::try_from(format!("u-{index}")).unwrap()
+}
+
+/// Upstream in data centre "own"; the port tells incarnations apart.
+pub(crate) fn entry(index: usize) -> UpstreamEntry {
+    UpstreamEntry {
+        name: upstream(index),
+        service: service(),
+        data_centre: centre("own"),
+        address: ([127, 0, 0, 1], 9000 + index as u16).into(),
+        leaving: false,
+    }
+}
+
+pub(crate) fn far_entry(index: usize) -> UpstreamEntry {
+    UpstreamEntry {
+        data_centre: centre("far"),
+        ..entry(index)
+    }
+}
+
+/// Table whose upstreams were all heard at time 0.
+pub(crate) fn table_of(entries: Vec<UpstreamEntry>, limit: u16) -> RoutingTable {
+    let options = RoutingOptions::new(centre("own"))
+        .with_initial_limit(limit)
+        .with_seed(7);
+    let table = RoutingTable::new(options);
+    table.update_list(entries.clone(), ClockTime(0));
+    hear_all(&table, 0);
+    table
+}
+
+pub(crate) fn hear_all(table: &RoutingTable, now: u64) {
+    for report in table.state(ClockTime(now)).upstreams {
+        table.record_heard(&report.entry.name, ClockTime(now));
+    }
+}
+
+pub(crate) fn take(table: &RoutingTable, now: u64) -> Result<SlotPermit, RouteRefusal> {
+    table.acquire(&service(), RequestKind::Idempotent, &[], ClockTime(now))
+}
+
+/// Sends one request to the only upstream that is not excluded.
+pub(crate) fn attempt(table: &RoutingTable, excluded: &[UpstreamName], result: AttemptResult, now: u64) {
+    let kind = RequestKind::NonIdempotent;
+    let permit = table.acquire(&service(), kind, excluded, ClockTime(now)).unwrap();
+    permit.finish(result, ClockTime(now));
+}
+
+pub(crate) fn report(table: &RoutingTable, index: usize, now: u64) -> UpstreamReport {
+    let upstreams = table.state(ClockTime(now)).upstreams;
+    upstreams
+        .into_iter()
+        .find(|report| report.entry.name == upstream(index))
+        .unwrap()
+}
