route: add stateful tests of the queue and of routing

Cause: the bounds and outcomes hold only together, over long sequences of concurrent requests. Change: two proptest-state-machine tests with oracles that are kept apart from the code; the fixed seed and the number of cases can be changed with ARBUTUSPICK_FUZZ_SEED and ARBUTUSPICK_FUZZ_CASES.

--- a/crates/route/tests/support/mod.rs
+++ b/crates/route/tests/support/mod.rs
@@ -1,5 +1,8 @@
 #![allow(dead_code)] // Each test file uses a part of these helpers.
 
+pub(crate) mod route_world;
+pub(crate) mod upstream_oracle;
+
 use arbutuspick_model::{CentreName, ClockTime, ServiceName, UpstreamName};
 use arbutuspick_route::{
     AttemptResult, RequestKind, RouteRefusal, RoutingOptions, RoutingTable, SlotPermit, UpstreamEntry,
@@ -71,3 +74,18 @@
         .find(|report| report.entry.name == upstream(index))
         .unwrap()
 }
+
+/// Reads the number of cases and the seed for longer runs; the defaults repeat the same run.
+pub(crate) fn fuzz_config(cases: u32) -> proptest::test_runner::Config {
+    let read = |name: &str| {
+        std::env::var(name)
+            .ok()
+            .map(|value| value.parse::<u64>().expect(name))
+    };
+    proptest::test_runner::Config {
+        cases: read("ARBUTUSPICK_FUZZ_CASES").map_or(cases, |cases| cases as u32),
+        rng_seed: proptest::test_runner::RngSeed::Fixed(read("ARBUTUSPICK_FUZZ_SEED").unwrap_or(1)),
+        failure_persistence: None,
+        ..Default::default()
+    }
+}
