--- /dev/null
+++ b/crates/sched/src/adopted_binding.rs
@@ -0,0 +1,98 @@
+use std::collections::BTreeMap;
+
+use arbutuspick_model::{AccountName, CellLevel, ClockTime};
+
+use crate::PlacementCore;
+use crate::cell_block::{CellBlock, maximal_blocks, set_bits};
+use crate::job_entry::{BoundPart, JobKey};
+
+/// Finds the guaranteed cells that adopted attempts used under the previous placement holder.
+impl PlacementCore {
+    pub(crate) fn bind_adopted(&mut self, now: ClockTime) {
+        let keys: Vec<JobKey> = self.rebinding.iter().copied().collect();
+        for key in keys {
+            let Some(entry) = self.jobs.get(key) else {
+                self.rebinding.remove(&key);
+                continue;
+            };
+            let Some(hold) = entry.hold().filter(|hold| hold.ending.is_none()) else {
+                self.rebinding.remove(&key);
+                continue;
+            };
+            let account = entry.spec.account.clone();
+            let mut masks: BTreeMap<u32, u64> = BTreeMap::new();
+            for load in &hold.loads {
+                *masks.entry(load.slot.rack).or_default() |= load.rack_mask();
+            }
+            let expected = hold.members.len();
+            let known: u32 = hold.loads.iter().map(|load| load.tasks).sum();
+            let settled = now >= self.settled_at;
+            if known as usize == expected && self.bind_masks(key, &account, &masks, now) || settled {
+                // An attempt that no guarantee covers any more is borrowed work.
+                self.rebinding.remove(&key);
+                if let Some(hold) = self.jobs[key].hold_mut() {
+                    hold.unbound_guarantee = false;
+                }
+            }
+        }
+    }
+
+    fn bind_masks(
+        &mut self,
+        key: JobKey,
+        account: &AccountName,
+        masks: &BTreeMap<u32, u64>,
+        now: ClockTime,
+    ) -> bool {
+        let mut parts = Vec::new();
+        for (rack, mask) in masks {
+            let blocks = maximal_blocks(*mask);
+            for level in CellLevel::ALL.into_iter().rev() {
+                for offset in set_bits(blocks[level as usize]) {
+                    let block = CellBlock {
+                        rack: *rack,
+                        offset,
+                        level,
+                    };
+                    let Some(part) = self.bind_block(account, block) else {
+                        for part in parts {
+                            self.ledger.release_part(&mut self.pool, part);
+                        }
+                        return false;
+                    };
+                    parts.push(part);
+                }
+            }
+        }
+        self.set_parts(key, parts, now);
+        true
+    }
+
+    fn bind_block(&mut self, account: &AccountName, block: CellBlock) -> Option<BoundPart> {
+        let mask = block.mask();
+        let entry = self.ledger.accounts.get(account)?;
+        let inside = entry.bindings.iter().copied().find(|key| {
+            let binding = &self.ledger.bindings[*key];
+            binding.block.rack == block.rack && mask & !(binding.block.mask() & !binding.used) == 0
+        });
+        let binding = match inside {
+            Some(binding) => binding,
+            None => {
+                let bound = self.pool.rack(block.rack).bound;
+                let cell = CellLevel::ALL
+                    .into_iter()
+                    .filter(|level| *level >= block.level && entry.unbound(*level).is_some())
+                    .map(|level| CellBlock {
+                        rack: block.rack,
+                        offset: block.offset & !(level.accelerators() as u8 - 1),
+                        level,
+                    })
+                    .find(|cell| cell.mask() & bound == 0)?;
+                self.ledger.bind(&mut self.pool, account, cell)?
+            }
+        };
+        let part = BoundPart { binding, mask };
+        self.ledger.use_part(part);
+        Some(part)
+    }
+}
--- /dev/null
+++ b/crates/sched/src/borrowed_pass.rs
@@ -0,0 +1,101 @@
+use std::collections::BTreeSet;
+
+use arbutuspick_model::{AccountName, ClockTime, JobClass};
+
+use crate::PlacementCore;
+use crate::account_usage::AccountUsage;
+use crate::gang_queue::ShapeKey;
+use crate::job_entry::{ArrivalRank, JobKey, JobPhase};
+use crate::pool_state::PoolArea;
+
+/// Shapes that failed in this pass, for jobs before and after the barrier.
+type FailedShapes = BTreeSet<(ShapeKey, bool)>;
+
+/// Borrowed jobs: fair order among accounts, bounded overtaking, and backfill that yields.
+impl PlacementCore {
+    pub(crate) fn pass_borrowed(&mut self, now: ClockTime) {
+        for usage in self.usages.values_mut() {
+            usage.advance(now, self.options.usage_half_life_ms);
+        }
+        let mut failed = FailedShapes::new();
+        let mut exhausted: BTreeSet<AccountName> = BTreeSet::new();
+        for _ in 0..self.options.max_tries {
+            let Some(account) = self.next_account(&exhausted) else {
+                return;
+            };
+            if !self.has_budget() {
+                return;
+            }
+            let barrier = self.barrier;
+            let skipped = |_: JobClass, shape: &ShapeKey, rank: &ArrivalRank| {
+                failed.contains(&(*shape, is_behind(barrier, rank)))
+            };
+            let Some((key, shape)) = self.queue.accounts[&account].first(skipped) else {
+                exhausted.insert(account);
+                continue;
+            };
+            let behind = is_behind(barrier, &self.jobs[key].rank());
+            if !self.start_borrowed(key, behind, now) {
+                failed.insert((shape, behind));
+            } else if std::mem::take(&mut self.newly_due) {
+                // New reservations take cells away, so shapes that failed still fail.
+                self.make_reservations(now);
+            }
+        }
+        self.dirty = true;
+    }
+
+    /// Returns the account with queued jobs and the smallest borrowed share.
+    fn next_account(&self, exhausted: &BTreeSet<AccountName>) -> Option<AccountName> {
+        let share = |account: &AccountName| self.usages.get(account).map_or(0.0, AccountUsage::share);
+        self.queue
+            .accounts
+            .keys()
+            .filter(|account| !exhausted.contains(*account))
+            .min_by(|a, b| share(a).total_cmp(&share(b)))
+            .cloned()
+    }
+
+    fn start_borrowed(&mut self, key: JobKey, behind: bool, now: ClockTime) -> bool {
+        let Some(demand) = self.borrowed_demand(key) else {
+            return false;
+        };
+        let entry = &self.jobs[key];
+        let reserved = matches!(&entry.phase, JobPhase::Queued { reservation: Some(_) });
+        let may_yield = entry.spec.checkpointable && !reserved;
+        let mut placed = None;
+        if !behind {
+            let loads = self.pool.place(key, &demand, PoolArea::Open);
+            placed = loads.map(|loads| (loads, false));
+        }
+        if placed.is_none() && may_yield {
+            let loads = self.pool.place(key, &demand, PoolArea::Lendable);
+            placed = loads.map(|loads| (loads, true));
+        }
+        let Some((loads, yielding)) = placed else {
+            return false;
+        };
+        self.dequeue(key);
+        if !yielding {
+            self.count_overtakes(key);
+        }
+        self.start_attempt(key, &demand, loads, Vec::new(), yielding, now);
+        true
+    }
+
+    /// Counts the start of a borrowed job for the earlier arrivals that still wait.
+    pub(crate) fn count_overtakes(&mut self, started: JobKey) {
+        let rank = self.jobs[started].rank();
+        for key in self.queue.arrivals.range(..rank).map(|(_, key)| *key) {
+            let job = &mut self.jobs[key];
+            job.overtaken = job.overtaken.saturating_add(1);
+            if job.overtaken == self.options.max_overtakes {
+                self.newly_due = true;
+            }
+        }
+    }
+}
+
+fn is_behind(barrier: Option<ArrivalRank>, rank: &ArrivalRank) -> bool {
+    barrier.is_some_and(|barrier| *rank > barrier)
+}
--- /dev/null
+++ b/crates/sched/src/cell_counts.rs
@@ -0,0 +1,50 @@
+use std::ops::{Index, IndexMut};
+
+use arbutuspick_model::CellLevel;
+use serde::{Deserialize, Serialize};
+
+/// Number of cells at each level.
+///
+/// ```
+/// use arbutuspick_model::CellLevel;
+/// use arbutuspick_sched::CellCounts;
+/// let mut counts = CellCounts::default();
+/// counts[CellLevel::Worker] += 2;
+/// assert_eq!(counts.accelerators(), 16);
+/// ```
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct CellCounts(pub [u32; 7]);
+
+impl CellCounts {
+    /// Returns whether every count is 0.
+    pub fn is_empty(&self) -> bool {
+        self.0 == [0; 7]
+    }
+
+    /// Returns the accelerators of all cells together.
+    pub fn accelerators(&self) -> u32 {
+        CellLevel::ALL
+            .into_iter()
+            .map(|level| self[level] * level.accelerators())
+            .sum()
+    }
+
+    /// Returns whether no count is larger than the one in `other`.
+    pub fn is_within(&self, other: &Self) -> bool {
+        self.0.iter().zip(other.0).all(|(mine, theirs)| *mine <= theirs)
+    }
+}
+
+impl Index<CellLevel> for CellCounts {
+    type Output = u32;
+    fn index(&self, level: CellLevel) -> &u32 {
+        &self.0[level as usize]
+    }
+}
+
+impl IndexMut<CellLevel> for CellCounts {
+    fn index_mut(&mut self, level: CellLevel) -> &mut u32 {
+        &mut self.0[level as usize]
+    }
+}
--- /dev/null
+++ b/crates/sched/src/gang_queue.rs
@@ -0,0 +1,137 @@
+use std::collections::{BTreeMap, BTreeSet};
+
+use arbutuspick_model::{AccountName, CellLevel, GangAdjacency, JobClass, JobSpec};
+
+use crate::job_entry::{ArrivalRank, JobEntry, JobKey};
+
+/// What decides whether a job can be placed: jobs with the same key fit or fail together.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct ShapeKey {
+    tasks: u32,
+    accelerators: u32,
+    cores: u32,
+    memory_mib: u64,
+    adjacency: GangAdjacency,
+    pub(crate) checkpointable: bool,
+}
+
+impl ShapeKey {
+    pub(crate) fn new(spec: &JobSpec) -> Self {
+        let shape = spec.shape;
+        Self {
+            tasks: shape.tasks,
+            accelerators: shape.accelerators,
+            cores: shape.cores,
+            memory_mib: shape.memory_mib,
+            adjacency: shape.adjacency,
+            checkpointable: spec.checkpointable,
+        }
+    }
+}
+
+impl ShapeKey {
+    /// Returns the smallest cell that the gang needs, or nothing for work on processors only.
+    pub(crate) fn smallest_cell(&self) -> Option<CellLevel> {
+        let task = CellLevel::covering(self.accelerators.next_power_of_two())?;
+        match self.adjacency {
+            _ if self.accelerators == 0 => None,
+            GangAdjacency::Task => Some(task),
+            GangAdjacency::Worker | GangAdjacency::Rack => {
+                CellLevel::covering(task.accelerators() * self.tasks).or(Some(CellLevel::Rack))
+            }
+        }
+    }
+}
+
+/// Jobs of an account with the same class and shape, in order of arrival.
+type GroupKey = (JobClass, ShapeKey);
+
+/// Queued jobs of one account.
+#[derive(Debug, Default)]
+pub(crate) struct AccountQueue {
+    groups: BTreeMap<GroupKey, BTreeMap<ArrivalRank, JobKey>>,
+}
+
+impl AccountQueue {
+    /// Returns the first job by class and arrival among the groups that are not skipped.
+    pub(crate) fn first<F>(&self, skipped: F) -> Option<(JobKey, ShapeKey)>
+    where
+        F: Fn(JobClass, &ShapeKey, &ArrivalRank) -> bool,
+    {
+        let heads = self.groups.iter().filter_map(|((class, shape), group)| {
+            let (rank, job) = group.first_key_value()?;
+            (!skipped(*class, shape, rank)).then_some((*class, *rank, *job, *shape))
+        });
+        heads
+            .min_by_key(|(class, rank, ..)| (*class, *rank))
+            .map(|(_, _, job, shape)| (job, shape))
+    }
+
+    /// Returns the shapes of the queued jobs.
+    pub(crate) fn shapes(&self) -> impl Iterator<Item = &ShapeKey> {
+        self.groups.keys().map(|(_, shape)| shape)
+    }
+}
+
+/// Queued jobs by account and by arrival.
+#[derive(Debug, Default)]
+pub(crate) struct GangQueue {
+    pub(crate) accounts: BTreeMap<AccountName, AccountQueue>,
+    pub(crate) arrivals: BTreeMap<ArrivalRank, JobKey>,
+    /// Jobs with a reservation.
+    pub(crate) reserved: BTreeMap<ArrivalRank, JobKey>,
+    /// Guaranteed jobs whose cells are being given back.
+    pub(crate) claiming: BTreeMap<ArrivalRank, JobKey>,
+    /// Jobs whose shape was not checked against the known workers yet.
+    pub(crate) unchecked: BTreeSet<JobKey>,
+    /// Queued and claiming jobs by account.
+    pub(crate) lengths: BTreeMap<AccountName, u32>,
+}
+
+impl GangQueue {
+    pub(crate) fn insert(&mut self, job: &JobEntry, key: JobKey) {
+        let shape = ShapeKey::new(&job.spec);
+        let account = self.accounts.entry(job.spec.account.clone()).or_default();
+        let group = account.groups.entry((job.spec.class, shape)).or_default();
+        group.insert(job.rank(), key);
+        self.arrivals.insert(job.rank(), key);
+        if !job.checked {
+            self.unchecked.insert(key);
+        }
+    }
+
+    pub(crate) fn remove(&mut self, job: &JobEntry, key: JobKey) {
+        self.arrivals.remove(&job.rank());
+        self.reserved.remove(&job.rank());
+        self.unchecked.remove(&key);
+        let Some(account) = self.accounts.get_mut(&job.spec.account) else {
+            return;
+        };
+        let group_key = (job.spec.class, ShapeKey::new(&job.spec));
+        if let Some(group) = account.groups.get_mut(&group_key) {
+            group.remove(&job.rank());
+            if group.is_empty() {
+                account.groups.remove(&group_key);
+            }
+        }
+        if account.groups.is_empty() {
+            self.accounts.remove(&job.spec.account);
+        }
+    }
+
+    pub(crate) fn count(&mut self, account: &AccountName, added: bool) {
+        let length = self.lengths.entry(account.clone()).or_default();
+        *length = if added {
+            *length + 1
+        } else {
+            length.saturating_sub(1)
+        };
+        if *length == 0 {
+            self.lengths.remove(account);
+        }
+    }
+
+    pub(crate) fn length(&self, account: &AccountName) -> u32 {
+        self.lengths.get(account).copied().unwrap_or(0)
+    }
+}
--- /dev/null
+++ b/crates/sched/src/guarantee_ledger.rs
@@ -0,0 +1,250 @@
+use std::collections::{BTreeMap, BTreeSet};
+
+use arbutuspick_model::{AccountName, CellLevel};
+use slotmap::SlotMap;
+
+use crate::cell_block::CellBlock;
+use crate::guarantee_pack::{guarantee_counts, leftover_cells, pack_guarantees};
+use crate::job_entry::BoundPart;
+use crate::pool_state::PoolState;
+use crate::{AccountShare, CellCounts};
+
+slotmap::new_key_type! {
+    /// Key of a guaranteed cell in use.
+    pub(crate) struct BindingKey;
+}
+
+/// A guaranteed cell that jobs of its account use in part or in full.
+///
+/// The part that they do not use stays theirs: others may only borrow it. Binding a cell to its place
+/// keeps the unused part reclaimable in whatever order the jobs end.
+#[derive(Clone, Debug)]
+pub(crate) struct CellBinding {
+    pub(crate) account: AccountName,
+    pub(crate) block: CellBlock,
+    pub(crate) used: u64,
+    pub(crate) home: bool,
+}
+
+/// Guarantees of one account and how many of them are bound.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct AccountGuarantee {
+    home: CellCounts,
+    displaced: CellCounts,
+    bound_home: CellCounts,
+    bound_displaced: CellCounts,
+    pub(crate) bindings: BTreeSet<BindingKey>,
+}
+
+impl AccountGuarantee {
+    /// Returns whether a cell of the level is not in use: `true` for a home one, which goes first.
+    pub(crate) fn unbound(&self, level: CellLevel) -> Option<bool> {
+        if self.home[level] > self.bound_home[level] {
+            return Some(true);
+        }
+        (self.displaced[level] > self.bound_displaced[level]).then_some(false)
+    }
+
+    pub(crate) fn unbound_counts(&self) -> CellCounts {
+        let mut counts = CellCounts::default();
+        for level in CellLevel::ALL {
+            counts[level] = (self.home[level] - self.bound_home[level])
+                + (self.displaced[level] - self.bound_displaced[level]);
+        }
+        counts
+    }
+}
+
+/// Guarantees of all accounts and the cells that are in use.
+#[derive(Debug, Default)]
+pub(crate) struct GuaranteeLedger {
+    pub(crate) accounts: BTreeMap<AccountName, AccountGuarantee>,
+    pub(crate) bindings: SlotMap<BindingKey, CellBinding>,
+    /// Home cells that are not in use.
+    unbound_home: CellCounts,
+    unbound_displaced: CellCounts,
+}
+
+impl GuaranteeLedger {
+    /// Takes over new guarantees and returns the cells in use that are no longer covered.
+    pub(crate) fn set_accounts(&mut self, shares: &[AccountShare], pool: &mut PoolState) -> Vec<BindingKey> {
+        for entry in self.accounts.values_mut() {
+            (entry.home, entry.displaced) = (CellCounts::default(), CellCounts::default());
+            (entry.bound_home, entry.bound_displaced) = (CellCounts::default(), CellCounts::default());
+        }
+        for share in shares {
+            let entry = self.accounts.entry(share.account.clone()).or_default();
+            entry.home = guarantee_counts(&share.home);
+            entry.displaced = guarantee_counts(&share.displaced);
+        }
+        let mut surplus = Vec::new();
+        let keys: Vec<BindingKey> = self.bindings.keys().collect();
+        for key in keys {
+            if !self.cover(key) {
+                surplus.push(key);
+            }
+        }
+        for key in &surplus {
+            if let Some(binding) = self.bindings.remove(*key) {
+                pool.bind(binding.block, false);
+                if let Some(entry) = self.accounts.get_mut(&binding.account) {
+                    entry.bindings.remove(key);
+                }
+            }
+        }
+        self.accounts.retain(|_, entry| {
+            !entry.home.is_empty() || !entry.displaced.is_empty() || !entry.bindings.is_empty()
+        });
+        self.count_unbound();
+        surplus
+    }
+
+    /// Counts a cell in use against its account's guarantee, if that still covers it.
+    fn cover(&mut self, key: BindingKey) -> bool {
+        let Self {
+            accounts, bindings, ..
+        } = self;
+        let Some(binding) = bindings.get_mut(key) else {
+            return false;
+        };
+        let Some(entry) = accounts.get_mut(&binding.account) else {
+            return false;
+        };
+        let level = binding.block.level;
+        let Some(home) = entry.unbound(level) else {
+            return false;
+        };
+        binding.home = home;
+        let bound = if home {
+            &mut entry.bound_home
+        } else {
+            &mut entry.bound_displaced
+        };
+        bound[level] += 1;
+        true
+    }
+
+    fn count_unbound(&mut self) {
+        self.unbound_home = CellCounts::default();
+        self.unbound_displaced = CellCounts::default();
+        for entry in self.accounts.values() {
+            for level in CellLevel::ALL {
+                self.unbound_home[level] += entry.home[level] - entry.bound_home[level];
+                self.unbound_displaced[level] += entry.displaced[level] - entry.bound_displaced[level];
+            }
+        }
+    }
+
+    /// Starts to use a guaranteed cell at this place.
+    pub(crate) fn bind(
+        &mut self,
+        pool: &mut PoolState,
+        account: &AccountName,
+        block: CellBlock,
+    ) -> Option<BindingKey> {
+        let entry = self.accounts.get_mut(account)?;
+        let home = entry.unbound(block.level)?;
+        let key = self.bindings.insert(CellBinding {
+            account: account.clone(),
+            block,
+            used: 0,
+            home,
+        });
+        entry.bindings.insert(key);
+        let (bound, unbound) = if home {
+            (&mut entry.bound_home, &mut self.unbound_home)
+        } else {
+            (&mut entry.bound_displaced, &mut self.unbound_displaced)
+        };
+        bound[block.level] += 1;
+        unbound[block.level] -= 1;
+        pool.bind(block, true);
+        Some(key)
+    }
+
+    pub(crate) fn use_part(&mut self, part: BoundPart) {
+        if let Some(binding) = self.bindings.get_mut(part.binding) {
+            binding.used |= part.mask;
+        }
+    }
+
+    /// Gives back a part, and the whole cell when no other job uses it.
+    pub(crate) fn release_part(&mut self, pool: &mut PoolState, part: BoundPart) {
+        let Some(binding) = self.bindings.get_mut(part.binding) else {
+            return;
+        };
+        binding.used &= !part.mask;
+        if binding.used != 0 {
+            return;
+        }
+        let Some(binding) = self.bindings.remove(part.binding) else {
+            return;
+        };
+        pool.bind(binding.block, false);
+        if let Some(entry) = self.accounts.get_mut(&binding.account) {
+            let level = binding.block.level;
+            entry.bindings.remove(&part.binding);
+            if binding.home {
+                entry.bound_home[level] -= 1;
+                self.unbound_home[level] += 1;
+            } else {
+                entry.bound_displaced[level] -= 1;
+                self.unbound_displaced[level] += 1;
+            }
+        }
+    }
+
+    /// Returns whether the account has so many guaranteed accelerators that no job uses.
+    pub(crate) fn has_unused(&self, account: &AccountName, accelerators: u32) -> bool {
+        let Some(entry) = self.accounts.get(account) else {
+            return false;
+        };
+        let mut unused = entry.unbound_counts().accelerators();
+        for key in &entry.bindings {
+            if unused >= accelerators {
+                break;
+            }
+            let binding = &self.bindings[*key];
+            unused += (binding.block.mask() & !binding.used).count_ones();
+        }
+        unused >= accelerators
+    }
+
+    /// Returns the home cells that cannot be given to their accounts from what is left.
+    pub(crate) fn home_shortfall(&self, pool: &PoolState) -> CellCounts {
+        pack_guarantees(pool.claimable.counts(), self.unbound_home)
+    }
+
+    /// Returns whether a new cell at this place leaves the unused home guarantees as packable as before.
+    pub(crate) fn may_bind(
+        &self,
+        pool: &PoolState,
+        block: CellBlock,
+        home: bool,
+        shortfall: &CellCounts,
+    ) -> bool {
+        let mut demand = self.unbound_home;
+        if home {
+            demand[block.level] -= 1;
+        }
+        let mask = pool.claimable.mask(block.rack) & !block.mask();
+        let available = pool.claimable.counts_with(block.rack, mask);
+        pack_guarantees(available, demand).is_within(shortfall)
+    }
+
+    /// Returns the guaranteed cells that the live workers cannot honour: home ones, displaced ones.
+    pub(crate) fn shortfalls(&self, pool: &PoolState) -> (CellCounts, CellCounts) {
+        let available = pool.claimable.counts();
+        let mut home = pack_guarantees(available, self.unbound_home);
+        let left = leftover_cells(available, self.unbound_home);
+        let mut displaced = pack_guarantees(left, self.unbound_displaced);
+        for binding in self.bindings.values() {
+            let unused = binding.block.mask() & !binding.used;
+            if unused & !pool.alive.mask(binding.block.rack) != 0 {
+                let counts = if binding.home { &mut home } else { &mut displaced };
+                counts[binding.block.level] += 1;
+            }
+        }
+        (home, displaced)
+    }
+}
--- /dev/null
+++ b/crates/sched/src/guaranteed_pass.rs
@@ -0,0 +1,217 @@
+use std::collections::BTreeSet;
+
+use arbutuspick_model::{AccountName, ClockTime, JobClass};
+
+use crate::cell_demand::CellDemand;
+use crate::gang_queue::ShapeKey;
+use crate::job_entry::{ArrivalRank, BoundPart, JobKey, JobPhase};
+use crate::reclaim_pick::{ReclaimBinding, ReclaimChoice, ReclaimPick};
+use crate::worker_load::WorkerLoad;
+use crate::{PlacementCore, PreemptReason};
+
+/// Guaranteed jobs: choice of cells, reclaim from borrowers, and start when the cells are free.
+impl PlacementCore {
+    /// Starts the guaranteed jobs whose cells were given back.
+    pub(crate) fn pass_claims(&mut self, now: ClockTime) {
+        let claiming: Vec<JobKey> = self.queue.claiming.values().copied().collect();
+        for key in claiming {
+            let JobPhase::Claiming { loads, .. } = &self.jobs[key].phase else {
+                continue;
+            };
+            if loads.iter().any(|load| !self.pool.is_up(load.slot)) {
+                self.drop_claim(key);
+            } else if loads.iter().all(|load| self.pool.is_ready(load)) {
+                if !self.has_budget() {
+                    return;
+                }
+                self.start_claimed(key, now);
+            }
+        }
+    }
+
+    /// Gives back what was claimed for a guaranteed job and puts it back into the queue.
+    pub(crate) fn drop_claim(&mut self, key: JobKey) {
+        let entry = &mut self.jobs[key];
+        if !matches!(entry.phase, JobPhase::Claiming { .. }) {
+            return;
+        }
+        let queued = JobPhase::Queued { reservation: None };
+        if let JobPhase::Claiming { loads, parts } = std::mem::replace(&mut entry.phase, queued) {
+            self.queue.claiming.remove(&entry.rank());
+            self.queue.insert(entry, key);
+            self.unclaim(&loads, &parts);
+        }
+    }
+
+    fn unclaim(&mut self, loads: &[WorkerLoad], parts: &[BoundPart]) {
+        for load in loads {
+            self.pool.claim(load, false);
+        }
+        for part in parts {
+            self.ledger.release_part(&mut self.pool, *part);
+        }
+    }
+
+    fn start_claimed(&mut self, key: JobKey, now: ClockTime) {
+        let entry = &mut self.jobs[key];
+        let spec = entry.spec.clone();
+        let queued = JobPhase::Queued { reservation: None };
+        let JobPhase::Claiming { loads, parts } = std::mem::replace(&mut entry.phase, queued) else {
+            return;
+        };
+        self.queue.claiming.remove(&entry.rank());
+        self.queue.count(&spec.account, false);
+        for load in &loads {
+            self.pool.claim(load, false);
+            self.pool.hold(key, load);
+        }
+        if let Some(demand) = self.demand(&spec, true) {
+            self.start_attempt(key, &demand, loads, parts, false, now);
+        }
+    }
+
+    /// Gives queued jobs the unused guaranteed cells of their accounts.
+    pub(crate) fn pass_guaranteed(&mut self, now: ClockTime) {
+        let accounts: Vec<AccountName> = self
+            .ledger
+            .accounts
+            .keys()
+            .filter(|account| self.queue.accounts.contains_key(*account))
+            .cloned()
+            .collect();
+        for account in accounts {
+            let mut failed: BTreeSet<ShapeKey> = BTreeSet::new();
+            let skipped = |failed: &BTreeSet<ShapeKey>, shape: &ShapeKey| failed.contains(shape);
+            while let Some((key, shape)) = self.queue.accounts.get(&account).and_then(|queue| {
+                queue.first(|_: JobClass, shape: &ShapeKey, _: &ArrivalRank| skipped(&failed, shape))
+            }) {
+                if !self.has_budget() {
+                    return;
+                }
+                if !self.claim_guaranteed(key, &account, now) {
+                    failed.insert(shape);
+                }
+            }
+        }
+    }
+
+    fn claim_guaranteed(&mut self, key: JobKey, account: &AccountName, now: ClockTime) -> bool {
+        let spec = self.jobs[key].spec.clone();
+        let Some(demand) = self.demand(&spec, true).filter(|demand| !demand.runs.is_empty()) else {
+            return false;
+        };
+        if !self.ledger.has_unused(account, demand.counts().accelerators()) {
+            return false;
+        }
+        let mut loads = Vec::new();
+        let mut parts = Vec::new();
+        let mut victims = BTreeSet::new();
+        for run in &demand.runs {
+            for _ in 0..run.count {
+                let pick = ReclaimPick {
+                    pool: &self.pool,
+                    ledger: &self.ledger,
+                    jobs: &self.jobs,
+                    account,
+                    demand: &demand,
+                    chosen: &victims,
+                    shortfall: self.ledger.home_shortfall(&self.pool),
+                };
+                let choice = pick.choose(run.level, run.tasks);
+                let Some(part) = choice
+                    .as_ref()
+                    .and_then(|choice| self.bind_choice(account, choice))
+                else {
+                    self.unclaim(&loads, &parts);
+                    return false;
+                };
+                parts.push(part);
+                let choice = choice.into_iter();
+                for choice in choice {
+                    victims.extend(choice.victims);
+                    for load in choice.loads {
+                        self.pool.claim(&load, true);
+                        loads.push(load);
+                    }
+                }
+            }
+        }
+        self.enter_claim(key, loads, parts);
+        let stop_before = now + self.grace_ms(spec.class);
+        for victim in victims {
+            self.preempt(victim, PreemptReason::Reclaim, stop_before, now);
+        }
+        self.drop_overlapped(key);
+        self.start_ready_claim(key, now);
+        true
+    }
+
+    fn grace_ms(&self, class: JobClass) -> u64 {
+        if class == JobClass::Urgent {
+            self.options.urgent_grace_ms
+        } else {
+            self.options.grace_ms
+        }
+    }
+
+    fn bind_choice(&mut self, account: &AccountName, choice: &ReclaimChoice) -> Option<BoundPart> {
+        let binding = match choice.binding {
+            ReclaimBinding::Existing(binding) => binding,
+            ReclaimBinding::New(cell) => self.ledger.bind(&mut self.pool, account, cell)?,
+        };
+        let mask = choice.block.mask();
+        let part = BoundPart { binding, mask };
+        self.ledger.use_part(part);
+        Some(part)
+    }
+
+    /// Moves a queued job to the claiming ones, with its cells.
+    fn enter_claim(&mut self, key: JobKey, loads: Vec<WorkerLoad>, parts: Vec<BoundPart>) {
+        self.drop_reservation(key);
+        let entry = &mut self.jobs[key];
+        self.queue.remove(entry, key);
+        self.queue.claiming.insert(entry.rank(), key);
+        entry.checked = true;
+        entry.phase = JobPhase::Claiming { loads, parts };
+    }
+
+    fn start_ready_claim(&mut self, key: JobKey, now: ClockTime) {
+        if let JobPhase::Claiming { loads, .. } = &self.jobs[key].phase
+            && loads.iter().all(|load| self.pool.is_ready(load))
+        {
+            self.start_claimed(key, now);
+        }
+    }
+
+    /// Drops the reservations that share accelerators with the claim of a guaranteed job.
+    fn drop_overlapped(&mut self, key: JobKey) {
+        let JobPhase::Claiming { loads, .. } = &self.jobs[key].phase else {
+            return;
+        };
+        let overlaps = |other: &WorkerLoad| {
+            loads
+                .iter()
+                .any(|load| load.slot == other.slot && load.mask & other.mask != 0)
+        };
+        let overlapped: Vec<JobKey> = self
+            .queue
+            .reserved
+            .values()
+            .copied()
+            .filter(|job| match &self.jobs[*job].phase {
+                JobPhase::Queued {
+                    reservation: Some(reserved),
+                } => reserved.iter().any(overlaps),
+                _ => false,
+            })
+            .collect();
+        for job in overlapped {
+            self.drop_reservation(job);
+        }
+    }
+
+    /// Returns the cells of a job as borrowed work.
+    pub(crate) fn borrowed_demand(&self, key: JobKey) -> Option<CellDemand> {
+        self.demand(&self.jobs[key].spec, false)
+    }
+}
--- /dev/null
+++ b/crates/sched/src/job_intake.rs
@@ -0,0 +1,187 @@
+use std::sync::Arc;
+
+use arbutuspick_model::{AttemptNumber, ClockTime, JobId, JobSpec, RefusalReason};
+
+use crate::cell_demand::CellDemand;
+use crate::gang_queue::ShapeKey;
+use crate::job_entry::{JobEntry, JobKey, JobPhase};
+use crate::worker_health::HealthEvent;
+use crate::{AttemptEnd, PlacementAction, PlacementCore, PreemptReason};
+
+/// Jobs: queueing, cancellation and ends of attempts.
+impl PlacementCore {
+    pub(crate) fn queue_job(
+        &mut self,
+        job: JobId,
+        spec: Arc<JobSpec>,
+        attempt: AttemptNumber,
+        queued_at: ClockTime,
+    ) {
+        if self.ids.contains_key(&job) {
+            return;
+        }
+        let limit = self
+            .usages
+            .get(&spec.account)
+            .map_or(u32::MAX, |usage| usage.max_queued_jobs);
+        // A job that had an attempt was accepted before, so the quota does not apply to it.
+        if attempt == AttemptNumber(0) && self.queue.length(&spec.account) >= limit {
+            let reason = RefusalReason::QuotaExceeded;
+            self.actions.push(PlacementAction::Refuse { job, reason });
+            return;
+        }
+        let key = self.add_job(job, spec, attempt, queued_at);
+        self.enqueue(key);
+    }
+
+    pub(crate) fn add_job(
+        &mut self,
+        job: JobId,
+        spec: Arc<JobSpec>,
+        attempt: AttemptNumber,
+        queued_at: ClockTime,
+    ) -> JobKey {
+        let key = self.jobs.insert(JobEntry {
+            id: job,
+            spec,
+            queued_at,
+            waiting_since: queued_at,
+            attempt,
+            phase: JobPhase::Queued { reservation: None },
+            overtaken: 0,
+            cancelled: false,
+            checked: false,
+        });
+        self.ids.insert(job, key);
+        key
+    }
+
+    /// Puts a new job, or one whose attempt ended, into the queue.
+    fn enqueue(&mut self, key: JobKey) {
+        let entry = &mut self.jobs[key];
+        entry.phase = JobPhase::Queued { reservation: None };
+        self.queue.insert(entry, key);
+        self.queue.count(&entry.spec.account, true);
+    }
+
+    /// Forgets a job that holds and waits for nothing.
+    pub(crate) fn forget_job(&mut self, key: JobKey) {
+        if let Some(entry) = self.jobs.remove(key) {
+            self.ids.remove(&entry.id);
+        }
+    }
+
+    /// Takes a job out of the queue with everything that was set aside for it.
+    pub(crate) fn dequeue(&mut self, key: JobKey) {
+        self.drop_reservation(key);
+        self.drop_claim(key);
+        let entry = &self.jobs[key];
+        self.queue.remove(entry, key);
+        self.queue.count(&entry.spec.account, false);
+    }
+
+    pub(crate) fn cancel_job(&mut self, job: JobId, now: ClockTime) {
+        let Some(key) = self.ids.get(&job).copied() else {
+            return;
+        };
+        if self.jobs[key].hold().is_some() {
+            self.jobs[key].cancelled = true;
+            self.preempt(key, PreemptReason::Cancelled, now + self.options.grace_ms, now);
+        } else {
+            self.dequeue(key);
+            self.forget_job(key);
+        }
+    }
+
+    pub(crate) fn attempt_running(&mut self, job: JobId, attempt: AttemptNumber, _now: ClockTime) {
+        let Some(key) = self.held_attempt(job, attempt) else {
+            return;
+        };
+        self.report_health(key, &HealthEvent::Started);
+    }
+
+    pub(crate) fn end_attempt(
+        &mut self,
+        job: JobId,
+        attempt: AttemptNumber,
+        end: AttemptEnd,
+        now: ClockTime,
+    ) {
+        let Some(key) = self.held_attempt(job, attempt) else {
+            return;
+        };
+        let requeued = match end {
+            AttemptEnd::Finished => {
+                self.report_health(key, &HealthEvent::Finished);
+                false
+            }
+            AttemptEnd::Requeued => true,
+            AttemptEnd::StartFailed { failed_workers } => {
+                self.count_failures(job, &failed_workers, false, now);
+                true
+            }
+            AttemptEnd::RunFailed {
+                failed_workers,
+                requeue,
+            } => {
+                self.count_failures(job, &failed_workers, true, now);
+                requeue
+            }
+        };
+        self.release_attempt(key, now);
+        if requeued && !self.jobs[key].cancelled {
+            self.jobs[key].waiting_since = now;
+            self.enqueue(key);
+        } else {
+            self.forget_job(key);
+        }
+    }
+
+    /// Returns the job if this is its live attempt.
+    fn held_attempt(&self, job: JobId, attempt: AttemptNumber) -> Option<JobKey> {
+        let key = *self.ids.get(&job)?;
+        let entry = &self.jobs[key];
+        (entry.attempt == attempt && entry.hold().is_some()).then_some(key)
+    }
+
+    fn report_health(&mut self, key: JobKey, event: &HealthEvent) {
+        let hold = self.jobs[key].hold();
+        let slots: Vec<_> = hold
+            .iter()
+            .flat_map(|hold| hold.loads.iter().map(|load| load.slot))
+            .collect();
+        for slot in slots {
+            self.change_health(slot, event);
+        }
+    }
+
+    /// Refuses the new jobs that fit on no choice of the known workers, whatever runs there.
+    pub(crate) fn check_shapes(&mut self, now: ClockTime) {
+        let settled = now >= self.settled_at && self.pool.worker_count() > 0;
+        let mut known = std::collections::BTreeMap::new();
+        let unchecked: Vec<JobKey> = self.queue.unchecked.iter().copied().collect();
+        for key in unchecked {
+            let spec = self.jobs[key].spec.clone();
+            let fits = *known.entry(ShapeKey::new(&spec)).or_insert_with(|| {
+                self.demand(&spec, false)
+                    .is_some_and(|demand| self.pool.fits_known(&demand))
+            });
+            if fits {
+                self.jobs[key].checked = true;
+                self.queue.unchecked.remove(&key);
+            } else if settled {
+                let (job, reason) = (self.jobs[key].id, RefusalReason::NeverFits);
+                self.dequeue(key);
+                self.forget_job(key);
+                self.actions.push(PlacementAction::Refuse { job, reason });
+            }
+        }
+    }
+
+    /// Returns the cells that a job needs as guaranteed or as borrowed work.
+    pub(crate) fn demand(&self, spec: &JobSpec, guaranteed: bool) -> Option<CellDemand> {
+        let (least, most) = self.pool.reference_workers();
+        let reference = if guaranteed { least } else { most };
+        CellDemand::new(spec.shape, reference, guaranteed)
+    }
+}
--- /dev/null
+++ b/crates/sched/src/placement_core.rs
@@ -0,0 +1,204 @@
+use std::collections::{BTreeMap, BTreeSet};
+use std::fmt;
+
+use arbutuspick_model::{AccountName, ClockTime, JobId, WorkerName};
+use slotmap::SlotMap;
+
+use crate::account_usage::AccountUsage;
+use crate::centre_phase::{CentrePhase, PhaseEvent, PhaseMachine, PhaseState};
+use crate::gang_queue::GangQueue;
+use crate::guarantee_ledger::GuaranteeLedger;
+use crate::job_entry::{ArrivalRank, JobEntry, JobKey};
+use crate::pool_state::PoolState;
+use crate::worker_load::WorkerSlot;
+use crate::{PlacementAction, PlacementEvent, PlacementOptions};
+
+/// Placement decisions of one data centre: its workers, queue, guarantees and running attempts.
+///
+/// It does no input or output and has no clock: the daemon reports facts with `handle` and carries out
+/// what `decide` returns. Facts about unknown jobs or earlier attempts are ignored.
+///
+/// ```
+/// use std::sync::Arc;
+/// use arbutuspick_model::*;
+/// use arbutuspick_sched::{PlacementAction, PlacementCore, PlacementEvent, PlacementOptions};
+/// let mut core = PlacementCore::new(PlacementOptions::default());
+/// let now = ClockTime(0);
+/// let worker = WorkerName::try_from("w1")?;
+/// let rack = RackName::try_from("r1")?;
+/// let capacity = WorkerCapacity::default();
+/// core.handle(PlacementEvent::WorkerJoined { worker: worker.clone(), rack, capacity }, now);
+/// assert_eq!(core.decide(now), [PlacementAction::Probe { worker: worker.clone() }]);
+/// core.handle(PlacementEvent::WorkerProbed { worker, healthy: true }, now);
+/// let spec = Arc::new(JobSpec::new(AccountName::try_from("parks")?));
+/// let (job, attempt) = (JobId::generate(), AttemptNumber(0));
+/// core.handle(PlacementEvent::JobQueued { job, spec, attempt, queued_at: now }, now);
+/// assert!(matches!(core.decide(now)[..], [PlacementAction::Place(_)]));
+/// # Ok::<(), FieldError>(())
+/// ```
+pub struct PlacementCore {
+    pub(crate) options: PlacementOptions,
+    pub(crate) pool: PoolState,
+    pub(crate) ledger: GuaranteeLedger,
+    pub(crate) queue: GangQueue,
+    pub(crate) usages: BTreeMap<AccountName, AccountUsage>,
+    pub(crate) jobs: SlotMap<JobKey, JobEntry>,
+    pub(crate) ids: BTreeMap<JobId, JobKey>,
+    pub(crate) phase: PhaseMachine,
+    /// Actions that the next call of `decide` returns.
+    pub(crate) actions: Vec<PlacementAction>,
+    /// Workers that have to be probed.
+    pub(crate) due_probes: BTreeSet<WorkerSlot>,
+    /// Quarantined workers by the time of their next probe.
+    pub(crate) quarantine: BTreeSet<(ClockTime, WorkerSlot)>,
+    /// Adopted attempts with members on workers that did not join yet.
+    pub(crate) adopted: BTreeMap<WorkerName, BTreeSet<JobKey>>,
+    /// Adopted attempts whose guaranteed cells are not found yet.
+    pub(crate) rebinding: BTreeSet<JobKey>,
+    /// When the set of workers counts as known.
+    pub(crate) settled_at: ClockTime,
+    /// The first blocked job that should have a reservation and has none; later ones may only yield.
+    pub(crate) barrier: Option<ArrivalRank>,
+    /// Whether a job was overtaken often enough for a reservation since the last one was made.
+    pub(crate) newly_due: bool,
+    /// Whether something changed, or was left over, since the last pass.
+    pub(crate) dirty: bool,
+    /// When time alone changes what can be decided.
+    pub(crate) wake_at: Option<ClockTime>,
+}
+
+impl fmt::Debug for PlacementCore {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("PlacementCore")
+            .field("workers", &self.pool.worker_count())
+            .field("jobs", &self.jobs.len())
+            .finish_non_exhaustive()
+    }
+}
+
+impl PlacementCore {
+    /// Creates the state of a data centre without workers and jobs.
+    pub fn new(options: PlacementOptions) -> Self {
+        let phase = CentrePhase::machine(options.return_step_ms);
+        Self {
+            options,
+            pool: PoolState::default(),
+            ledger: GuaranteeLedger::default(),
+            queue: GangQueue::default(),
+            usages: BTreeMap::new(),
+            jobs: SlotMap::with_key(),
+            ids: BTreeMap::new(),
+            phase,
+            actions: Vec::new(),
+            due_probes: BTreeSet::new(),
+            quarantine: BTreeSet::new(),
+            adopted: BTreeMap::new(),
+            rebinding: BTreeSet::new(),
+            settled_at: ClockTime(0),
+            barrier: None,
+            newly_due: false,
+            dirty: false,
+            wake_at: None,
+        }
+    }
+
+    /// Takes in a fact.
+    pub fn handle(&mut self, event: PlacementEvent, now: ClockTime) {
+        self.dirty = true;
+        match event {
+            PlacementEvent::WorkerJoined {
+                worker,
+                rack,
+                capacity,
+            } => self.join_worker(&worker, &rack, capacity, now),
+            PlacementEvent::WorkerLost { worker } => self.lose_worker(&worker),
+            PlacementEvent::WorkerProbed { worker, healthy } => self.probed_worker(&worker, healthy, now),
+            PlacementEvent::JobQueued {
+                job,
+                spec,
+                attempt,
+                queued_at,
+            } => self.queue_job(job, spec, attempt, queued_at),
+            PlacementEvent::AttemptAdopted {
+                job,
+                spec,
+                placement,
+                queued_at,
+            } => self.adopt_attempt(job, spec, placement, queued_at),
+            PlacementEvent::JobCancelled { job } => self.cancel_job(job, now),
+            PlacementEvent::AttemptRunning { job, attempt } => self.attempt_running(job, attempt, now),
+            PlacementEvent::AttemptEnded { job, attempt, end } => self.end_attempt(job, attempt, end, now),
+            PlacementEvent::AccountsChanged { accounts } => self.change_accounts(&accounts, now),
+            PlacementEvent::CentreChanged {
+                state,
+                drain_deadline,
+            } => self.change_centre(state, drain_deadline, now),
+        }
+    }
+
+    /// Returns what the daemon has to do now; work beyond the limits is left for the next call.
+    pub fn decide(&mut self, now: ClockTime) -> Vec<PlacementAction> {
+        if self.dirty || self.wake_at.is_some_and(|wake_at| wake_at <= now) {
+            self.dirty = false;
+            self.phase.handle(&PhaseEvent::Tick { now });
+            self.release_racks();
+            self.probe_workers(now);
+            if self.may_place() {
+                self.check_shapes(now);
+                self.bind_adopted(now);
+                self.pass_claims(now);
+                self.pass_guaranteed(now);
+                self.pass_reserved(now);
+                self.pass_borrowed(now);
+            } else {
+                self.pass_evacuation(now);
+            }
+            self.wake_at = self.find_wakeup(now);
+        }
+        std::mem::take(&mut self.actions)
+    }
+
+    /// Returns when `decide` should be called next if no fact arrives before.
+    pub fn next_wakeup(&self, now: ClockTime) -> Option<ClockTime> {
+        if self.dirty || !self.actions.is_empty() {
+            return Some(now);
+        }
+        self.wake_at.map(|wake_at| wake_at.max(now))
+    }
+
+    /// Returns whether the data centre may start work.
+    pub(crate) fn may_place(&self) -> bool {
+        matches!(
+            self.phase.state(),
+            PhaseState::Inside { .. } | PhaseState::Returning { .. }
+        )
+    }
+
+    /// Returns whether one more action may be added in this pass; otherwise the rest waits.
+    pub(crate) fn has_budget(&mut self) -> bool {
+        let room = self.actions.len() < self.options.max_actions;
+        if !room {
+            self.dirty = true;
+        }
+        room
+    }
+
+    fn find_wakeup(&self, now: ClockTime) -> Option<ClockTime> {
+        let probe = self.quarantine.first().map(|(at, _)| *at);
+        let step = match self.phase.state() {
+            PhaseState::Returning { quarters, next_at } if *quarters < crate::centre_phase::ALL_QUARTERS => {
+                Some(*next_at)
+            }
+            PhaseState::Leaving { drain_deadline } => drain_deadline.filter(|deadline| *deadline > now),
+            _ => None,
+        };
+        let waits_to_settle = !self.queue.unchecked.is_empty() || !self.rebinding.is_empty();
+        let settled = (waits_to_settle && self.settled_at > now).then_some(self.settled_at);
+        let waits = self.queue.arrivals.values().map(|key| {
+            let job = &self.jobs[*key];
+            job.waiting_since + self.options.reserve_after_ms
+        });
+        let reservation = waits.filter(|due| *due > now).min();
+        [probe, step, settled, reservation].into_iter().flatten().min()
+    }
+}
--- /dev/null
+++ b/crates/sched/src/placement_summary.rs
@@ -0,0 +1,136 @@
+use std::collections::BTreeMap;
+
+use arbutuspick_model::{AccountName, CellLevel, CentreState};
+use serde::{Deserialize, Serialize};
+
+use crate::centre_phase::PhaseState;
+use crate::gang_queue::{AccountQueue, ShapeKey};
+use crate::{CellCounts, PlacementCore};
+
+/// State of one data centre in a few numbers, for other data centres and for operators.
+///
+/// ```
+/// use arbutuspick_sched::{PlacementCore, PlacementOptions};
+/// let summary = PlacementCore::new(PlacementOptions::default()).summary();
+/// assert_eq!(summary.free_accelerators, 0);
+/// ```
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct PlacementSummary {
+    /// State of the data centre.
+    pub state: CentreState,
+    /// Maximal free cells by level.
+    pub free: CellCounts,
+    /// Maximal cells of the workers that may take work, by level, whatever they hold.
+    pub usable: CellCounts,
+    /// Free accelerators of workers that may take work.
+    pub free_accelerators: u32,
+    /// Accelerators that borrowed work holds.
+    pub borrowed_accelerators: u32,
+    /// Accelerators that guaranteed work holds.
+    pub guaranteed_accelerators: u32,
+    /// Free accelerators in cells smaller than every queued or guaranteed shape.
+    pub unusable_accelerators: u32,
+    /// Queued jobs.
+    pub queued_jobs: u32,
+    /// What concerns one account.
+    pub accounts: BTreeMap<AccountName, AccountSummary>,
+}
+
+/// Queue and guarantees of one account in a data centre.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct AccountSummary {
+    /// Queued jobs.
+    pub queued_jobs: u32,
+    /// Guaranteed cells that no job uses, by level.
+    pub unused_cells: CellCounts,
+}
+
+/// Guaranteed cells that the live workers cannot honour now.
+///
+/// ```
+/// use arbutuspick_sched::{PlacementCore, PlacementOptions};
+/// assert!(PlacementCore::new(PlacementOptions::default()).shortfalls().is_empty());
+/// ```
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct GuaranteeShortfall {
+    /// Accelerators of one cell.
+    pub cell: CellLevel,
+    /// Cells that are missing.
+    pub cells: u32,
+    /// Whether they belong to this data centre; otherwise to one that is out.
+    pub home: bool,
+}
+
+impl PlacementCore {
+    /// Returns the state in a few numbers.
+    pub fn summary(&self) -> PlacementSummary {
+        let free = self.pool.free_counts();
+        let usages = self.usages.values();
+        let (borrowed, guaranteed) = usages.fold((0, 0), |(borrowed, guaranteed), usage| {
+            (borrowed + usage.borrowed, guaranteed + usage.guaranteed)
+        });
+        PlacementSummary {
+            state: self.centre_state(),
+            free,
+            usable: self.pool.alive.counts(),
+            free_accelerators: free.accelerators(),
+            borrowed_accelerators: borrowed,
+            guaranteed_accelerators: guaranteed,
+            unusable_accelerators: self.unusable_accelerators(free),
+            queued_jobs: self.queue.lengths.values().sum(),
+            accounts: self.account_summaries(),
+        }
+    }
+
+    /// Returns the guaranteed cells that the live workers cannot honour.
+    pub fn shortfalls(&self) -> Vec<GuaranteeShortfall> {
+        let (home, displaced) = self.ledger.shortfalls(&self.pool);
+        let mut shortfalls = Vec::new();
+        for (counts, home) in [(home, true), (displaced, false)] {
+            for cell in CellLevel::ALL.into_iter().filter(|cell| counts[*cell] > 0) {
+                let cells = counts[cell];
+                shortfalls.push(GuaranteeShortfall { cell, cells, home });
+            }
+        }
+        shortfalls
+    }
+
+    pub(crate) fn centre_state(&self) -> CentreState {
+        match self.phase.state() {
+            PhaseState::Inside { .. } => CentreState::In,
+            PhaseState::Leaving { .. } => CentreState::Leaving,
+            PhaseState::Outside { .. } => CentreState::Out,
+            PhaseState::Returning { .. } => CentreState::Returning,
+        }
+    }
+
+    fn account_summaries(&self) -> BTreeMap<AccountName, AccountSummary> {
+        let mut summaries: BTreeMap<AccountName, AccountSummary> = BTreeMap::new();
+        for (account, length) in &self.queue.lengths {
+            summaries.entry(account.clone()).or_default().queued_jobs = *length;
+        }
+        for (account, guarantee) in &self.ledger.accounts {
+            summaries.entry(account.clone()).or_default().unused_cells = guarantee.unbound_counts();
+        }
+        summaries
+    }
+
+    fn unusable_accelerators(&self, free: CellCounts) -> u32 {
+        let queued = self.queue.accounts.values().flat_map(AccountQueue::shapes);
+        let queued = queued.filter_map(ShapeKey::smallest_cell);
+        let guaranteed = self.ledger.accounts.values().filter_map(|guarantee| {
+            let counts = guarantee.unbound_counts();
+            CellLevel::ALL.into_iter().find(|level| counts[*level] > 0)
+        });
+        let Some(smallest) = queued.chain(guaranteed).min() else {
+            return 0;
+        };
+        CellLevel::ALL
+            .into_iter()
+            .filter(|level| *level < smallest)
+            .map(|level| free[level] * level.accelerators())
+            .sum()
+    }
+}
--- /dev/null
+++ b/crates/sched/src/pool_state.rs
@@ -0,0 +1,433 @@
+use std::collections::{BTreeMap, BTreeSet};
+
+use arbutuspick_model::{CellLevel, RackName, WorkerCapacity, WorkerName};
+
+use crate::block_index::BlockIndex;
+use crate::cell_block::{CellBlock, maximal_blocks, set_bits};
+use crate::cell_demand::CellDemand;
+use crate::guarantee_pack::pack_guarantees;
+use crate::job_entry::JobKey;
+use crate::rack_entry::RackEntry;
+use crate::worker_entry::{HostResources, WorkerEntry};
+use crate::worker_health::HealthMachine;
+use crate::worker_load::{WorkerLoad, WorkerSlot};
+
+/// Which accelerators a search may use.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum PoolArea {
+    /// Free and not set aside for anybody.
+    Open,
+    /// Free, including reserved ones; for backfill that yields.
+    Lendable,
+}
+
+/// Workers of the data centre and what they hold.
+#[derive(Default)]
+pub(crate) struct PoolState {
+    pub(crate) racks: Vec<RackEntry>,
+    rack_groups: BTreeMap<RackName, Vec<u32>>,
+    names: BTreeMap<WorkerName, WorkerSlot>,
+    /// All known workers.
+    pub(crate) known: BlockIndex,
+    /// Workers that may take work, whatever they hold.
+    pub(crate) alive: BlockIndex,
+    open: BlockIndex,
+    lendable: BlockIndex,
+    /// What a new guaranteed cell may use: everything but guaranteed cells in use.
+    pub(crate) claimable: BlockIndex,
+    /// Workers by free cores, for work on processors only.
+    by_cores: BTreeSet<(u32, WorkerSlot)>,
+    listed_cores: BTreeMap<WorkerSlot, u32>,
+    /// Capacities of the known workers, for the reference worker.
+    capacities: BTreeMap<(u32, u64, u32), u32>,
+}
+
+impl PoolState {
+    pub(crate) fn slot(&self, worker: &WorkerName) -> Option<WorkerSlot> {
+        self.names.get(worker).copied()
+    }
+
+    pub(crate) fn slots(&self) -> impl Iterator<Item = WorkerSlot> + '_ {
+        self.names.values().copied()
+    }
+
+    pub(crate) fn worker_count(&self) -> usize {
+        self.names.len()
+    }
+
+    pub(crate) fn rack(&self, rack: u32) -> &RackEntry {
+        &self.racks[rack as usize]
+    }
+
+    pub(crate) fn rack_mut(&mut self, rack: u32) -> &mut RackEntry {
+        &mut self.racks[rack as usize]
+    }
+
+    pub(crate) fn worker(&self, slot: WorkerSlot) -> Option<&WorkerEntry> {
+        self.racks.get(slot.rack as usize)?.workers[usize::from(slot.place)].as_ref()
+    }
+
+    pub(crate) fn worker_mut(&mut self, slot: WorkerSlot) -> Option<&mut WorkerEntry> {
+        self.racks.get_mut(slot.rack as usize)?.workers[usize::from(slot.place)].as_mut()
+    }
+
+    pub(crate) fn free_counts(&self) -> crate::CellCounts {
+        self.lendable.counts()
+    }
+
+    /// Adds a worker, or updates the capacity of a known one; returns its place and whether it is new.
+    pub(crate) fn join(
+        &mut self,
+        name: &WorkerName,
+        rack: &RackName,
+        capacity: WorkerCapacity,
+        health: HealthMachine,
+    ) -> (WorkerSlot, bool) {
+        if let Some(slot) = self.slot(name) {
+            let known = self.worker_mut(slot).map(|worker| worker.capacity);
+            if known != Some(capacity) {
+                self.count_capacity(known, false);
+                self.count_capacity(Some(capacity), true);
+                if let Some(worker) = self.worker_mut(slot) {
+                    worker.resize(capacity);
+                }
+                self.refresh(slot.rack);
+            }
+            return (slot, false);
+        }
+        let slot = self.vacant_slot(rack);
+        let entry = WorkerEntry::new(name.clone(), capacity, health);
+        let place = &mut self.racks[slot.rack as usize].workers[usize::from(slot.place)];
+        if let Some(gone) = place.replace(entry) {
+            self.names.remove(&gone.name);
+            self.count_capacity(Some(gone.capacity), false);
+        }
+        self.names.insert(name.clone(), slot);
+        self.count_capacity(Some(capacity), true);
+        self.refresh(slot.rack);
+        (slot, true)
+    }
+
+    /// Returns a place that was never used, or else that of a lost worker that holds nothing.
+    fn vacant_slot(&mut self, rack: &RackName) -> WorkerSlot {
+        let groups = self.rack_groups.get(rack).cloned().unwrap_or_default();
+        let unused = |worker: &Option<WorkerEntry>| worker.is_none();
+        let left = |worker: &Option<WorkerEntry>| {
+            worker.as_ref().is_some_and(|worker| {
+                matches!(
+                    worker.health.state(),
+                    crate::worker_health::HealthState::Lost { .. }
+                ) && worker.held.is_empty()
+                    && worker.claimed == HostResources::default()
+                    && worker.reserved == HostResources::default()
+            })
+        };
+        for wanted in [&unused as &dyn Fn(&Option<WorkerEntry>) -> bool, &left] {
+            for rack in &groups {
+                let places = &self.racks[*rack as usize].workers;
+                if let Some(place) = places.iter().position(wanted) {
+                    let place = place as u8;
+                    return WorkerSlot { rack: *rack, place };
+                }
+            }
+        }
+        let index = self.racks.len() as u32;
+        self.racks.push(RackEntry::new(rack.clone()));
+        self.rack_groups.entry(rack.clone()).or_default().push(index);
+        WorkerSlot {
+            rack: index,
+            place: 0,
+        }
+    }
+
+    fn count_capacity(&mut self, capacity: Option<WorkerCapacity>, added: bool) {
+        let Some(capacity) = capacity else { return };
+        let key = (capacity.cores, capacity.memory_mib, capacity.accelerators);
+        let count = self.capacities.entry(key).or_default();
+        if added {
+            *count += 1;
+        } else {
+            *count -= 1;
+            if *count == 0 {
+                self.capacities.remove(&key);
+            }
+        }
+    }
+
+    /// Returns the least and the most that a worker with accelerators has.
+    pub(crate) fn reference_workers(&self) -> (WorkerCapacity, WorkerCapacity) {
+        let mut least: Option<WorkerCapacity> = None;
+        let mut most: Option<WorkerCapacity> = None;
+        for (cores, memory_mib, accelerators) in self.capacities.keys().copied().filter(|key| key.2 > 0) {
+            let whole = WorkerCapacity {
+                accelerators: 8,
+                cores: cores * 8 / accelerators,
+                memory_mib: memory_mib * 8 / u64::from(accelerators),
+            };
+            let low = least.get_or_insert(whole);
+            low.cores = low.cores.min(whole.cores);
+            low.memory_mib = low.memory_mib.min(whole.memory_mib);
+            let high = most.get_or_insert(whole);
+            high.cores = high.cores.max(cores);
+            high.memory_mib = high.memory_mib.max(memory_mib);
+        }
+        (least.unwrap_or_default(), most.unwrap_or_default())
+    }
+
+    /// Brings the indexes up to date with a rack.
+    pub(crate) fn refresh(&mut self, rack: u32) {
+        let entry = &self.racks[rack as usize];
+        let (known, up) = (entry.known(), entry.up());
+        let free = up & !entry.held & !entry.claimed;
+        let (open, claimable) = (free & !entry.reserved, up & !entry.bound);
+        self.known.set(rack, known);
+        self.alive.set(rack, up);
+        self.lendable.set(rack, free);
+        self.open.set(rack, open);
+        self.claimable.set(rack, claimable);
+    }
+
+    fn list_cores(&mut self, slot: WorkerSlot) {
+        let cores = self
+            .worker(slot)
+            .filter(|worker| worker.up)
+            .map(|worker| worker.free.cores);
+        if let Some(listed) = self.listed_cores.remove(&slot) {
+            self.by_cores.remove(&(listed, slot));
+        }
+        if let Some(cores) = cores {
+            self.listed_cores.insert(slot, cores);
+            self.by_cores.insert((cores, slot));
+        }
+    }
+
+    pub(crate) fn set_up(&mut self, slot: WorkerSlot, up: bool) {
+        if let Some(worker) = self.worker_mut(slot)
+            && worker.up != up
+        {
+            worker.up = up;
+            self.list_cores(slot);
+            self.refresh(slot.rack);
+        }
+    }
+
+    pub(crate) fn hold(&mut self, job: JobKey, load: &WorkerLoad) {
+        let rack = self.rack_mut(load.slot.rack);
+        let mask = load.rack_mask() & !rack.held;
+        rack.held |= mask;
+        for bit in set_bits(mask) {
+            rack.holders[usize::from(bit)] = Some(job);
+        }
+        if let Some(worker) = self.worker_mut(load.slot) {
+            worker.hold(job, load.resources());
+        }
+        self.list_cores(load.slot);
+        self.refresh(load.slot.rack);
+    }
+
+    /// Returns the smallest cell around the accelerators if the rest of it is free, or else only them.
+    pub(crate) fn cover_mask(&self, slot: WorkerSlot, mask: u8) -> u8 {
+        let held = (self.rack(slot.rack).held >> (8 * slot.place)) as u8;
+        [1u32, 2, 4, 8]
+            .into_iter()
+            .flat_map(|size| {
+                (0..8)
+                    .step_by(size as usize)
+                    .map(move |start| (((1u32 << size) - 1) << start) as u8)
+            })
+            .find(|cell| mask != 0 && mask & !cell == 0)
+            .filter(|cell| cell & !mask & held == 0)
+            .unwrap_or(mask)
+    }
+
+    pub(crate) fn release(&mut self, job: JobKey, load: &WorkerLoad) {
+        let rack = self.rack_mut(load.slot.rack);
+        for bit in set_bits(load.rack_mask()) {
+            let holder = &mut rack.holders[usize::from(bit)];
+            if *holder == Some(job) {
+                *holder = None;
+                rack.held &= !(1 << bit);
+            }
+        }
+        if let Some(worker) = self.worker_mut(load.slot) {
+            worker.release(job);
+        }
+        self.list_cores(load.slot);
+        self.refresh(load.slot.rack);
+    }
+
+    /// Sets the load aside for a guaranteed job that waits for it, or gives it back.
+    pub(crate) fn claim(&mut self, load: &WorkerLoad, claimed: bool) {
+        let (mask, amount) = (load.rack_mask(), load.resources());
+        let rack = self.rack_mut(load.slot.rack);
+        rack.claimed = with_bits(rack.claimed, mask, claimed);
+        if let Some(worker) = self.worker_mut(load.slot) {
+            worker.claimed = with_amount(worker.claimed, amount, claimed);
+        }
+        self.refresh(load.slot.rack);
+    }
+
+    /// Sets the load aside for a blocked job, or gives it back.
+    pub(crate) fn reserve(&mut self, load: &WorkerLoad, reserved: bool) {
+        let (mask, amount) = (load.rack_mask(), load.resources());
+        let rack = self.rack_mut(load.slot.rack);
+        rack.reserved = with_bits(rack.reserved, mask, reserved);
+        if let Some(worker) = self.worker_mut(load.slot) {
+            worker.reserved = with_amount(worker.reserved, amount, reserved);
+        }
+        self.refresh(load.slot.rack);
+    }
+
+    /// Marks accelerators as part of a guaranteed cell in use, or not.
+    pub(crate) fn bind(&mut self, block: CellBlock, bound: bool) {
+        let rack = self.rack_mut(block.rack);
+        rack.bound = with_bits(rack.bound, block.mask(), bound);
+        self.refresh(block.rack);
+    }
+
+    /// Returns whether the load can start now, apart from what was set aside for itself.
+    pub(crate) fn is_ready(&self, load: &WorkerLoad) -> bool {
+        self.worker(load.slot)
+            .is_some_and(|worker| worker.up && worker.free.covers(load.resources()))
+            && self.rack(load.slot.rack).held & load.rack_mask() == 0
+    }
+
+    pub(crate) fn is_up(&self, slot: WorkerSlot) -> bool {
+        self.worker(slot).is_some_and(|worker| worker.up)
+    }
+
+    /// Returns whether the load can start now without what guaranteed jobs wait for.
+    pub(crate) fn is_unclaimed_ready(&self, load: &WorkerLoad) -> bool {
+        self.is_ready(load)
+            && self.has_room(load, PoolArea::Lendable)
+            && self.rack(load.slot.rack).claimed & load.rack_mask() == 0
+    }
+
+    /// Returns whether the worker will have the cores and memory once its work has ended.
+    pub(crate) fn may_reserve(&self, load: &WorkerLoad) -> bool {
+        self.reservable(load.slot).covers(load.resources())
+    }
+
+    pub(crate) fn reservable_tasks(&self, slot: WorkerSlot, demand: &CellDemand) -> u32 {
+        self.reservable(slot).task_count(demand)
+    }
+
+    fn reservable(&self, slot: WorkerSlot) -> HostResources {
+        let worker = self.worker(slot).filter(|worker| worker.up);
+        worker.map_or(HostResources::default(), |worker| {
+            worker.total().minus(worker.claimed).minus(worker.reserved)
+        })
+    }
+
+    /// Holds cells for every task of the gang, or for none.
+    pub(crate) fn place(
+        &mut self,
+        job: JobKey,
+        demand: &CellDemand,
+        area: PoolArea,
+    ) -> Option<Vec<WorkerLoad>> {
+        let mut loads = Vec::new();
+        if self.place_cells(job, demand, area, &mut loads).is_some() {
+            return Some(loads);
+        }
+        for load in &loads {
+            self.release(job, load);
+        }
+        None
+    }
+
+    fn place_cells(
+        &mut self,
+        job: JobKey,
+        demand: &CellDemand,
+        area: PoolArea,
+        loads: &mut Vec<WorkerLoad>,
+    ) -> Option<()> {
+        if demand.runs.is_empty() {
+            return self.place_processes(job, demand, area, loads);
+        }
+        if !pack_guarantees(self.index(area).counts(), demand.counts()).is_empty() {
+            return None;
+        }
+        for run in &demand.runs {
+            for _ in 0..run.count {
+                let found = self.find_cell(demand, run.level, run.tasks, area)?;
+                for load in found {
+                    self.hold(job, &load);
+                    loads.push(load);
+                }
+            }
+        }
+        Some(())
+    }
+
+    fn index(&self, area: PoolArea) -> &BlockIndex {
+        match area {
+            PoolArea::Open => &self.open,
+            PoolArea::Lendable => &self.lendable,
+        }
+    }
+
+    /// Returns the best-fitting free cell whose workers have the cores and memory.
+    fn find_cell(
+        &self,
+        demand: &CellDemand,
+        level: CellLevel,
+        tasks: u32,
+        area: PoolArea,
+    ) -> Option<Vec<WorkerLoad>> {
+        let index = self.index(area);
+        let step = level.accelerators().max(8) as u8;
+        for from in CellLevel::ALL.into_iter().filter(|from| *from >= level) {
+            for rack in index.racks(from) {
+                for start in set_bits(maximal_blocks(index.mask(rack))[from as usize]) {
+                    let end = start + from.accelerators() as u8;
+                    for offset in (start..end).step_by(usize::from(step)) {
+                        let loads = WorkerLoad::of_block(CellBlock { rack, offset, level }, tasks, demand);
+                        if loads.iter().all(|load| self.has_room(load, area)) {
+                            return Some(loads);
+                        }
+                    }
+                }
+            }
+        }
+        None
+    }
+
+    pub(crate) fn has_room(&self, load: &WorkerLoad, area: PoolArea) -> bool {
+        self.room(load.slot, area).covers(load.resources())
+    }
+
+    /// Returns the cores and memory that the area has on the worker.
+    pub(crate) fn room(&self, slot: WorkerSlot, area: PoolArea) -> HostResources {
+        let Some(worker) = self.worker(slot).filter(|worker| worker.up) else {
+            return HostResources::default();
+        };
+        let free = worker.free.minus(worker.claimed);
+        match area {
+            PoolArea::Open => free.minus(worker.reserved),
+            PoolArea::Lendable => free,
+        }
+    }
+
+    /// Returns the workers with at least so many free cores, those with fewest first.
+    pub(crate) fn slots_by_cores(&self, cores: u32) -> Vec<WorkerSlot> {
+        let first = WorkerSlot { rack: 0, place: 0 };
+        self.by_cores
+            .range((cores, first)..)
+            .map(|(_, slot)| *slot)
+            .collect()
+    }
+}
+
+fn with_bits(mask: u64, bits: u64, set: bool) -> u64 {
+    if set { mask | bits } else { mask & !bits }
+}
+
+fn with_amount(total: HostResources, amount: HostResources, added: bool) -> HostResources {
+    if added {
+        total.plus(amount)
+    } else {
+        total.minus(amount)
+    }
+}
--- /dev/null
+++ b/crates/sched/src/process_pick.rs
@@ -0,0 +1,79 @@
+use arbutuspick_model::GangAdjacency;
+
+use crate::cell_demand::CellDemand;
+use crate::job_entry::JobKey;
+use crate::pool_state::{PoolArea, PoolState};
+use crate::worker_load::{WorkerLoad, WorkerSlot};
+
+impl PoolState {
+    /// Places work that uses processors only, best fit by cores.
+    pub(crate) fn place_processes(
+        &mut self,
+        job: JobKey,
+        demand: &CellDemand,
+        area: PoolArea,
+        loads: &mut Vec<WorkerLoad>,
+    ) -> Option<()> {
+        match demand.shape.adjacency {
+            GangAdjacency::Task => {
+                let slots = self.slots_by_cores(demand.shape.cores);
+                self.fill_slots(job, demand, area, slots, loads)
+            }
+            GangAdjacency::Worker => {
+                let whole = WorkerLoad::new(WorkerSlot { rack: 0, place: 0 }, 0, demand.shape.tasks, demand);
+                let slots = self.slots_by_cores(whole.cores);
+                let load = slots
+                    .into_iter()
+                    .map(|slot| WorkerLoad {
+                        slot,
+                        ..whole.clone()
+                    })
+                    .find(|load| self.has_room(load, area))?;
+                self.hold(job, &load);
+                loads.push(load);
+                Some(())
+            }
+            GangAdjacency::Rack => {
+                let rack = (0..self.racks.len() as u32)
+                    .find(|rack| self.rack_tasks(*rack, demand, area) >= demand.shape.tasks)?;
+                let slots = (0..8).map(|place| WorkerSlot { rack, place }).collect();
+                self.fill_slots(job, demand, area, slots, loads)
+            }
+        }
+    }
+
+    fn fill_slots(
+        &mut self,
+        job: JobKey,
+        demand: &CellDemand,
+        area: PoolArea,
+        slots: Vec<WorkerSlot>,
+        loads: &mut Vec<WorkerLoad>,
+    ) -> Option<()> {
+        let mut left = demand.shape.tasks;
+        for slot in slots {
+            let tasks = left.min(self.worker_tasks(slot, demand, area));
+            if tasks > 0 {
+                let load = WorkerLoad::new(slot, 0, tasks, demand);
+                self.hold(job, &load);
+                loads.push(load);
+                left -= tasks;
+            }
+            if left == 0 {
+                return Some(());
+            }
+        }
+        None
+    }
+
+    fn rack_tasks(&self, rack: u32, demand: &CellDemand, area: PoolArea) -> u32 {
+        (0..8)
+            .map(|place| self.worker_tasks(WorkerSlot { rack, place }, demand, area))
+            .sum()
+    }
+
+    /// Returns how many tasks the worker has room for.
+    fn worker_tasks(&self, slot: WorkerSlot, demand: &CellDemand, area: PoolArea) -> u32 {
+        self.room(slot, area).task_count(demand)
+    }
+}
--- /dev/null
+++ b/crates/sched/src/worker_health.rs
@@ -0,0 +1,184 @@
+use std::collections::BTreeSet;
+
+use arbutuspick_model::{ClockTime, JobId};
+use statig::prelude::*;
+
+use crate::PlacementOptions;
+
+/// What happened to a worker.
+#[derive(Clone, Copy, Debug)]
+pub(crate) enum HealthEvent {
+    Joined,
+    Lost,
+    /// The data centre returns, so the worker has to pass a probe again.
+    Recheck,
+    Probed {
+        healthy: bool,
+        now: ClockTime,
+    },
+    StartFailed {
+        job: JobId,
+        now: ClockTime,
+    },
+    RunFailed {
+        job: JobId,
+        now: ClockTime,
+    },
+    Started,
+    Finished,
+    Tick {
+        now: ClockTime,
+    },
+}
+
+/// Failures without a success between them.
+#[derive(Clone, Debug, Default)]
+struct FailureStreak {
+    failures: u32,
+    jobs: BTreeSet<JobId>,
+}
+
+/// Whether a worker may take work: new and quarantined workers have to pass a probe first.
+#[derive(Clone, Debug)]
+pub(crate) struct WorkerHealth {
+    quarantine_failures: u32,
+    quarantine_jobs: usize,
+    first_probe_ms: u64,
+    max_probe_ms: u64,
+    next_probe_ms: u64,
+    start_failures: FailureStreak,
+    run_failures: FailureStreak,
+}
+
+/// State machine of one worker.
+pub(crate) type HealthMachine = StateMachine<WorkerHealth>;
+
+impl WorkerHealth {
+    pub(crate) fn machine(options: &PlacementOptions) -> HealthMachine {
+        Self {
+            quarantine_failures: options.quarantine_failures,
+            quarantine_jobs: options.quarantine_jobs,
+            first_probe_ms: options.probe_after_ms,
+            max_probe_ms: options.probe_max_ms,
+            next_probe_ms: options.probe_after_ms,
+            start_failures: FailureStreak::default(),
+            run_failures: FailureStreak::default(),
+        }
+        .state_machine()
+    }
+
+    /// Returns when the worker is next probed, in quarantine.
+    pub(crate) fn probe_at(machine: &HealthMachine) -> Option<ClockTime> {
+        match machine.state() {
+            HealthState::Quarantined { probe_at } => Some(*probe_at),
+            _ => None,
+        }
+    }
+
+    fn clear(&mut self) {
+        self.start_failures = FailureStreak::default();
+        self.run_failures = FailureStreak::default();
+    }
+
+    fn exceeds(&self, streak: &FailureStreak) -> bool {
+        streak.failures >= self.quarantine_failures && streak.jobs.len() >= self.quarantine_jobs
+    }
+
+    /// Returns when the next probe is due and doubles the time to the one after it.
+    fn next_probe(&mut self, now: ClockTime) -> ClockTime {
+        let due = now + self.next_probe_ms;
+        self.next_probe_ms = (2 * self.next_probe_ms).min(self.max_probe_ms);
+        due
+    }
+
+    fn quarantine(&mut self, now: ClockTime) -> Outcome<HealthState> {
+        self.clear();
+        Transition(HealthState::quarantined(self.next_probe(now)))
+    }
+}
+
+impl FailureStreak {
+    fn count(&mut self, job: JobId) {
+        self.failures += 1;
+        self.jobs.insert(job);
+    }
+}
+
+#[state_machine(
+    initial = "HealthState::lost()",
+    state(name = "HealthState", derive(Clone, Debug, PartialEq)),
+    superstate(derive(Debug)),
+    visibility = "pub(crate)"
+)]
+impl WorkerHealth {
+    #[state]
+    fn lost(event: &HealthEvent) -> Outcome<HealthState> {
+        match event {
+            HealthEvent::Joined => Transition(HealthState::due()),
+            _ => Handled,
+        }
+    }
+
+    /// A probe has to be sent.
+    #[state(superstate = "known")]
+    fn due(event: &HealthEvent) -> Outcome<HealthState> {
+        match event {
+            HealthEvent::Tick { .. } => Transition(HealthState::probing()),
+            _ => Super,
+        }
+    }
+
+    /// A probe was sent.
+    #[state(superstate = "known")]
+    fn probing(&mut self, event: &HealthEvent) -> Outcome<HealthState> {
+        match event {
+            HealthEvent::Probed { healthy: true, .. } => Transition(HealthState::healthy()),
+            HealthEvent::Probed { healthy: false, now } => self.quarantine(*now),
+            HealthEvent::Recheck => Handled,
+            _ => Super,
+        }
+    }
+
+    #[state(superstate = "known")]
+    fn healthy(&mut self, event: &HealthEvent) -> Outcome<HealthState> {
+        match event {
+            HealthEvent::StartFailed { job, now } => {
+                self.start_failures.count(*job);
+                if self.exceeds(&self.start_failures) {
+                    return self.quarantine(*now);
+                }
+            }
+            HealthEvent::RunFailed { job, now } => {
+                self.run_failures.count(*job);
+                if self.exceeds(&self.run_failures) {
+                    return self.quarantine(*now);
+                }
+            }
+            HealthEvent::Started => self.start_failures = FailureStreak::default(),
+            HealthEvent::Finished => {
+                self.clear();
+                self.next_probe_ms = self.first_probe_ms;
+            }
+            _ => return Super,
+        }
+        Handled
+    }
+
+    #[state(superstate = "known")]
+    fn quarantined(probe_at: &mut ClockTime, event: &HealthEvent) -> Outcome<HealthState> {
+        match event {
+            HealthEvent::Tick { now } if *now >= *probe_at => Transition(HealthState::probing()),
+            HealthEvent::Recheck => Handled,
+            _ => Super,
+        }
+    }
+
+    #[superstate]
+    fn known(event: &HealthEvent) -> Outcome<HealthState> {
+        match event {
+            HealthEvent::Lost => Transition(HealthState::lost()),
+            HealthEvent::Recheck => Transition(HealthState::due()),
+            _ => Handled,
+        }
+    }
+}
--- /dev/null
+++ b/crates/sched/src/worker_intake.rs
@@ -0,0 +1,148 @@
+use arbutuspick_model::{CentreState, ClockTime, JobId, RackName, WorkerCapacity, WorkerName};
+
+use crate::centre_phase::{ALL_QUARTERS, PhaseEvent, PhaseState};
+use crate::worker_health::{HealthEvent, HealthState, WorkerHealth};
+use crate::worker_load::WorkerSlot;
+use crate::{PlacementAction, PlacementCore};
+
+/// Workers: joining, loss, probes, quarantine, and release in a returning data centre.
+impl PlacementCore {
+    pub(crate) fn join_worker(
+        &mut self,
+        worker: &WorkerName,
+        rack: &RackName,
+        capacity: WorkerCapacity,
+        now: ClockTime,
+    ) {
+        let health = WorkerHealth::machine(&self.options);
+        let (slot, is_new) = self.pool.join(worker, rack, capacity, health);
+        self.change_health(slot, &HealthEvent::Joined);
+        if is_new {
+            self.settled_at = now + self.options.settle_ms;
+            self.hold_adopted(worker, slot);
+        }
+    }
+
+    pub(crate) fn lose_worker(&mut self, worker: &WorkerName) {
+        if let Some(slot) = self.pool.slot(worker) {
+            self.change_health(slot, &HealthEvent::Lost);
+        }
+    }
+
+    pub(crate) fn probed_worker(&mut self, worker: &WorkerName, healthy: bool, now: ClockTime) {
+        if let Some(slot) = self.pool.slot(worker) {
+            self.change_health(slot, &HealthEvent::Probed { healthy, now });
+        }
+    }
+
+    pub(crate) fn count_failures(
+        &mut self,
+        job: JobId,
+        workers: &[WorkerName],
+        started: bool,
+        now: ClockTime,
+    ) {
+        for worker in workers {
+            if let Some(slot) = self.pool.slot(worker) {
+                let event = if started {
+                    HealthEvent::RunFailed { job, now }
+                } else {
+                    HealthEvent::StartFailed { job, now }
+                };
+                self.change_health(slot, &event);
+            }
+        }
+    }
+
+    /// Passes an event to the worker's state machine and follows its new state.
+    pub(crate) fn change_health(&mut self, slot: WorkerSlot, event: &HealthEvent) {
+        let Some(worker) = self.pool.worker_mut(slot) else {
+            return;
+        };
+        if let Some(probe_at) = WorkerHealth::probe_at(&worker.health) {
+            self.quarantine.remove(&(probe_at, slot));
+        }
+        worker.health.handle(event);
+        if let Some(probe_at) = WorkerHealth::probe_at(&worker.health) {
+            self.quarantine.insert((probe_at, slot));
+        }
+        let state = worker.health.state().clone();
+        if matches!(state, HealthState::Due { .. }) {
+            self.due_probes.insert(slot);
+        } else {
+            self.due_probes.remove(&slot);
+        }
+        self.update_up(slot);
+    }
+
+    fn update_up(&mut self, slot: WorkerSlot) {
+        let Some(worker) = self.pool.worker(slot) else {
+            return;
+        };
+        let healthy = matches!(worker.health.state(), HealthState::Healthy { .. });
+        let up = healthy && self.pool.rack(slot.rack).released;
+        self.pool.set_up(slot, up);
+    }
+
+    /// Asks for the probes that are due, in racks that are in use.
+    pub(crate) fn probe_workers(&mut self, now: ClockTime) {
+        let quarantined = self.quarantine.iter().take_while(|(at, _)| *at <= now);
+        let mut due: Vec<WorkerSlot> = quarantined.map(|(_, slot)| *slot).collect();
+        due.extend(&self.due_probes);
+        for slot in due {
+            if !self.pool.rack(slot.rack).released {
+                continue;
+            }
+            if !self.has_budget() {
+                return;
+            }
+            self.change_health(slot, &HealthEvent::Tick { now });
+            if let Some(worker) = self.pool.worker(slot) {
+                let worker = worker.name.clone();
+                self.actions.push(PlacementAction::Probe { worker });
+            }
+        }
+    }
+
+    pub(crate) fn change_centre(
+        &mut self,
+        state: CentreState,
+        drain_deadline: Option<ClockTime>,
+        now: ClockTime,
+    ) {
+        let returning = matches!(self.phase.state(), PhaseState::Returning { .. });
+        self.phase.handle(&PhaseEvent::Ordered {
+            state,
+            drain_deadline,
+            now,
+        });
+        if state == CentreState::Returning && !returning {
+            let slots: Vec<WorkerSlot> = self.pool.slots().collect();
+            for slot in slots {
+                self.change_health(slot, &HealthEvent::Recheck);
+            }
+        }
+        self.release_racks();
+    }
+
+    /// Lets whole racks take work until the released quarters of the workers are covered.
+    pub(crate) fn release_racks(&mut self) {
+        let quarters = match self.phase.state() {
+            PhaseState::Returning { quarters, .. } => *quarters,
+            _ => ALL_QUARTERS,
+        };
+        let wanted = self.pool.worker_count() * quarters as usize;
+        let mut before = 0;
+        for rack in 0..self.pool.racks.len() as u32 {
+            let released = ALL_QUARTERS as usize * before < wanted;
+            let entry = self.pool.rack_mut(rack);
+            before += entry.workers.iter().flatten().count();
+            if entry.released != released {
+                entry.released = released;
+                for place in 0..8 {
+                    self.update_up(WorkerSlot { rack, place });
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/sched/tests/guarantee_reclaim.rs
@@ -0,0 +1,76 @@
+//! Guaranteed cells are given back by borrowers, the fewest and those that can checkpoint first.
+
+mod support;
+
+use arbutuspick_model::GangAdjacency::Task;
+use arbutuspick_model::JobClass;
+use arbutuspick_sched::{AttemptEnd, PreemptReason};
+use support::{CoreDriver, guarantee, placements, preempted, share};
+
+fn full_of_borrowers(checkpointable: impl Fn(usize) -> bool) -> CoreDriver {
+    let mut driver = CoreDriver::new()
+        .with_racks(1, 2)
+        .with_accounts(vec![share("own", vec![guarantee(8, 1)]), share("other", vec![])]);
+    for i in 0..4 {
+        let mut spec = driver.spec("other", 1, 4, Task);
+        spec.checkpointable = checkpointable(i);
+        driver.submit(spec);
+    }
+    assert_eq!(placements(&driver.decide()).len(), 4);
+    driver
+}
+
+// Guards against a guarantee that cannot be reclaimed, and against needless loss of work.
+#[test]
+fn checkpointable_first() {
+    let mut driver = full_of_borrowers(|i| i >= 2);
+    let spec = driver.spec("own", 1, 8, Task);
+    let owned = driver.submit(spec);
+    let stopped = preempted(&driver.decide());
+    let jobs: Vec<_> = stopped.iter().map(|(job, ..)| *job).collect();
+    assert_eq!(jobs, [support::job_id(3), support::job_id(4)]);
+    assert!(
+        stopped
+            .iter()
+            .all(|(_, stop, reason)| *stop == driver.now + 10_000 && *reason == PreemptReason::Reclaim)
+    );
+    for job in jobs {
+        driver.end(job, 1, AttemptEnd::Requeued);
+    }
+    let placed = placements(&driver.decide());
+    assert_eq!(placed.len(), 1);
+    assert!(placed[0].guaranteed && placed[0].job == owned);
+}
+
+// Guards against the long grace period for urgent guaranteed work.
+#[test]
+fn urgent_grace() {
+    let mut driver = full_of_borrowers(|_| true);
+    let spec = driver.spec("own", 1, 8, Task).with_class(JobClass::Urgent);
+    driver.submit(spec);
+    let stopped = preempted(&driver.decide());
+    assert!(stopped.iter().all(|(_, stop, _)| *stop == driver.now + 1_000));
+    assert_eq!(stopped.len(), 2);
+}
+
+// Guards against guaranteed jobs that break up the cell of another account.
+#[test]
+fn rest_packs() {
+    let mut driver = CoreDriver::new().with_racks(1, 2).with_accounts(vec![
+        share("small", vec![guarantee(1, 8)]),
+        share("large", vec![guarantee(8, 1)]),
+    ]);
+    for _ in 0..8 {
+        let spec = driver.spec("small", 1, 1, Task);
+        driver.submit(spec);
+    }
+    let placed = placements(&driver.decide());
+    assert_eq!(placed.len(), 8);
+    let first = &placed[0].members[0].worker;
+    assert!(
+        placed
+            .iter()
+            .all(|placement| placement.members[0].worker == *first)
+    );
+    assert!(driver.core.shortfalls().is_empty());
+}
