Test each record's rules by feature

The records landed with decoding tests only. Their rules decide who may start, send or accept, so each rule needs a test that names the failure it prevents.

--- /dev/null
+++ b/crates/records/tests/claims.rs
@@ -0,0 +1,147 @@
+//! Guards against a non-idempotent request that two processes send, and against lost or wrong replays.
+
+mod support;
+
+use arbutuspick_model::DoubtReason;
+use arbutuspick_records::memory::MemoryTable;
+use arbutuspick_records::{
+    BodyDigest, ClaimError, ClaimOutcome, ClaimVerdict, KeyRecord, RecordedBody, RecordedResponse,
+    RequestClaim, Versioned, judge_claim, judge_submission,
+};
+use support::*;
+
+fn verdict(row: &Versioned<KeyRecord>, claim: &RequestClaim) -> ClaimVerdict {
+    judge_claim(Some(&row.record), claim.digest, &claim.claimant).unwrap()
+}
+
+fn outcome() -> ClaimOutcome {
+    let reason = DoubtReason::ConnectionLost;
+    ClaimOutcome::Unknown { reason }
+}
+
+#[test]
+fn one_claimant() {
+    let (first, second) = (claim(&process("vm-1")), claim(&process("vm-2")));
+    let mut table = MemoryTable::default();
+    let row = commit(&mut table, first.claim(None, write(1)).unwrap());
+    assert!(conflicts(
+        &mut table,
+        &second.claim(None, write(2)).unwrap().transaction
+    ));
+    assert_eq!(verdict(&row, &first), ClaimVerdict::Mine);
+    assert_eq!(
+        verdict(&row, &second),
+        ClaimVerdict::ClaimedElsewhere(first.claimant.clone())
+    );
+    assert!(matches!(
+        second.claim(Some(&row), write(3)),
+        Err(ClaimError::NotFree { .. })
+    ));
+    assert!(matches!(
+        second.finish(&row, outcome(), write(3)),
+        Err(ClaimError::NotHeld { .. })
+    ));
+    assert_eq!(second.withdraw(Some(&row), write(3)), None);
+}
+
+/// A restarted process does not know whether its predecessor sent the request.
+#[test]
+fn restarted_claimant() {
+    let first = claim(&process("vm-1"));
+    let row = commit(&mut MemoryTable::default(), first.claim(None, write(1)).unwrap());
+    let restarted = claim(&process("vm-1"));
+    assert_eq!(
+        verdict(&row, &restarted),
+        ClaimVerdict::ClaimedElsewhere(first.claimant)
+    );
+}
+
+#[test]
+fn replay() {
+    let (first, second) = (claim(&process("vm-1")), claim(&process("vm-2")));
+    let mut table = MemoryTable::default();
+    let row = commit(&mut table, first.claim(None, write(1)).unwrap());
+    let row = commit(&mut table, first.finish(&row, outcome(), write(2)).unwrap());
+    assert_eq!(verdict(&row, &second), ClaimVerdict::Replay(outcome()));
+    assert!(first.finish(&row, outcome(), write(3)).is_err());
+    assert_eq!(first.withdraw(Some(&row), write(3)), None);
+}
+
+#[test]
+fn withdrawn_claim() {
+    let (first, second) = (claim(&process("vm-1")), claim(&process("vm-2")));
+    let mut table = MemoryTable::default();
+    let row = commit(&mut table, first.claim(None, write(1)).unwrap());
+    let row = commit(&mut table, first.withdraw(Some(&row), write(2)).unwrap());
+    assert_eq!(verdict(&row, &second), ClaimVerdict::Fresh);
+    let row = commit(&mut table, second.claim(Some(&row), write(3)).unwrap());
+    assert_eq!(
+        verdict(&row, &first),
+        ClaimVerdict::ClaimedElsewhere(second.claimant)
+    );
+}
+
+/// A claim that arrives after it was withdrawn would block the key for good.
+#[test]
+fn delayed_claim() {
+    let (first, second) = (claim(&process("vm-1")), claim(&process("vm-2")));
+    let mut table = MemoryTable::default();
+    let delayed = first.claim(None, write(1)).unwrap();
+    let row = commit(&mut table, first.withdraw(None, write(2)).unwrap());
+    assert!(conflicts(&mut table, &delayed.transaction));
+    let delayed = first.claim(Some(&row), write(3)).unwrap();
+    let row = commit(&mut table, first.withdraw(Some(&row), write(4)).unwrap());
+    assert!(conflicts(&mut table, &delayed.transaction));
+    assert_eq!(verdict(&row, &second), ClaimVerdict::Fresh);
+}
+
+#[test]
+fn different_body() {
+    let first = claim(&process("vm-1"));
+    let row = first.claim(None, write(1)).unwrap().record;
+    let other = BodyDigest::of(&[b"other"]);
+    assert_eq!(
+        judge_claim(Some(&row), other, &first.claimant),
+        Err(ClaimError::KeyReused)
+    );
+    assert_eq!(
+        judge_submission(Some(&row), first.digest),
+        Err(ClaimError::KeyReused)
+    );
+}
+
+#[test]
+fn submitted_job() {
+    let job = submission("trent", true).job;
+    let digest = BodyDigest::of(&[b"body"]);
+    let row = KeyRecord::for_job(job, digest, NOW, write(1));
+    assert_eq!(judge_submission(None, digest), Ok(None));
+    assert_eq!(judge_submission(Some(&row), digest), Ok(Some(job)));
+    assert_eq!(
+        judge_claim(Some(&row), digest, &process("vm-1")),
+        Err(ClaimError::KeyReused)
+    );
+}
+
+#[test]
+fn early_deletion() {
+    let first = claim(&process("vm-1"));
+    let mut table = MemoryTable::default();
+    let row = commit(&mut table, first.claim(None, write(1)).unwrap());
+    let key = first.row_key();
+    assert!(row.delete(&key, row.record.delete_after, write(2)).is_err());
+    let transaction = row.delete(&key, row.record.delete_after + 1, write(2)).unwrap();
+    assert!(!conflicts(&mut table, &transaction) && table.get(&key.to_string()).is_none());
+}
+
+#[test]
+fn response_limits() {
+    let inline = |length| RecordedBody::Inline {
+        bytes: vec![0; length],
+    };
+    let headers = [("Content-Type", "text/plain"), ("set-cookie", "a")];
+    let response = RecordedResponse::new(200, headers, inline(65_536)).unwrap();
+    assert_eq!(response.headers, [("content-type".into(), "text/plain".into())]);
+    assert!(RecordedResponse::new(200, headers, inline(65_537)).is_err());
+    assert!(RecordedResponse::new(101, headers, inline(0)).is_err());
+}
