Add the loop of the placement holder

Decisions of the placement core have to reach workers and the table. One loop owns the pool and the jobs of a data centre; every call runs in a task that reports back as an event. The lease is renewed beside it, a stale epoch at a worker or in the table ends it, and a takeover rebuilds from the placed/ rows and the workers' reports.

--- a/crates/holder/src/gang_event.rs
+++ b/crates/holder/src/gang_event.rs
@@ -24,8 +24,6 @@
     Checkpoint(WorkerName),
     /// Send stop to the worker.
     Stop(WorkerName),
-    /// Send release to the worker.
-    Release(WorkerName),
     /// Tell the placement core that every member runs.
     ReportRunning,
     /// Record how the attempt ended, then report it to the placement core.
--- /dev/null
+++ b/crates/holder/src/holder_requests.rs
@@ -0,0 +1,218 @@
+use std::future::Future;
+use std::sync::Arc;
+
+use arbutuspick_model::{AttemptNumber, JobId, WorkerName, WriteId};
+use arbutuspick_platform::{
+    AttemptRequest, CallError, CallPriority, CommitEnd, EpochRequest, LeaseExtension, PrepareRequest,
+    RenewRequest, StartRequest, VmRole, WorkerAnswer, WorkerClient, commit_transaction,
+};
+use arbutuspick_records::{InboxRecord, JobRecord, TableTransaction, Versioned};
+
+use crate::holder_event::{HolderEvent, WorkerCall};
+use crate::job_entry::AfterWrite;
+use crate::job_reader::{read_centre, read_inbox};
+use crate::job_write::{JobWrite, write_job};
+use crate::placement_holder::PlacementHolder;
+use crate::worker_session::CALL_TIMEOUT;
+
+/// Time in which taking up a notice has to be decided; an undecided one is read again later.
+const TAKE_UP_LIMIT_MS: u64 = 3_000;
+
+/// Input and output: every call runs in a task that reports its result as an event.
+impl PlacementHolder {
+    fn spawn<F>(&mut self, task: F)
+    where
+        F: Future<Output = HolderEvent> + Send + 'static,
+    {
+        let events = self.events.clone();
+        self.tasks.spawn(async move {
+            let event = task.await;
+            // The holder may have stepped down.
+            let _ = events.send(event).await;
+        });
+    }
+
+    pub(crate) fn request_workers(&mut self) {
+        let vms = self.links.vms.clone();
+        let centre = self.options.data_centre.clone();
+        self.spawn(async move { HolderEvent::Workers(vms.list(VmRole::Worker, Some(&centre)).await) });
+    }
+
+    pub(crate) fn request_centre(&mut self) {
+        let table = self.links.table.clone();
+        let centre = self.options.data_centre.clone();
+        self.spawn(async move { HolderEvent::Centre(read_centre(&table, &centre).await) });
+    }
+
+    pub(crate) fn request_inbox(&mut self) {
+        let table = self.links.table.clone();
+        let centre = self.options.data_centre.clone();
+        self.spawn(async move { HolderEvent::Inbox(read_inbox(&table, &centre).await) });
+    }
+
+    pub(crate) fn request_take_up(
+        &mut self,
+        notice: Versioned<InboxRecord>,
+        row: Versioned<JobRecord>,
+        transaction: TableTransaction,
+    ) {
+        let links = self.links.clone();
+        self.spawn(async move {
+            let deadline = links.clock.now() + TAKE_UP_LIMIT_MS;
+            let end = commit_transaction(&links.table, &transaction, deadline, CallPriority::Essential).await;
+            let done = matches!(end, CommitEnd::Committed { .. });
+            HolderEvent::TakenUp {
+                notice: notice.record.notice,
+                row,
+                done,
+            }
+        });
+    }
+
+    pub(crate) fn request_write(
+        &mut self,
+        job: JobId,
+        row: Versioned<JobRecord>,
+        write: JobWrite,
+        after: AfterWrite,
+    ) {
+        let links = self.links.clone();
+        let guard = self.guard.clone();
+        self.spawn(async move {
+            let end = write_job(&links, &guard, row, write).await;
+            HolderEvent::Written { job, after, end }
+        });
+    }
+
+    /// Commits a change that nothing waits for, such as the progress of an order.
+    pub(crate) fn request_progress(&mut self, transaction: TableTransaction) {
+        let links = self.links.clone();
+        let centre = self.options.data_centre.clone();
+        self.spawn(async move {
+            let deadline = links.clock.now() + TAKE_UP_LIMIT_MS;
+            let end = commit_transaction(&links.table, &transaction, deadline, CallPriority::Essential).await;
+            log::info!("[holder] Progress of the order for {centre} recorded: {end:?}.");
+            HolderEvent::Centre(read_centre(&links.table, &centre).await)
+        });
+    }
+
+    fn spawn_call<F, R>(
+        &mut self,
+        worker: &WorkerName,
+        call: WorkerCall,
+        attempt: Option<(JobId, AttemptNumber)>,
+        request: F,
+    ) where
+        F: FnOnce(WorkerClient) -> R,
+        R: Future<Output = Result<WorkerAnswer, CallError>> + Send + 'static,
+    {
+        let Some(session) = self.workers.get(worker) else {
+            return;
+        };
+        let worker = worker.clone();
+        let answer = request(session.client.clone());
+        self.spawn(async move {
+            let answer = answer.await;
+            HolderEvent::Worker {
+                worker,
+                call,
+                attempt,
+                answer,
+            }
+        });
+    }
+
+    pub(crate) fn call_epoch(&mut self, worker: &WorkerName) {
+        let request = EpochRequest {
+            epoch: self.guard.epoch,
+        };
+        self.spawn_call(worker, WorkerCall::Epoch, None, |client| async move {
+            client.epoch(&request, CALL_TIMEOUT).await
+        });
+    }
+
+    pub(crate) fn call_renew(&mut self, worker: &WorkerName, call: WorkerCall, leases: Vec<LeaseExtension>) {
+        let request = RenewRequest {
+            epoch: self.guard.epoch,
+            leases,
+        };
+        self.spawn_call(worker, call, None, |client| async move {
+            client.renew(&request, CALL_TIMEOUT).await
+        });
+    }
+
+    pub(crate) fn call_prepare(&mut self, worker: &WorkerName, request: PrepareRequest) {
+        let attempt = Some((request.job, request.attempt));
+        self.spawn_call(worker, WorkerCall::Prepare, attempt, |client| async move {
+            client.prepare(&request, CALL_TIMEOUT).await
+        });
+    }
+
+    /// Sends a start, unless the permit or the placement lease has ended when the task runs.
+    pub(crate) fn call_start(
+        &mut self,
+        worker: &WorkerName,
+        request: StartRequest,
+        send_before: arbutuspick_model::ClockTime,
+    ) {
+        let attempt = Some((request.job, request.attempt));
+        let clock = self.links.clock;
+        let validity = self.lease_validity();
+        self.spawn_call(worker, WorkerCall::Start, attempt, move |client| async move {
+            let valid_until = validity.borrow().valid_until;
+            if clock.now() >= send_before.min(valid_until) {
+                return Err(CallError::NotSent {
+                    message: "start permit has ended".into(),
+                    retry_ms: 0,
+                });
+            }
+            client.start(&request, CALL_TIMEOUT).await
+        });
+    }
+
+    pub(crate) fn call_attempt(
+        &mut self,
+        worker: &WorkerName,
+        call: WorkerCall,
+        job: JobId,
+        attempt: AttemptNumber,
+    ) {
+        let request = AttemptRequest {
+            epoch: self.guard.epoch,
+            job,
+            attempt,
+        };
+        self.spawn_call(worker, call, Some((job, attempt)), move |client| async move {
+            match call {
+                WorkerCall::Void => client.void(&request, CALL_TIMEOUT).await,
+                WorkerCall::Checkpoint => client.checkpoint(&request, CALL_TIMEOUT).await,
+                WorkerCall::Stop => client.stop(&request, CALL_TIMEOUT).await,
+                _ => client.release(&request, CALL_TIMEOUT).await,
+            }
+        });
+    }
+
+    /// Starts the oldest waiting write of a job, unless one is in flight.
+    pub(crate) fn start_next_write(&mut self, job: JobId) {
+        let Some(entry) = self.jobs.get_mut(&job) else {
+            return;
+        };
+        if entry.writing {
+            return;
+        }
+        let Some((write, after)) = entry.writes.pop_front() else {
+            return;
+        };
+        entry.writing = true;
+        let row = entry.row.clone();
+        self.request_write(job, row, write, after);
+    }
+
+    pub(crate) fn new_write_id() -> WriteId {
+        WriteId::generate()
+    }
+
+    pub(crate) fn object_prefix(job: JobId, attempt: AttemptNumber) -> Arc<str> {
+        arbutuspick_records::ObjectKey::Checkpoint(job, attempt).into()
+    }
+}
--- /dev/null
+++ b/crates/holder/src/holder_workers.rs
@@ -0,0 +1,266 @@
+use std::collections::BTreeSet;
+
+use arbutuspick_model::{AttemptNumber, ClockTime, JobId, WorkerName};
+use arbutuspick_platform::{
+    CallError, LeaseExtension, PartState, PartStatus, VmList, WorkerAnswer, WorkerRefusal,
+};
+use arbutuspick_sched::PlacementEvent;
+
+use crate::GangEvent;
+use crate::holder_event::WorkerCall;
+use crate::placement_holder::PlacementHolder;
+use crate::worker_session::WorkerSession;
+
+/// Workers of the data centre: list, heartbeats, leases and reports.
+impl PlacementHolder {
+    /// Takes over the platform's list; a worker that is gone from it or leaving gets no new work.
+    pub(crate) fn apply_workers(&mut self, list: &VmList) {
+        let now = self.now();
+        let mut listed = BTreeSet::new();
+        for entry in &list.vms {
+            let Some(session) = WorkerSession::from_entry(entry, now) else {
+                log::warn!(
+                    "[holder] Worker {} is listed without rack or capacity.",
+                    entry.name
+                );
+                continue;
+            };
+            let name = session.name.clone();
+            listed.insert(name.clone());
+            match self.workers.get_mut(&name) {
+                Some(known) if known.client.address() == entry.address => known.leaving = entry.leaving,
+                _ => {
+                    self.forget_worker(&name);
+                    self.workers.insert(name.clone(), session);
+                    self.call_epoch(&name);
+                }
+            }
+        }
+        let gone: Vec<WorkerName> = self
+            .workers
+            .keys()
+            .filter(|name| !listed.contains(*name))
+            .cloned()
+            .collect();
+        for name in gone {
+            // The list lags, so a worker with members is kept until they have ended.
+            if self.residents.get(&name).is_none_or(BTreeSet::is_empty) {
+                self.forget_worker(&name);
+            } else if let Some(session) = self.workers.get_mut(&name) {
+                session.leaving = true;
+            }
+        }
+        self.review_workers(now);
+    }
+
+    fn forget_worker(&mut self, name: &WorkerName) {
+        if self.workers.remove(name).is_some_and(|session| session.joined) {
+            let now = self.now();
+            self.core
+                .handle(PlacementEvent::WorkerLost { worker: name.clone() }, now);
+        }
+    }
+
+    /// Tells the placement core which workers may get work.
+    fn review_workers(&mut self, now: ClockTime) {
+        for session in self.workers.values_mut() {
+            let usable = session.epoch_accepted && !session.leaving && !session.is_silent(now);
+            if usable == session.joined {
+                continue;
+            }
+            session.joined = usable;
+            let worker = session.name.clone();
+            let event = match usable {
+                true => {
+                    let (rack, capacity) = (session.rack.clone(), session.capacity);
+                    PlacementEvent::WorkerJoined {
+                        worker,
+                        rack,
+                        capacity,
+                    }
+                }
+                false => PlacementEvent::WorkerLost { worker },
+            };
+            self.core.handle(event, now);
+        }
+    }
+
+    /// Sends the heartbeats that are due, each with the leases of the attempts on its worker.
+    pub(crate) fn send_heartbeats(&mut self, now: ClockTime) {
+        let due: Vec<WorkerName> = self
+            .workers
+            .values_mut()
+            .filter_map(|session| session.take_due_heartbeat(now).then(|| session.name.clone()))
+            .collect();
+        for worker in due {
+            if self
+                .workers
+                .get(&worker)
+                .is_some_and(|session| session.epoch_accepted)
+            {
+                let leases = self.due_leases(&worker, now);
+                self.call_renew(&worker, WorkerCall::Renew, leases);
+            } else {
+                self.call_epoch(&worker);
+            }
+        }
+        self.review_workers(now);
+    }
+
+    fn due_leases(&mut self, worker: &WorkerName, now: ClockTime) -> Vec<LeaseExtension> {
+        let Some(session) = self.workers.get(worker) else {
+            return Vec::new();
+        };
+        let residents = self.residents.get(worker).cloned().unwrap_or_default();
+        let mut leases = Vec::with_capacity(residents.len());
+        for job in residents {
+            let Some(live) = self.jobs.get_mut(&job).and_then(|entry| entry.live.as_mut()) else {
+                continue;
+            };
+            let Some(lease_until) = live.machine.extend_lease(now) else {
+                continue;
+            };
+            if let Some(lease_until) = session.worker_time(lease_until) {
+                leases.push(LeaseExtension {
+                    job,
+                    attempt: live.placement.attempt,
+                    lease_until,
+                });
+            }
+        }
+        leases
+    }
+
+    /// Handles the answer of a worker, or its absence.
+    pub(crate) fn handle_worker(
+        &mut self,
+        worker: &WorkerName,
+        call: WorkerCall,
+        attempt: Option<(JobId, AttemptNumber)>,
+        answer: Result<WorkerAnswer, CallError>,
+    ) {
+        let now = self.now();
+        let youngest = self.youngest_attempt(worker, now);
+        let Some(session) = self.workers.get_mut(worker) else {
+            return;
+        };
+        if matches!(call, WorkerCall::Epoch | WorkerCall::Renew) {
+            session.heartbeat_done(now, youngest);
+        }
+        if call == WorkerCall::Probe {
+            let healthy = answer.is_ok();
+            self.core.handle(
+                PlacementEvent::WorkerProbed {
+                    worker: worker.clone(),
+                    healthy,
+                },
+                now,
+            );
+        }
+        let Ok(answer) = answer else { return };
+        let Some(session) = self.workers.get_mut(worker) else {
+            return;
+        };
+        session.record_answer(&answer);
+        match answer.result {
+            Ok(status) => {
+                session.epoch_accepted = true;
+                let full = matches!(call, WorkerCall::Epoch | WorkerCall::Renew | WorkerCall::Probe);
+                if full {
+                    self.report_missing(worker, &status.parts, answer.sent_at);
+                }
+                for part in status.parts {
+                    self.report_part(worker, part, full);
+                }
+                if let (WorkerCall::Checkpoint, Some((job, attempt))) = (call, attempt) {
+                    self.feed(
+                        job,
+                        attempt,
+                        &GangEvent::CheckpointConfirmed {
+                            worker: worker.clone(),
+                        },
+                    );
+                }
+            }
+            Err(body) if body.refusal == WorkerRefusal::StaleEpoch => {
+                log::warn!(
+                    "[holder] Worker {worker} accepted epoch {}; stepping down.",
+                    body.epoch
+                );
+                self.superseded = true;
+            }
+            Err(body) => {
+                if let Some((job, attempt)) = attempt {
+                    let refusal = body.refusal;
+                    self.feed(
+                        job,
+                        attempt,
+                        &GangEvent::PartRefused {
+                            worker: worker.clone(),
+                            refusal,
+                        },
+                    );
+                }
+            }
+        }
+    }
+
+    fn youngest_attempt(&self, worker: &WorkerName, now: ClockTime) -> Option<u64> {
+        let residents = self.residents.get(worker)?;
+        let ages = residents.iter().filter_map(|job| {
+            let live = self.jobs.get(job)?.live.as_ref()?;
+            Some(now.millis_since(live.began_at))
+        });
+        ages.min()
+    }
+
+    /// Tells attempts that a full report of the worker does not list them.
+    fn report_missing(&mut self, worker: &WorkerName, parts: &[PartStatus], asked_at: ClockTime) {
+        for job in self.residents.get(worker).cloned().unwrap_or_default() {
+            let Some(live) = self.jobs.get(&job).and_then(|entry| entry.live.as_ref()) else {
+                continue;
+            };
+            let attempt = live.placement.attempt;
+            if !parts
+                .iter()
+                .any(|part| part.job == job && part.attempt == attempt)
+            {
+                self.feed(
+                    job,
+                    attempt,
+                    &GangEvent::PartMissing {
+                        worker: worker.clone(),
+                        asked_at,
+                    },
+                );
+            }
+        }
+    }
+
+    fn report_part(&mut self, worker: &WorkerName, status: PartStatus, full: bool) {
+        let (job, attempt) = (status.job, status.attempt);
+        let live = self.jobs.get(&job).and_then(|entry| entry.live.as_ref());
+        if live.is_some_and(|live| live.placement.attempt == attempt) {
+            self.feed(
+                job,
+                attempt,
+                &GangEvent::PartReported {
+                    worker: worker.clone(),
+                    status,
+                },
+            );
+        } else if full {
+            self.clear_orphan(worker, &status);
+        }
+    }
+
+    /// Ends members of an attempt that no job of the data centre has any more.
+    fn clear_orphan(&mut self, worker: &WorkerName, status: &PartStatus) {
+        let call = match status.state {
+            PartState::Prepared => WorkerCall::Void,
+            PartState::Running => WorkerCall::Stop,
+            _ => WorkerCall::Release,
+        };
+        self.call_attempt(worker, call, status.job, status.attempt);
+    }
+}
--- /dev/null
+++ b/crates/holder/src/job_write.rs
@@ -0,0 +1,261 @@
+use std::sync::Arc;
+
+use arbutuspick_model::{
+    AttemptNumber, CentreName, ClockTime, DoubtReason, RefusalReason, ResultRef, WriteId,
+};
+use arbutuspick_platform::{CallPriority, CommitEnd, MemberResult, commit_transaction};
+use arbutuspick_records::{
+    CentreRecord, HolderGuard, JobEnding, JobError, JobRecord, JobStart, JobState, ObjectKey, PlacedMember,
+    PlannedChange, RequeueReason, RowKey, Versioned,
+};
+use sha2::{Digest, Sha256};
+
+use crate::HolderLinks;
+use crate::gang_attempt::START_SEND_MS;
+use crate::job_reader::read_jobs;
+
+/// Time after which a write that is not decided is planned again from the row.
+const REPLAN_MS: u64 = 3_000;
+/// Pause before a write or object is tried again.
+const RETRY_PAUSE_MS: u64 = 500;
+
+/// A change of a job's row.
+#[derive(Clone, Debug)]
+pub(crate) enum JobWrite {
+    /// Start an attempt; tried once, since its permit is short.
+    Start {
+        attempt: AttemptNumber,
+        placement: Vec<PlacedMember>,
+        centre: Option<Versioned<CentreRecord>>,
+    },
+    /// Record that every member runs.
+    Confirm,
+    /// Queue the job again.
+    Requeue {
+        reason: RequeueReason,
+        checkpoint: Option<Arc<str>>,
+    },
+    /// Store the whole result, then record it.
+    Ran(Vec<MemberResult>),
+    /// Record that it did not run.
+    NotRun(RefusalReason),
+    /// Record that it may have run.
+    Unknown(DoubtReason),
+    /// Assign the queued job to another data centre.
+    Move(CentreName),
+}
+
+/// What became of a write.
+#[derive(Clone, Debug)]
+pub(crate) enum WriteEnd {
+    /// It took effect.
+    Committed {
+        row: Versioned<JobRecord>,
+        sent_at: ClockTime,
+    },
+    /// It had no effect; the row as it is now, if it could be read.
+    Refused { row: Option<Versioned<JobRecord>> },
+    /// It is not known whether it took effect.
+    Unresolved,
+    /// Another process holds the placement lease.
+    Superseded,
+}
+
+/// Writes a change of a job; every kind but a start is repeated until it is decided.
+pub(crate) async fn write_job(
+    links: &HolderLinks,
+    guard: &HolderGuard,
+    row: Versioned<JobRecord>,
+    write: JobWrite,
+) -> WriteEnd {
+    match write {
+        JobWrite::Start {
+            attempt,
+            placement,
+            centre,
+        } => write_start(links, guard, row, attempt, placement, centre).await,
+        JobWrite::Ran(results) => {
+            let result = store_result(links, &row.record, &results).await;
+            write_until_decided(links, guard, row, |row, id| {
+                plan_end(row, JobEnding::Ran(result.clone()), guard, id)
+            })
+            .await
+        }
+        other => write_until_decided(links, guard, row, |row, id| plan(row, &other, guard, id)).await,
+    }
+}
+
+async fn write_start(
+    links: &HolderLinks,
+    guard: &HolderGuard,
+    row: Versioned<JobRecord>,
+    attempt: AttemptNumber,
+    placement: Vec<PlacedMember>,
+    centre: Option<Versioned<CentreRecord>>,
+) -> WriteEnd {
+    let start = JobStart {
+        attempt,
+        placement,
+        centre: centre.as_ref(),
+    };
+    let change = match row.start(start, guard, WriteId::generate()) {
+        Ok(change) => change,
+        Err(error) => {
+            log::info!("[holder] Start refused: {error}.");
+            return WriteEnd::Refused {
+                row: reread(links, &row).await,
+            };
+        }
+    };
+    let deadline = links.clock.now() + START_SEND_MS;
+    match commit(links, &change, deadline).await {
+        CommitEnd::Committed { version, sent_at, .. } => WriteEnd::Committed {
+            row: change.committed(version),
+            sent_at,
+        },
+        CommitEnd::Conflict { key } if *key == *epoch_key(guard) => WriteEnd::Superseded,
+        CommitEnd::Conflict { .. } | CommitEnd::NotSent => WriteEnd::Refused {
+            row: reread(links, &row).await,
+        },
+        CommitEnd::Unresolved | CommitEnd::Overwritten => WriteEnd::Unresolved,
+    }
+}
+
+/// Plans, commits and reads back until the change has taken effect or the row does not allow it.
+async fn write_until_decided<F>(
+    links: &HolderLinks,
+    guard: &HolderGuard,
+    mut row: Versioned<JobRecord>,
+    plan: F,
+) -> WriteEnd
+where
+    F: Fn(&Versioned<JobRecord>, WriteId) -> Result<PlannedChange<JobRecord>, JobError>,
+{
+    let mut own_writes = Vec::new();
+    loop {
+        if row.record.state.is_final() || own_writes.contains(&row.record.write_id) {
+            return WriteEnd::Committed {
+                row,
+                sent_at: links.clock.now(),
+            };
+        }
+        let write_id = WriteId::generate();
+        let change = match plan(&row, write_id) {
+            Ok(change) => change,
+            Err(error) => {
+                log::info!("[holder] Write of a job refused: {error}.");
+                return WriteEnd::Refused { row: Some(row) };
+            }
+        };
+        own_writes.push(write_id);
+        match commit(links, &change, links.clock.now() + REPLAN_MS).await {
+            CommitEnd::Committed { version, sent_at, .. } => {
+                return WriteEnd::Committed {
+                    row: change.committed(version),
+                    sent_at,
+                };
+            }
+            CommitEnd::Conflict { key } if *key == *epoch_key(guard) => return WriteEnd::Superseded,
+            CommitEnd::Conflict { .. } | CommitEnd::Overwritten => {}
+            CommitEnd::NotSent | CommitEnd::Unresolved => pause(links).await,
+        }
+        if let Some(current) = reread(links, &row).await {
+            row = current;
+        }
+    }
+}
+
+fn plan(
+    row: &Versioned<JobRecord>,
+    write: &JobWrite,
+    guard: &HolderGuard,
+    id: WriteId,
+) -> Result<PlannedChange<JobRecord>, JobError> {
+    match write {
+        JobWrite::Confirm => row.confirm(guard, id),
+        JobWrite::Requeue { reason, .. } if row.record.cancel_requested => {
+            let unstarted = *reason == RequeueReason::Unstarted && !row.record.may_have_run;
+            let ending = match unstarted {
+                true => JobEnding::Voided(RefusalReason::Cancelled),
+                false => JobEnding::Doubtful(DoubtReason::CancelledRunning),
+            };
+            row.finish(ending, guard, id)
+        }
+        JobWrite::Requeue { reason, checkpoint } => row.requeue(*reason, checkpoint.clone(), guard, id),
+        JobWrite::NotRun(reason) => plan_not_run(row, *reason, guard, id),
+        JobWrite::Unknown(reason) => plan_end(row, JobEnding::Doubtful(*reason), guard, id),
+        JobWrite::Move(target) => row.move_to(target.clone(), Some(guard), id),
+        JobWrite::Start { .. } | JobWrite::Ran(_) => unreachable!("written by functions of their own"),
+    }
+}
+
+fn plan_not_run(
+    row: &Versioned<JobRecord>,
+    reason: RefusalReason,
+    guard: &HolderGuard,
+    id: WriteId,
+) -> Result<PlannedChange<JobRecord>, JobError> {
+    let JobRecord {
+        state, may_have_run, ..
+    } = &row.record;
+    let ending = match (state, may_have_run) {
+        // An earlier attempt may have run, so the outcome of the job is unknown.
+        (_, true) => JobEnding::Doubtful(DoubtReason::CancelledRunning),
+        (JobState::Queued, false) => JobEnding::Refused(reason),
+        (_, false) => JobEnding::Voided(reason),
+    };
+    plan_end(row, ending, guard, id)
+}
+
+fn plan_end(
+    row: &Versioned<JobRecord>,
+    ending: JobEnding,
+    guard: &HolderGuard,
+    id: WriteId,
+) -> Result<PlannedChange<JobRecord>, JobError> {
+    row.finish(ending, guard, id)
+}
+
+async fn commit(links: &HolderLinks, change: &PlannedChange<JobRecord>, deadline: ClockTime) -> CommitEnd {
+    commit_transaction(
+        &links.table,
+        &change.transaction,
+        deadline,
+        CallPriority::Essential,
+    )
+    .await
+}
+
+async fn reread(links: &HolderLinks, row: &Versioned<JobRecord>) -> Option<Versioned<JobRecord>> {
+    let rows = read_jobs(&links.table, &[row.record.job]).await;
+    rows.ok()?.pop()
+}
+
+async fn pause(links: &HolderLinks) {
+    tokio::time::sleep_until(links.clock.instant(links.clock.now() + RETRY_PAUSE_MS)).await;
+}
+
+fn epoch_key(guard: &HolderGuard) -> Arc<str> {
+    RowKey::Epoch(guard.data_centre.clone()).into()
+}
+
+/// Stores the whole result of a gang, trying again until the object store takes it.
+async fn store_result(links: &HolderLinks, record: &JobRecord, results: &[MemberResult]) -> ResultRef {
+    let bytes = serde_json::to_vec(results).expect("results encode as JSON");
+    let object: Arc<str> = ObjectKey::Result(record.job, record.attempt).into();
+    let result = ResultRef {
+        object: object.clone(),
+        bytes: bytes.len() as u64,
+        sha256: hex::encode(Sha256::digest(&bytes)).into(),
+    };
+    let bytes = bytes::Bytes::from(bytes);
+    while let Err(error) = links
+        .objects
+        .put(&object, bytes.clone(), CallPriority::Essential)
+        .await
+    {
+        log::warn!("[holder] Result {object} was not stored: {error}.");
+        pause(links).await;
+    }
+    result
+}
--- a/crates/holder/src/lib.rs
+++ b/crates/holder/src/lib.rs
@@ -1,9 +1,27 @@
 //! The placement holder of a data centre: lease, workers, gangs and the loop that joins them with decisions.
+//!
+//! [`run_holder`] takes the placement lease of a data centre when it can be had, rebuilds the pool from the
+//! platform's table and the workers' reports, and then carries out what
+//! [`PlacementCore`](arbutuspick_sched::PlacementCore) decides. [`GangMachine`] is the state machine of one
+//! attempt to run a gang.
 
 mod gang_attempt;
 mod gang_event;
 mod gang_part;
+mod holder_event;
+mod holder_jobs;
+mod holder_options;
+mod holder_requests;
+mod holder_state;
+mod holder_view;
+mod holder_workers;
+mod job_entry;
+mod job_reader;
+mod job_write;
+mod placement_holder;
+mod placement_lease;
 mod worker_clock;
+mod worker_session;
 
 pub use gang_attempt::{
     AttemptRules, GANG_LEASE_MS, GangMachine, HOLD_MS, PREPARE_LIMIT_MS, SILENCE_LIMIT_MS, START_PERMIT_MS,
@@ -11,4 +29,8 @@
 };
 pub use gang_event::{AttemptVerdict, GangCommand, GangEvent};
 pub use gang_part::{GangPart, PartPhase};
+pub use holder_event::HolderNotice;
+pub use holder_options::{CentreChoice, EndedHook, HolderLinks, HolderOptions};
+pub use holder_view::{HolderDump, HolderView, JobView, WorkerView};
+pub use placement_holder::run_holder;
 pub use worker_clock::WorkerClock;
--- /dev/null
+++ b/crates/holder/src/placement_holder.rs
@@ -0,0 +1,285 @@
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
+use arbutuspick_model::{ClockTime, JobId, WorkerName};
+use arbutuspick_records::{CentreRecord, HolderGuard, Versioned};
+use arbutuspick_sched::PlacementCore;
+use arc_swap::ArcSwap;
+use tokio::sync::{mpsc, watch};
+use tokio::task::JoinSet;
+use tokio_util::sync::CancellationToken;
+
+use crate::holder_event::{HolderEvent, HolderNotice};
+use crate::holder_view::HolderView;
+use crate::job_entry::JobEntry;
+use crate::job_reader::{read_centre, read_placed};
+use crate::placement_lease::{LeaseValidity, PlacementLease, renew_lease, take_lease};
+use crate::worker_session::WorkerSession;
+use crate::{HolderLinks, HolderOptions};
+
+/// Time between rounds of due calls and decisions.
+const TICK_MS: u64 = 50;
+/// Time between reads of the inbox when no notice came.
+const INBOX_MS: u64 = 2_000;
+/// Time between reads of the operators' order.
+const CENTRE_MS: u64 = 1_000;
+/// Time between reads of the list of workers.
+const WORKERS_MS: u64 = 2_000;
+/// Time between published views.
+const VIEW_MS: u64 = 500;
+/// Pause before the rows are read again after a failure during a takeover.
+const REBUILD_PAUSE_MS: u64 = 500;
+
+/// Holds the placement lease of a data centre whenever it can be had, until the shutdown.
+///
+/// On shutdown the lease is given up, so that another entry VM takes over at once; gangs run on.
+pub async fn run_holder(
+    options: HolderOptions,
+    links: HolderLinks,
+    mut notices: mpsc::Receiver<HolderNotice>,
+    view: Arc<ArcSwap<HolderView>>,
+    shutdown: CancellationToken,
+) {
+    while let Some(lease) = take_lease(&options, &links, &shutdown).await {
+        let epoch = lease.guard.epoch;
+        log::info!(
+            "[holder] Took the placement lease of {} at epoch {epoch}.",
+            options.data_centre
+        );
+        metrics::counter!("arbutuspick_holder_takeovers_total").increment(1);
+        hold(&options, &links, lease, &mut notices, &view, &shutdown).await;
+        view.store(Arc::default());
+        log::info!(
+            "[holder] Left the placement lease of {} at epoch {epoch}.",
+            options.data_centre
+        );
+    }
+}
+
+async fn hold(
+    options: &HolderOptions,
+    links: &HolderLinks,
+    lease: PlacementLease,
+    notices: &mut mpsc::Receiver<HolderNotice>,
+    view: &ArcSwap<HolderView>,
+    shutdown: &CancellationToken,
+) {
+    let guard = lease.guard.clone();
+    let validity = LeaseValidity {
+        valid_until: lease.valid_until,
+        lost: false,
+    };
+    let (validity_sender, validity) = watch::channel(validity);
+    let stop = CancellationToken::new();
+    let renewal = tokio::spawn(renew_lease(
+        lease,
+        options.clone(),
+        links.clone(),
+        validity_sender,
+        stop.clone(),
+    ));
+    let (sender, events) = mpsc::channel(4_096);
+    let mut holder = PlacementHolder::new(options.clone(), links.clone(), guard, sender, validity);
+    if holder.rebuild(shutdown).await {
+        holder.run(events, notices, view, shutdown).await;
+    }
+    stop.cancel();
+    // The renewal gives the lease up; its own commit has a deadline.
+    if let Err(error) = renewal.await {
+        log::error!("[holder] Renewal of the lease failed: {error}.");
+    }
+}
+
+/// The holder of the placement lease: one loop that owns the pool and the jobs of the data centre.
+pub(crate) struct PlacementHolder {
+    pub(crate) options: HolderOptions,
+    pub(crate) links: HolderLinks,
+    pub(crate) guard: HolderGuard,
+    pub(crate) core: PlacementCore,
+    pub(crate) jobs: BTreeMap<JobId, JobEntry>,
+    pub(crate) workers: BTreeMap<WorkerName, WorkerSession>,
+    /// Jobs with members on a worker.
+    pub(crate) residents: BTreeMap<WorkerName, BTreeSet<JobId>>,
+    /// Jobs whose notices are being taken up.
+    pub(crate) taking_up: BTreeSet<JobId>,
+    pub(crate) centre: Option<Versioned<CentreRecord>>,
+    pub(crate) events: mpsc::Sender<HolderEvent>,
+    pub(crate) tasks: JoinSet<()>,
+    pub(crate) superseded: bool,
+    pub(crate) progress_in_flight: bool,
+    /// Time at which the state of the data centre was first seen.
+    pub(crate) state_since: ClockTime,
+    pub(crate) validity: watch::Receiver<LeaseValidity>,
+    inbox_at: ClockTime,
+    inbox_in_flight: bool,
+    centre_at: ClockTime,
+    workers_at: ClockTime,
+    view_at: ClockTime,
+}
+
+impl PlacementHolder {
+    fn new(
+        options: HolderOptions,
+        links: HolderLinks,
+        guard: HolderGuard,
+        events: mpsc::Sender<HolderEvent>,
+        validity: watch::Receiver<LeaseValidity>,
+    ) -> Self {
+        let core = PlacementCore::new(options.placement.clone());
+        Self {
+            options,
+            links,
+            guard,
+            core,
+            jobs: BTreeMap::new(),
+            workers: BTreeMap::new(),
+            residents: BTreeMap::new(),
+            taking_up: BTreeSet::new(),
+            centre: None,
+            events,
+            tasks: JoinSet::new(),
+            superseded: false,
+            progress_in_flight: false,
+            state_since: ClockTime(0),
+            validity,
+            inbox_at: ClockTime(0),
+            inbox_in_flight: false,
+            centre_at: ClockTime(0),
+            workers_at: ClockTime(0),
+            view_at: ClockTime(0),
+        }
+    }
+
+    pub(crate) fn now(&self) -> ClockTime {
+        self.links.clock.now()
+    }
+
+    /// Returns whether the holder may prepare and start attempts.
+    pub(crate) fn may_place(&self, now: ClockTime) -> bool {
+        let LeaseValidity { valid_until, lost } = *self.validity.borrow();
+        !lost && !self.superseded && now < valid_until
+    }
+
+    /// Reads what earlier holders recorded. Returns whether the holder goes on.
+    async fn rebuild(&mut self, shutdown: &CancellationToken) -> bool {
+        loop {
+            match self.read_state().await {
+                Ok(()) => return true,
+                Err(error) => log::warn!("[holder] State was not read: {error}."),
+            }
+            let pause = self.links.clock.instant(self.now() + REBUILD_PAUSE_MS);
+            tokio::select! {
+                () = shutdown.cancelled() => return false,
+                () = tokio::time::sleep_until(pause) => {}
+            }
+            if self.validity.borrow().lost {
+                return false;
+            }
+        }
+    }
+
+    async fn read_state(&mut self) -> Result<(), arbutuspick_platform::CallError> {
+        let centre = self.options.data_centre.clone();
+        let order = read_centre(&self.links.table, &centre).await?;
+        let rows = read_placed(&self.links.table, &centre).await?;
+        self.apply_config();
+        self.apply_centre(order);
+        for row in rows {
+            self.add_job(row);
+        }
+        Ok(())
+    }
+
+    async fn run(
+        &mut self,
+        mut events: mpsc::Receiver<HolderEvent>,
+        notices: &mut mpsc::Receiver<HolderNotice>,
+        view: &ArcSwap<HolderView>,
+        shutdown: &CancellationToken,
+    ) {
+        let mut ticks = tokio::time::interval(std::time::Duration::from_millis(TICK_MS));
+        ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        loop {
+            tokio::select! {
+                () = shutdown.cancelled() => return,
+                Some(event) = events.recv() => self.handle_event(event),
+                Some(notice) = notices.recv() => self.handle_notice(notice),
+                _ = ticks.tick() => self.tick(view),
+            }
+            while let Ok(event) = events.try_recv() {
+                self.handle_event(event);
+            }
+            if self.superseded || self.validity.borrow().lost {
+                return;
+            }
+            self.decide();
+            while self.tasks.try_join_next().is_some() {}
+        }
+    }
+
+    fn handle_notice(&mut self, notice: HolderNotice) {
+        match notice {
+            HolderNotice::InboxChanged => self.inbox_at = ClockTime(0),
+            HolderNotice::ConfigChanged => self.apply_config(),
+            HolderNotice::Dump(reply) => {
+                // The asker may have given up.
+                let _ = reply.send(self.dump());
+            }
+        }
+    }
+
+    fn tick(&mut self, view: &ArcSwap<HolderView>) {
+        let now = self.now();
+        if now >= self.workers_at {
+            self.workers_at = now + WORKERS_MS;
+            self.request_workers();
+        }
+        if now >= self.centre_at {
+            self.centre_at = now + CENTRE_MS;
+            self.request_centre();
+        }
+        if now >= self.inbox_at && !self.inbox_in_flight && self.taking_up.is_empty() {
+            self.inbox_at = now + INBOX_MS;
+            self.inbox_in_flight = true;
+            self.request_inbox();
+        }
+        self.send_heartbeats(now);
+        self.tick_attempts(now);
+        self.record_centre_progress();
+        if now >= self.view_at {
+            self.view_at = now + VIEW_MS;
+            view.store(Arc::new(self.view()));
+        }
+    }
+
+    fn handle_event(&mut self, event: HolderEvent) {
+        match event {
+            HolderEvent::Worker {
+                worker,
+                call,
+                attempt,
+                answer,
+            } => {
+                self.handle_worker(&worker, call, attempt, answer);
+            }
+            HolderEvent::Written { job, after, end } => self.handle_written(job, after, end),
+            HolderEvent::Inbox(result) => {
+                self.inbox_in_flight = false;
+                match result {
+                    Ok(notices) => self.take_up(notices),
+                    Err(error) => log::debug!("[holder] Inbox was not read: {error}."),
+                }
+            }
+            HolderEvent::TakenUp { notice, row, done } => self.handle_taken_up(notice, row, done),
+            HolderEvent::Centre(Ok(order)) => self.apply_centre(order),
+            HolderEvent::Centre(Err(error)) => log::debug!("[holder] Order was not read: {error}."),
+            HolderEvent::Workers(Ok(list)) => self.apply_workers(&list),
+            HolderEvent::Workers(Err(error)) => log::debug!("[holder] Workers were not listed: {error}."),
+        }
+    }
+
+    /// Makes the next read of the operators' order due at once.
+    pub(crate) fn refresh_centre(&mut self) {
+        self.centre_at = ClockTime(0);
+    }
+}
--- /dev/null
+++ b/crates/holder/src/placement_lease.rs
@@ -0,0 +1,209 @@
+use std::sync::Arc;
+
+use arbutuspick_model::{ClockTime, PlatformTime, WriteId};
+use arbutuspick_platform::{CallError, CallPriority, CommitEnd, commit_transaction};
+use arbutuspick_records::{
+    DecodeError, EpochRecord, HolderGuard, LeaseRecord, LeaseTakeover, RowKey, TableRow, Versioned,
+};
+use tokio::sync::watch;
+use tokio_util::sync::CancellationToken;
+
+use crate::job_reader::decode_row;
+use crate::{HolderLinks, HolderOptions};
+
+/// Time between renewals of the placement lease, and between attempts to take it.
+const RENEW_MS: u64 = 1_000;
+/// Time in which a renewal or takeover has to be decided.
+const COMMIT_LIMIT_MS: u64 = 2_500;
+
+/// A placement lease that this process holds.
+#[derive(Clone, Debug)]
+pub(crate) struct PlacementLease {
+    pub(crate) guard: HolderGuard,
+    row: Versioned<LeaseRecord>,
+    /// Time on the process clock until which the holder may place.
+    pub(crate) valid_until: ClockTime,
+}
+
+/// What the renewal tells the holder.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct LeaseValidity {
+    pub(crate) valid_until: ClockTime,
+    /// Another process has taken the lease.
+    pub(crate) lost: bool,
+}
+
+struct LeaseRows {
+    epoch: Option<Versioned<EpochRecord>>,
+    lease: Option<Versioned<LeaseRecord>>,
+    read_at: ClockTime,
+    time: PlatformTime,
+}
+
+fn find_row<R>(rows: &[TableRow], key: &str) -> Option<Versioned<R>>
+where
+    Versioned<R>: for<'a> TryFrom<&'a TableRow, Error = DecodeError>,
+{
+    rows.iter().find(|row| &*row.key == key).and_then(decode_row)
+}
+
+async fn read_rows(options: &HolderOptions, links: &HolderLinks) -> Result<LeaseRows, CallError> {
+    let epoch_key: Arc<str> = RowKey::Epoch(options.data_centre.clone()).into();
+    let lease_key: Arc<str> = RowKey::Lease(options.data_centre.clone()).into();
+    let read_at = links.clock.now();
+    let keys = [epoch_key.clone(), lease_key.clone()];
+    let answer = links.table.read(&keys, CallPriority::Essential).await?;
+    Ok(LeaseRows {
+        epoch: find_row(&answer.body.rows, &epoch_key),
+        lease: find_row(&answer.body.rows, &lease_key),
+        read_at,
+        time: answer.time,
+    })
+}
+
+/// Waits until the lease can be taken, and takes it. Returns nothing on shutdown.
+pub(crate) async fn take_lease(
+    options: &HolderOptions,
+    links: &HolderLinks,
+    shutdown: &CancellationToken,
+) -> Option<PlacementLease> {
+    loop {
+        match try_take(options, links).await {
+            Ok(Some(lease)) => return Some(lease),
+            Ok(None) => {}
+            Err(error) => log::debug!("[holder] Lease rows were not read: {error}."),
+        }
+        let pause = links.clock.instant(links.clock.now() + RENEW_MS);
+        tokio::select! {
+            () = shutdown.cancelled() => return None,
+            () = tokio::time::sleep_until(pause) => {}
+        }
+    }
+}
+
+async fn try_take(options: &HolderOptions, links: &HolderLinks) -> Result<Option<PlacementLease>, CallError> {
+    let LeaseRows {
+        epoch,
+        lease,
+        read_at,
+        time,
+    } = read_rows(options, links).await?;
+    let takeover = LeaseTakeover {
+        data_centre: options.data_centre.clone(),
+        epoch: epoch.as_ref(),
+        lease: lease.as_ref(),
+        holder: options.identity.clone(),
+        address: options.peer_address,
+        now: time,
+    };
+    let Ok(change) = EpochRecord::take(takeover, WriteId::generate()) else {
+        return Ok(None);
+    };
+    let deadline = read_at + COMMIT_LIMIT_MS;
+    let end = commit_transaction(
+        &links.table,
+        &change.transaction,
+        deadline,
+        CallPriority::Essential,
+    )
+    .await;
+    let CommitEnd::Committed { version, .. } = end else {
+        return Ok(None);
+    };
+    let (epoch, row) = change.committed(version).split();
+    let valid_until = row.record.local_deadline(time, read_at);
+    Ok(epoch.guard(&options.identity).map(|guard| PlacementLease {
+        guard,
+        row,
+        valid_until,
+    }))
+}
+
+/// Renews the lease every second until it is lost or the token is cancelled.
+pub(crate) async fn renew_lease(
+    mut lease: PlacementLease,
+    options: HolderOptions,
+    links: HolderLinks,
+    validity: watch::Sender<LeaseValidity>,
+    stop: CancellationToken,
+) {
+    loop {
+        let pause = links.clock.instant(links.clock.now() + RENEW_MS);
+        tokio::select! {
+            () = stop.cancelled() => return give_up(&lease, &links).await,
+            () = tokio::time::sleep_until(pause) => {}
+        }
+        if !renew_once(&mut lease, &options, &links).await {
+            validity.send_replace(LeaseValidity {
+                valid_until: ClockTime(0),
+                lost: true,
+            });
+            return;
+        }
+        validity.send_replace(LeaseValidity {
+            valid_until: lease.valid_until,
+            lost: false,
+        });
+    }
+}
+
+/// Renews once and returns whether the lease still belongs to this process, as far as is known.
+async fn renew_once(lease: &mut PlacementLease, options: &HolderOptions, links: &HolderLinks) -> bool {
+    let Some(now) = links.table.platform_time() else {
+        return true;
+    };
+    let Ok(change) = lease.row.renew(&lease.guard, now, WriteId::generate()) else {
+        return false;
+    };
+    let deadline = links.clock.now() + COMMIT_LIMIT_MS;
+    let end = commit_transaction(
+        &links.table,
+        &change.transaction,
+        deadline,
+        CallPriority::Essential,
+    )
+    .await;
+    if let CommitEnd::Committed {
+        version,
+        sent_at,
+        answered_at,
+    } = end
+    {
+        lease.row = change.committed(version);
+        lease.valid_until = lease.row.record.local_deadline(answered_at, sent_at);
+        return true;
+    }
+    // The row may have been written by a copy whose answer was lost, so its version is read again.
+    match read_rows(options, links).await {
+        Ok(LeaseRows {
+            epoch: Some(epoch),
+            lease: Some(row),
+            ..
+        }) => {
+            lease.row = row;
+            epoch.version == lease.guard.version
+        }
+        _ => true,
+    }
+}
+
+async fn give_up(lease: &PlacementLease, links: &HolderLinks) {
+    let Some(now) = links.table.platform_time() else {
+        return;
+    };
+    let Ok(change) = lease.row.give_up(&lease.guard, now, WriteId::generate()) else {
+        return;
+    };
+    let deadline = links.clock.now() + RENEW_MS;
+    let end = commit_transaction(
+        &links.table,
+        &change.transaction,
+        deadline,
+        CallPriority::Essential,
+    )
+    .await;
+    log::info!(
+        "[holder] Placement lease of {} given up: {end:?}.",
+        lease.guard.data_centre
+    );
+}
--- a/crates/holder/tests/support/mod.rs
+++ b/crates/holder/tests/support/mod.rs
@@ -299,7 +299,6 @@
             | GangCommand::Void(worker)
             | GangCommand::Checkpoint(worker)
             | GangCommand::Stop(worker)
-            | GangCommand::Release(worker)
             | GangCommand::Start { worker, .. } => self.call(index_of(worker), command),
         }
     }
