Add stand-ins of the platform, workers and upstreams

Tests and the demo need the outside systems of the scheduler with faults that can be switched: outages, lost answers, late writes, slow and crashing workers, cut and late answers of upstreams.

Each stand-in runs inside a test or in the program standin. Time of a worker passes only in its calls, so the ends of holds, leases and tasks are exact and need no timers. Workers and upstreams log what ran, which survives their crashes. The platform can have a listener per data centre with an outage switch of its own, to cut one off.

--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -1,1 +1,37 @@
 //! Stand-ins of the platform, its workers and the upstreams, and a load driver, for demos and tests.
+//!
+//! Each stand-in listens on a loopback port and ends when it is dropped. Faults are switched by `control` or
+//! `POST /control`; logs of what ran are read by `log` or `GET /control/log`.
+
+mod call_stats;
+mod checkpoint_store;
+mod control_client;
+mod http_server;
+mod platform_control;
+mod platform_standin;
+mod standin_table;
+mod task_log;
+mod task_payload;
+mod upstream_control;
+mod upstream_fleet;
+mod upstream_standin;
+mod vm_directory;
+mod wall_clock;
+mod worker_control;
+mod worker_core;
+mod worker_fleet;
+mod worker_part;
+mod worker_standin;
+
+pub use call_stats::CallStats;
+pub use control_client::{ControlClient, ControlError};
+pub use platform_control::{LateWrites, PlatformControl, PlatformSettings, VmKey};
+pub use platform_standin::{PlatformOptions, PlatformStandin};
+pub use task_log::{TaskEnd, TaskLog, TaskRun};
+pub use task_payload::TaskPayload;
+pub use upstream_control::{RequestLog, RequestRuns, UpstreamControl, UpstreamFaults};
+pub use upstream_fleet::{UpstreamFleet, UpstreamFleetOptions};
+pub use upstream_standin::{UpstreamOptions, UpstreamResult, UpstreamStandin, UpstreamWork};
+pub use worker_control::{WorkerControl, WorkerFaults};
+pub use worker_fleet::{FleetOptions, WorkerFleet};
+pub use worker_standin::{WorkerOptions, WorkerStandin};
--- /dev/null
+++ b/crates/standins/src/platform_standin.rs
@@ -0,0 +1,322 @@
+use std::collections::{BTreeMap, HashMap};
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use arbutuspick_model::PlatformTime;
+use arbutuspick_platform::{VmEntry, VmList};
+use arbutuspick_records::{ReadQuery, ScanQuery, TableAnswer, TableRow, TableTransaction};
+use bytes::Bytes;
+use hyper::{Method, Response, StatusCode};
+use parking_lot::Mutex;
+use serde::Serialize;
+use tokio::time::sleep;
+
+use crate::call_stats::{CallCounter, CallStats};
+use crate::http_server::{HttpServer, ServerReply, ServerRequest};
+use crate::platform_control::{PlatformControl, PlatformSettings};
+use crate::standin_table::{MAX_ROWS, StandinTable};
+use crate::vm_directory::VmDirectory;
+use crate::wall_clock::WallClock;
+
+const MAX_CONNECTIONS: usize = 4096;
+
+/// How a platform stand-in starts.
+#[derive(Clone, Debug, Default)]
+pub struct PlatformOptions {
+    /// Port, or 0 for an ephemeral one.
+    pub port: u16,
+    /// Names of further listeners, each with an ephemeral port and an outage switch of its own.
+    pub doors: Vec<String>,
+    /// First list of VMs.
+    pub vms: Vec<VmEntry>,
+    /// First settings.
+    pub settings: PlatformSettings,
+}
+
+#[derive(Debug)]
+struct PlatformState {
+    table: StandinTable,
+    objects: HashMap<String, Bytes>,
+    vms: VmDirectory,
+    settings: PlatformSettings,
+    calls: CallCounter,
+    /// Writes since the faults were last changed.
+    write_count: u64,
+}
+
+#[derive(Debug)]
+struct PlatformShared {
+    clock: WallClock,
+    state: Mutex<PlatformState>,
+}
+
+/// The platform's table, object store and list of VMs in memory.
+///
+/// ```
+/// # #[tokio::main(flavor = "current_thread")]
+/// # async fn main() -> std::io::Result<()> {
+/// use arbutuspick_standins::{PlatformOptions, PlatformStandin};
+/// let platform = PlatformStandin::start(PlatformOptions::default()).await?;
+/// assert!(platform.address().ip().is_loopback());
+/// # Ok(())
+/// # }
+/// ```
+#[derive(Debug)]
+pub struct PlatformStandin {
+    shared: Arc<PlatformShared>,
+    server: HttpServer,
+    doors: BTreeMap<String, HttpServer>,
+}
+
+impl PlatformStandin {
+    /// Starts the stand-in; it ends when it is dropped.
+    pub async fn start(options: PlatformOptions) -> io::Result<Self> {
+        let PlatformOptions {
+            port,
+            doors: names,
+            vms,
+            settings,
+        } = options;
+        let state = PlatformState {
+            table: StandinTable::default(),
+            objects: HashMap::new(),
+            vms: VmDirectory::new(vms),
+            settings,
+            calls: CallCounter::default(),
+            write_count: 0,
+        };
+        let shared = Arc::new(PlatformShared {
+            clock: WallClock::new(),
+            state: Mutex::new(state),
+        });
+        let server = listen(&shared, port, "").await?;
+        let mut doors = BTreeMap::new();
+        for name in names {
+            let door = listen(&shared, 0, &name).await?;
+            doors.insert(name, door);
+        }
+        Ok(Self {
+            shared,
+            server,
+            doors,
+        })
+    }
+
+    /// Returns the address.
+    pub fn address(&self) -> SocketAddr {
+        self.server.address
+    }
+
+    /// Returns the addresses of the further listeners by name.
+    pub fn doors(&self) -> BTreeMap<String, SocketAddr> {
+        self.doors
+            .iter()
+            .map(|(name, server)| (name.clone(), server.address))
+            .collect()
+    }
+
+    /// Changes faults and VMs, as `POST /control` does.
+    pub fn control(&self, control: &PlatformControl) -> PlatformSettings {
+        self.shared.control(control)
+    }
+
+    /// Returns the calls received.
+    pub fn stats(&self) -> CallStats {
+        self.shared.state.lock().calls.stats()
+    }
+
+    /// Returns a row of the table.
+    pub fn row(&self, key: &str) -> Option<TableRow> {
+        self.shared.state.lock().table.row(key).cloned()
+    }
+
+    /// Returns an object.
+    pub fn object(&self, key: &str) -> Option<Bytes> {
+        self.shared.state.lock().objects.get(key).cloned()
+    }
+
+    /// Returns the platform's time.
+    pub fn time(&self) -> PlatformTime {
+        PlatformTime(self.shared.clock.now_ms())
+    }
+}
+
+async fn listen(shared: &Arc<PlatformShared>, port: u16, door: &str) -> io::Result<HttpServer> {
+    let shared = Arc::clone(shared);
+    let door: Arc<str> = door.into();
+    HttpServer::start(port, MAX_CONNECTIONS, move |request| {
+        let (shared, door) = (Arc::clone(&shared), Arc::clone(&door));
+        async move { shared.answer(&door, request).await }
+    })
+    .await
+}
+
+/// What becomes of a write's answer.
+enum WriteFault {
+    None,
+    LoseAnswer,
+    Late(Duration),
+}
+
+impl PlatformShared {
+    async fn answer(self: Arc<Self>, door: &str, request: ServerRequest) -> ServerReply {
+        match (&request.method, request.path.as_str()) {
+            (&Method::POST, "/control") => match request.json() {
+                Ok(control) => return ServerReply::json(StatusCode::OK, &self.control(&control)),
+                Err(reply) => return reply,
+            },
+            (&Method::GET, "/control/stats") => {
+                return ServerReply::json(StatusCode::OK, &self.state.lock().calls.stats());
+            }
+            _ => {}
+        }
+        let write = is_write(&request);
+        let (delay_ms, fault) = {
+            let mut state = self.state.lock();
+            state.calls.count(self.clock.now_ms(), write);
+            if state.settings.drops(door, &request.path) {
+                return ServerReply::Close;
+            }
+            (state.settings.delay_ms, state.write_fault(write))
+        };
+        let delay = Duration::from_millis(delay_ms);
+        match fault {
+            WriteFault::None => self.perform_in_task(delay, request).await,
+            WriteFault::LoseAnswer => {
+                self.perform_in_task(delay, request).await;
+                ServerReply::Close
+            }
+            WriteFault::Late(after) => {
+                tokio::spawn(self.perform_in_task(delay + after, request));
+                ServerReply::Close
+            }
+        }
+    }
+
+    /// Performs a call even when its caller closes the connection meanwhile, as a slow service does.
+    async fn perform_in_task(self: Arc<Self>, delay: Duration, request: ServerRequest) -> ServerReply {
+        if delay.is_zero() {
+            return self.perform(&request);
+        }
+        let task = tokio::spawn(async move {
+            sleep(delay).await;
+            self.perform(&request)
+        });
+        task.await.unwrap_or(ServerReply::Close)
+    }
+
+    fn perform(&self, request: &ServerRequest) -> ServerReply {
+        let method = &request.method;
+        match request.path.as_str() {
+            "/v1/table/transact" if method == Method::POST => match request.json::<TableTransaction>() {
+                Ok(transaction) => self.table_answer(|table| table.transact(&transaction)),
+                Err(reply) => reply,
+            },
+            "/v1/table/read" if method == Method::POST => match request.json::<ReadQuery>() {
+                Ok(query) if query.keys.len() <= MAX_ROWS => self.table_answer(|table| table.read(&query)),
+                Ok(_) => ServerReply::text(StatusCode::BAD_REQUEST, "keys: must be at most 256"),
+                Err(reply) => reply,
+            },
+            "/v1/table/scan" if method == Method::POST => match request.json::<ScanQuery>() {
+                Ok(query) => self.table_answer(|table| table.scan(&query)),
+                Err(reply) => reply,
+            },
+            "/v1/vms" if method == Method::GET => self.list_vms(request),
+            path => match path.strip_prefix("/v1/objects/") {
+                Some(key) => self.object_call(method, key, &request.body),
+                None => ServerReply::not_found(),
+            },
+        }
+    }
+
+    fn table_answer<T, F>(&self, call: F) -> ServerReply
+    where
+        T: Serialize,
+        F: FnOnce(&mut StandinTable) -> T,
+    {
+        let mut state = self.state.lock();
+        let body = call(&mut state.table);
+        // Read under the lock, so that table order and time order agree.
+        let time = PlatformTime(self.clock.now_ms());
+        ServerReply::json(StatusCode::OK, &TableAnswer { time, body })
+    }
+
+    fn object_call(&self, method: &Method, key: &str, body: &Bytes) -> ServerReply {
+        let objects = &mut self.state.lock().objects;
+        match *method {
+            Method::PUT => {
+                objects.insert(key.to_owned(), body.clone());
+                ServerReply::text(StatusCode::OK, "")
+            }
+            Method::GET => match objects.get(key) {
+                Some(bytes) => ServerReply::Answer(Box::new(Response::new(bytes.clone()))),
+                None => ServerReply::not_found(),
+            },
+            Method::DELETE => match objects.remove(key) {
+                Some(_) => ServerReply::text(StatusCode::OK, ""),
+                None => ServerReply::not_found(),
+            },
+            _ => ServerReply::text(StatusCode::METHOD_NOT_ALLOWED, "use PUT, GET or DELETE"),
+        }
+    }
+
+    fn list_vms(&self, request: &ServerRequest) -> ServerReply {
+        let role = request.parameter("role");
+        let centre = request.parameter("data_centre");
+        let mut state = self.state.lock();
+        let as_of = self.clock.now_ms().saturating_sub(state.settings.vm_lag_ms);
+        state.vms.forget_before(as_of.saturating_sub(60_000));
+        let matches = |vm: &&VmEntry| {
+            let name = serde_json::to_value(vm.role).unwrap_or_default();
+            role.is_none_or(|role| name == role)
+                && centre.is_none_or(|centre| vm.data_centre.as_str() == centre)
+        };
+        let list = VmList {
+            as_of: PlatformTime(as_of),
+            vms: state.vms.at(as_of).iter().filter(matches).cloned().collect(),
+        };
+        ServerReply::json(StatusCode::OK, &list)
+    }
+
+    fn control(&self, control: &PlatformControl) -> PlatformSettings {
+        let now_ms = self.clock.now_ms();
+        let mut state = self.state.lock();
+        let state = &mut *state;
+        state.settings.apply(control);
+        state.write_count = 0;
+        for entry in &control.add_vms {
+            state.vms.add(now_ms, entry.clone());
+        }
+        for key in &control.leaving_vms {
+            state.vms.set_leaving(now_ms, key.role, &key.name);
+        }
+        for key in &control.remove_vms {
+            state.vms.remove(now_ms, key.role, &key.name);
+        }
+        state.settings.clone()
+    }
+}
+
+impl PlatformState {
+    fn write_fault(&mut self, write: bool) -> WriteFault {
+        if !write {
+            return WriteFault::None;
+        }
+        self.write_count += 1;
+        let count = self.write_count;
+        let late = self.settings.delay_writes;
+        if late.every > 0 && count.is_multiple_of(late.every) {
+            return WriteFault::Late(Duration::from_millis(late.after_ms));
+        }
+        if self.settings.lose_answers > 0 && count.is_multiple_of(self.settings.lose_answers) {
+            return WriteFault::LoseAnswer;
+        }
+        WriteFault::None
+    }
+}
+
+fn is_write(request: &ServerRequest) -> bool {
+    request.path == "/v1/table/transact" || matches!(request.method, Method::PUT | Method::DELETE)
+}
--- /dev/null
+++ b/crates/standins/src/worker_control.rs
@@ -0,0 +1,79 @@
+use serde::{Deserialize, Serialize};
+
+/// `POST /control` of a worker: fields that are present are changed.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct WorkerControl {
+    /// Refuses every prepare.
+    pub fail_prepare: Option<bool>,
+    /// Fails every start without running the task.
+    pub fail_start: Option<bool>,
+    /// Lets every task fail soon after its start.
+    pub fail_every_task: Option<bool>,
+    /// Performs every n-th call and closes the connection without an answer; 0 for none.
+    pub lose_answers: Option<u64>,
+    /// Performs no call and gives no answer; tasks keep running.
+    pub hang: Option<bool>,
+    /// Closes every connection; set together with `crash` for a worker that is switched off.
+    pub down: Option<bool>,
+    /// Performs every call this many milliseconds after it came, even if the caller has gone.
+    pub slow_ms: Option<u64>,
+    /// Speed of tasks that start from now on.
+    pub speed_percent: Option<u64>,
+    /// Forgets everything now, as a restart does.
+    pub crash: bool,
+}
+
+/// Present faults of a worker; the answer to `POST /control`.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct WorkerFaults {
+    /// Refuses every prepare.
+    pub fail_prepare: bool,
+    /// Fails every start without running the task.
+    pub fail_start: bool,
+    /// Lets every task fail soon after its start.
+    pub fail_every_task: bool,
+    /// Performs every n-th call and closes the connection without an answer; 0 for none.
+    pub lose_answers: u64,
+    /// Performs no call and gives no answer.
+    pub hang: bool,
+    /// Closes every connection.
+    pub down: bool,
+    /// Milliseconds before every call is performed.
+    pub slow_ms: u64,
+    /// Speed of tasks that start from now on.
+    pub speed_percent: u64,
+}
+
+impl Default for WorkerFaults {
+    fn default() -> Self {
+        Self {
+            fail_prepare: false,
+            fail_start: false,
+            fail_every_task: false,
+            lose_answers: 0,
+            hang: false,
+            down: false,
+            slow_ms: 0,
+            speed_percent: 100,
+        }
+    }
+}
+
+impl WorkerFaults {
+    /// Takes over the fields that are present.
+    pub(crate) fn apply(&mut self, control: &WorkerControl) {
+        let old = *self;
+        *self = Self {
+            fail_prepare: control.fail_prepare.unwrap_or(old.fail_prepare),
+            fail_start: control.fail_start.unwrap_or(old.fail_start),
+            fail_every_task: control.fail_every_task.unwrap_or(old.fail_every_task),
+            lose_answers: control.lose_answers.unwrap_or(old.lose_answers),
+            hang: control.hang.unwrap_or(old.hang),
+            down: control.down.unwrap_or(old.down),
+            slow_ms: control.slow_ms.unwrap_or(old.slow_ms),
+            speed_percent: control.speed_percent.unwrap_or(old.speed_percent).max(1),
+        };
+    }
+}
--- /dev/null
+++ b/crates/standins/src/worker_fleet.rs
@@ -0,0 +1,85 @@
+use std::io;
+use std::net::SocketAddr;
+
+use arbutuspick_model::{CentreName, FieldError, RackName, WorkerCapacity, WorkerName};
+use arbutuspick_platform::VmEntry;
+
+use crate::checkpoint_store::CheckpointStore;
+use crate::worker_standin::{WorkerOptions, WorkerStandin};
+
+/// Workers' clocks differ by this much, so that mixing them up is noticed.
+const CLOCK_STEP_MS: u64 = 1_000_003;
+
+/// How a fleet of workers starts.
+#[derive(Clone, Debug)]
+pub struct FleetOptions {
+    /// Workers.
+    pub count: usize,
+    /// Data centre.
+    pub data_centre: CentreName,
+    /// Workers of a rack.
+    pub rack_size: usize,
+    /// Capacity of each worker.
+    pub capacity: WorkerCapacity,
+    /// Port of the first worker, or 0 for ephemeral ports.
+    pub base_port: u16,
+    /// Platform whose object store takes checkpoints; in memory when there is none.
+    pub platform: Option<SocketAddr>,
+}
+
+impl FleetOptions {
+    /// Creates options for workers of default capacity, 8 to a rack, on ephemeral ports.
+    pub fn new(count: usize, data_centre: CentreName) -> Self {
+        Self {
+            count,
+            data_centre,
+            rack_size: 8,
+            capacity: WorkerCapacity::default(),
+            base_port: 0,
+            platform: None,
+        }
+    }
+
+    fn worker(&self, index: usize) -> Result<WorkerOptions, FieldError> {
+        let centre = &self.data_centre;
+        let rack = index / self.rack_size.max(1);
+        let mut options = WorkerOptions::new(
+            WorkerName::try_from(format!("{centre}-w{index:03}"))?,
+            centre.clone(),
+            RackName::try_from(format!("{centre}-r{rack:02}"))?,
+        );
+        options.capacity = self.capacity;
+        options.platform = self.platform;
+        options.clock_offset_ms = (index as u64 + 1) * CLOCK_STEP_MS;
+        if self.base_port > 0 {
+            options.port = u16::try_from(usize::from(self.base_port) + index)
+                .map_err(|_| FieldError::new("base-port", self.base_port, "leaves too few ports"))?;
+        }
+        Ok(options)
+    }
+}
+
+/// Workers of one data centre, each with its own listener.
+#[derive(Debug)]
+pub struct WorkerFleet {
+    /// Workers in order of their names.
+    pub workers: Vec<WorkerStandin>,
+}
+
+impl WorkerFleet {
+    /// Starts the workers; they end when the fleet is dropped.
+    pub async fn start(options: &FleetOptions) -> io::Result<Self> {
+        let store = CheckpointStore::new(options.platform);
+        let mut workers = Vec::with_capacity(options.count);
+        for index in 0..options.count {
+            let worker = options.worker(index).map_err(io::Error::other)?;
+            workers.push(WorkerStandin::start_with(worker, store.clone()).await?);
+        }
+        Ok(Self { workers })
+    }
+
+    /// Returns the workers as the platform lists them.
+    pub fn entries(&self) -> Vec<VmEntry> {
+        self.workers.iter().map(WorkerStandin::entry).collect()
+    }
+}
