Check the placement core with random histories

Change: a stateful test with a simple oracle. It found, and this fixes: starts that fail at once were repeated in a busy loop (now delayed 100 ms doubling to 30 s, on other workers if there are any); two members of a gang on one worker were taken as ready one by one although their cores did not suffice together; a quarantined worker in a rack that is not released yet kept next_wakeup in the past.

--- a/crates/sched/src/cell_demand.rs
+++ b/crates/sched/src/cell_demand.rs
@@ -1,6 +1,9 @@
+use std::collections::BTreeSet;
+
 use arbutuspick_model::{CellLevel, GangAdjacency, GangShape, WorkerCapacity};
 
 use crate::CellCounts;
+use crate::worker_load::WorkerSlot;
 
 /// Cells of one level that a gang needs, with the tasks in each.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -17,6 +20,8 @@
     /// Accelerators set aside for one task, a power of two; 0 for work on processors only.
     pub(crate) task_cell: u32,
     pub(crate) runs: Vec<CellRun>,
+    /// Workers that failed to start the job, used only when there are no others.
+    pub(crate) avoided: BTreeSet<WorkerSlot>,
 }
 
 impl CellDemand {
@@ -31,6 +36,7 @@
                 shape,
                 task_cell: 0,
                 runs: Vec::new(),
+                avoided: BTreeSet::new(),
             });
         }
         let plain = shape.accelerators.next_power_of_two();
@@ -58,6 +64,7 @@
             shape,
             task_cell,
             runs,
+            avoided: BTreeSet::new(),
         })
     }
 
--- a/crates/sched/src/evacuation_pass.rs
+++ b/crates/sched/src/evacuation_pass.rs
@@ -25,7 +25,11 @@
 
     fn release_queue(&mut self) {
         let claiming = self.queue.claiming.values();
-        let waiting: Vec<JobKey> = claiming.chain(self.queue.arrivals.values()).copied().collect();
+        let waiting: Vec<JobKey> = claiming
+            .chain(self.queue.delayed.values())
+            .chain(self.queue.arrivals.values())
+            .copied()
+            .collect();
         for key in waiting {
             if !self.has_budget() {
                 return;
--- a/crates/sched/src/gang_queue.rs
+++ b/crates/sched/src/gang_queue.rs
@@ -84,7 +84,9 @@
     pub(crate) claiming: BTreeMap<ArrivalRank, JobKey>,
     /// Jobs whose shape was not checked against the known workers yet.
     pub(crate) unchecked: BTreeSet<JobKey>,
-    /// Queued and claiming jobs by account.
+    /// Jobs whose start failed, by the time to try again; they count as queued, but cannot be placed.
+    pub(crate) delayed: BTreeMap<ArrivalRank, JobKey>,
+    /// Queued, claiming and delayed jobs by account.
     pub(crate) lengths: BTreeMap<AccountName, u32>,
 }
 
@@ -103,6 +105,7 @@
     pub(crate) fn remove(&mut self, job: &JobEntry, key: JobKey) {
         self.arrivals.remove(&job.rank());
         self.reserved.remove(&job.rank());
+        self.delayed.remove(&(job.retry_at, job.id));
         self.unchecked.remove(&key);
         let Some(account) = self.accounts.get_mut(&job.spec.account) else {
             return;
--- a/crates/sched/src/guarantee_ledger.rs
+++ b/crates/sched/src/guarantee_ledger.rs
@@ -239,8 +239,7 @@
         let left = leftover_cells(available, self.unbound_home);
         let mut displaced = pack_guarantees(left, self.unbound_displaced);
         for binding in self.bindings.values() {
-            let unused = binding.block.mask() & !binding.used;
-            if unused & !pool.alive.mask(binding.block.rack) != 0 {
+            if binding.block.mask() & !pool.alive.mask(binding.block.rack) != 0 {
                 let counts = if binding.home { &mut home } else { &mut displaced };
                 counts[binding.block.level] += 1;
             }
--- a/crates/sched/src/guaranteed_pass.rs
+++ b/crates/sched/src/guaranteed_pass.rs
@@ -20,7 +20,7 @@
             };
             if loads.iter().any(|load| !self.pool.is_up(load.slot)) {
                 self.drop_claim(key);
-            } else if loads.iter().all(|load| self.pool.is_ready(load)) {
+            } else if self.pool.are_ready(loads) {
                 if !self.has_budget() {
                     return;
                 }
@@ -97,9 +97,11 @@
 
     fn claim_guaranteed(&mut self, key: JobKey, account: &AccountName, now: ClockTime) -> bool {
         let spec = self.jobs[key].spec.clone();
-        let Some(demand) = self.demand(&spec, true).filter(|demand| !demand.runs.is_empty()) else {
+        let demand = self.demand(&spec, true);
+        let Some(mut demand) = demand.filter(|demand| !demand.runs.is_empty()) else {
             return false;
         };
+        demand.avoided = self.jobs[key].avoided.clone();
         if !self.ledger.has_unused(account, demand.counts().accelerators()) {
             return false;
         }
@@ -177,7 +179,7 @@
 
     fn start_ready_claim(&mut self, key: JobKey, now: ClockTime) {
         if let JobPhase::Claiming { loads, .. } = &self.jobs[key].phase
-            && loads.iter().all(|load| self.pool.is_ready(load))
+            && self.pool.are_ready(loads)
         {
             self.start_claimed(key, now);
         }
@@ -212,6 +214,11 @@
 
     /// Returns the cells of a job as borrowed work.
     pub(crate) fn borrowed_demand(&self, key: JobKey) -> Option<CellDemand> {
-        self.demand(&self.jobs[key].spec, false)
+        let job = &self.jobs[key];
+        let demand = self.demand(&job.spec, false)?;
+        Some(CellDemand {
+            avoided: job.avoided.clone(),
+            ..demand
+        })
     }
 }
--- a/crates/sched/src/job_entry.rs
+++ b/crates/sched/src/job_entry.rs
@@ -1,9 +1,10 @@
+use std::collections::BTreeSet;
 use std::sync::Arc;
 
 use arbutuspick_model::{AttemptNumber, ClockTime, JobId, JobSpec};
 
 use crate::guarantee_ledger::BindingKey;
-use crate::worker_load::WorkerLoad;
+use crate::worker_load::{WorkerLoad, WorkerSlot};
 use crate::{MemberPlacement, PreemptReason};
 
 slotmap::new_key_type! {
@@ -71,6 +72,11 @@
     /// Starts of later arrivals since it was queued.
     pub(crate) overtaken: u32,
     pub(crate) cancelled: bool,
+    /// Failed starts without one that succeeded, and when to try again.
+    pub(crate) failed_starts: u32,
+    pub(crate) retry_at: ClockTime,
+    /// Workers that failed these starts.
+    pub(crate) avoided: BTreeSet<WorkerSlot>,
     /// Whether its shape was checked against the known workers.
     pub(crate) checked: bool,
 }
--- a/crates/sched/src/job_intake.rs
+++ b/crates/sched/src/job_intake.rs
@@ -1,6 +1,7 @@
+use std::collections::BTreeSet;
 use std::sync::Arc;
 
-use arbutuspick_model::{AttemptNumber, ClockTime, JobId, JobSpec, RefusalReason};
+use arbutuspick_model::{AttemptNumber, ClockTime, JobId, JobSpec, RefusalReason, WorkerName};
 
 use crate::cell_demand::CellDemand;
 use crate::gang_queue::ShapeKey;
@@ -31,7 +32,7 @@
             return;
         }
         let key = self.add_job(job, spec, attempt, queued_at);
-        self.enqueue(key);
+        self.enqueue(key, queued_at);
     }
 
     pub(crate) fn add_job(
@@ -50,6 +51,9 @@
             phase: JobPhase::Queued { reservation: None },
             overtaken: 0,
             cancelled: false,
+            failed_starts: 0,
+            retry_at: ClockTime(0),
+            avoided: BTreeSet::new(),
             checked: false,
         });
         self.ids.insert(job, key);
@@ -57,13 +61,40 @@
     }
 
     /// Puts a new job, or one whose attempt ended, into the queue.
-    fn enqueue(&mut self, key: JobKey) {
+    fn enqueue(&mut self, key: JobKey, now: ClockTime) {
         let entry = &mut self.jobs[key];
         entry.phase = JobPhase::Queued { reservation: None };
-        self.queue.insert(entry, key);
+        if entry.retry_at > now {
+            self.queue.delayed.insert((entry.retry_at, entry.id), key);
+        } else {
+            self.queue.insert(entry, key);
+        }
         self.queue.count(&entry.spec.account, true);
     }
 
+    /// Puts the jobs whose delay after a failed start has passed back into the queue.
+    pub(crate) fn retry_delayed(&mut self, now: ClockTime) {
+        while let Some((rank, key)) = self.queue.delayed.first_key_value() {
+            if rank.0 > now {
+                return;
+            }
+            let (rank, key) = (*rank, *key);
+            self.queue.delayed.remove(&rank);
+            self.queue.insert(&self.jobs[key], key);
+        }
+    }
+
+    /// Without a delay, a job whose starts fail at once would be started again in a busy loop.
+    fn delay_retry(&mut self, key: JobKey, failed_workers: &[WorkerName], now: ClockTime) {
+        let failed = failed_workers.iter().filter_map(|worker| self.pool.slot(worker));
+        let entry = &mut self.jobs[key];
+        entry.avoided.extend(failed);
+        let doublings = entry.failed_starts.min(16);
+        let delay = (self.options.retry_after_ms << doublings).min(self.options.retry_max_ms);
+        entry.retry_at = now + delay;
+        entry.failed_starts += 1;
+    }
+
     /// Forgets a job that holds and waits for nothing.
     pub(crate) fn forget_job(&mut self, key: JobKey) {
         if let Some(entry) = self.jobs.remove(key) {
@@ -93,10 +124,12 @@
         }
     }
 
-    pub(crate) fn attempt_running(&mut self, job: JobId, attempt: AttemptNumber, _now: ClockTime) {
+    pub(crate) fn attempt_running(&mut self, job: JobId, attempt: AttemptNumber) {
         let Some(key) = self.held_attempt(job, attempt) else {
             return;
         };
+        self.jobs[key].failed_starts = 0;
+        self.jobs[key].avoided.clear();
         self.report_health(key, &HealthEvent::Started);
     }
 
@@ -118,6 +151,7 @@
             AttemptEnd::Requeued => true,
             AttemptEnd::StartFailed { failed_workers } => {
                 self.count_failures(job, &failed_workers, false, now);
+                self.delay_retry(key, &failed_workers, now);
                 true
             }
             AttemptEnd::RunFailed {
@@ -131,7 +165,7 @@
         self.release_attempt(key, now);
         if requeued && !self.jobs[key].cancelled {
             self.jobs[key].waiting_since = now;
-            self.enqueue(key);
+            self.enqueue(key, now);
         } else {
             self.forget_job(key);
         }
--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -11,6 +11,7 @@
 mod cell_block;
 mod cell_counts;
 mod cell_demand;
+mod cell_pick;
 mod centre_choice;
 mod centre_phase;
 mod evacuation_pass;
--- a/crates/sched/src/placement_core.rs
+++ b/crates/sched/src/placement_core.rs
@@ -126,7 +126,7 @@
                 queued_at,
             } => self.adopt_attempt(job, spec, placement, queued_at),
             PlacementEvent::JobCancelled { job } => self.cancel_job(job, now),
-            PlacementEvent::AttemptRunning { job, attempt } => self.attempt_running(job, attempt, now),
+            PlacementEvent::AttemptRunning { job, attempt } => self.attempt_running(job, attempt),
             PlacementEvent::AttemptEnded { job, attempt, end } => self.end_attempt(job, attempt, end, now),
             PlacementEvent::AccountsChanged { accounts } => self.change_accounts(&accounts, now),
             PlacementEvent::CentreChanged {
@@ -143,6 +143,7 @@
             self.phase.handle(&PhaseEvent::Tick { now });
             self.release_racks();
             self.probe_workers(now);
+            self.retry_delayed(now);
             if self.may_place() {
                 self.check_shapes(now);
                 self.bind_adopted(now);
@@ -184,7 +185,10 @@
     }
 
     fn find_wakeup(&self, now: ClockTime) -> Option<ClockTime> {
-        let probe = self.quarantine.first().map(|(at, _)| *at);
+        // Workers of racks that are not released yet are probed when these are.
+        let released = |slot: &WorkerSlot| self.pool.rack(slot.rack).released;
+        let probe = self.quarantine.iter().find(|(_, slot)| released(slot));
+        let probe = probe.map(|(at, _)| *at);
         let step = match self.phase.state() {
             PhaseState::Returning { quarters, next_at } if *quarters < crate::centre_phase::ALL_QUARTERS => {
                 Some(*next_at)
@@ -194,11 +198,15 @@
         };
         let waits_to_settle = !self.queue.unchecked.is_empty() || !self.rebinding.is_empty();
         let settled = (waits_to_settle && self.settled_at > now).then_some(self.settled_at);
+        let retry = self.queue.delayed.keys().next().map(|(at, _)| *at);
         let waits = self.queue.arrivals.values().map(|key| {
             let job = &self.jobs[*key];
             job.waiting_since + self.options.reserve_after_ms
         });
         let reservation = waits.filter(|due| *due > now).min();
-        [probe, step, settled, reservation].into_iter().flatten().min()
+        [probe, step, settled, retry, reservation]
+            .into_iter()
+            .flatten()
+            .min()
     }
 }
--- a/crates/sched/src/placement_dump.rs
+++ b/crates/sched/src/placement_dump.rs
@@ -62,7 +62,7 @@
     pub attempt: AttemptNumber,
     /// First queueing time.
     pub queued_at: ClockTime,
-    /// What it waits for or holds: queued, reserved, claiming or held.
+    /// What it waits for or holds: queued, delayed after a failed start, reserved, claiming or held.
     pub phase: &'static str,
     /// Starts of later arrivals while it waited.
     pub overtaken: u32,
@@ -140,7 +140,10 @@
 
     fn dump_job(&self, job: &JobEntry) -> JobDump {
         let (phase, loads) = match &job.phase {
-            JobPhase::Queued { reservation: None } => ("queued", Vec::new()),
+            JobPhase::Queued { reservation: None } => {
+                let delayed = self.queue.delayed.contains_key(&(job.retry_at, job.id));
+                (if delayed { "delayed" } else { "queued" }, Vec::new())
+            }
             JobPhase::Queued {
                 reservation: Some(loads),
             } => ("reserved", loads.clone()),
--- a/crates/sched/src/placement_options.rs
+++ b/crates/sched/src/placement_options.rs
@@ -46,6 +46,10 @@
     quarantine_failures: u32 = 3, with_quarantine_failures;
     /// Different jobs that must have seen these failures.
     quarantine_jobs: usize = 2, with_quarantine_jobs;
+    /// Time before a job whose start failed is tried again; it doubles with each failed start.
+    retry_after_ms: u64 = 100, with_retry_after_ms;
+    /// Longest time between failed starts of a job.
+    retry_max_ms: u64 = 30_000, with_retry_max_ms;
     /// Time before the first probe of a quarantined worker; it doubles with each failed probe.
     probe_after_ms: u64 = 10_000, with_probe_after_ms;
     /// Longest time between probes.
--- a/crates/sched/src/pool_state.rs
+++ b/crates/sched/src/pool_state.rs
@@ -1,11 +1,10 @@
 use std::collections::{BTreeMap, BTreeSet};
 
-use arbutuspick_model::{CellLevel, RackName, WorkerCapacity, WorkerName};
+use arbutuspick_model::{RackName, WorkerCapacity, WorkerName};
 
 use crate::block_index::BlockIndex;
-use crate::cell_block::{CellBlock, maximal_blocks, set_bits};
+use crate::cell_block::{CellBlock, set_bits};
 use crate::cell_demand::CellDemand;
-use crate::guarantee_pack::pack_guarantees;
 use crate::job_entry::JobKey;
 use crate::rack_entry::RackEntry;
 use crate::worker_entry::{HostResources, WorkerEntry};
@@ -31,8 +30,8 @@
     pub(crate) known: BlockIndex,
     /// Workers that may take work, whatever they hold.
     pub(crate) alive: BlockIndex,
-    open: BlockIndex,
-    lendable: BlockIndex,
+    pub(crate) open: BlockIndex,
+    pub(crate) lendable: BlockIndex,
     /// What a new guaranteed cell may use: everything but guaranteed cells in use.
     pub(crate) claimable: BlockIndex,
     /// Workers by free cores, for work on processors only.
@@ -285,22 +284,30 @@
         self.refresh(block.rack);
     }
 
-    /// Returns whether the load can start now, apart from what was set aside for itself.
-    pub(crate) fn is_ready(&self, load: &WorkerLoad) -> bool {
-        self.worker(load.slot)
-            .is_some_and(|worker| worker.up && worker.free.covers(load.resources()))
-            && self.rack(load.slot.rack).held & load.rack_mask() == 0
-    }
-
     pub(crate) fn is_up(&self, slot: WorkerSlot) -> bool {
         self.worker(slot).is_some_and(|worker| worker.up)
     }
 
-    /// Returns whether the load can start now without what guaranteed jobs wait for.
-    pub(crate) fn is_unclaimed_ready(&self, load: &WorkerLoad) -> bool {
-        self.is_ready(load)
-            && self.has_room(load, PoolArea::Lendable)
-            && self.rack(load.slot.rack).claimed & load.rack_mask() == 0
+    /// Returns whether a guaranteed job can start on what it claimed.
+    pub(crate) fn are_ready(&self, loads: &[WorkerLoad]) -> bool {
+        let free = |load: &WorkerLoad| self.rack(load.slot.rack).held & load.rack_mask() == 0;
+        loads.iter().all(free)
+            && resources_by_slot(loads).into_iter().all(|(slot, need)| {
+                let worker = self.worker(slot).filter(|worker| worker.up);
+                worker.is_some_and(|worker| worker.free.covers(need))
+            })
+    }
+
+    /// Returns whether a job can start on what it reserved, without what guaranteed jobs wait for.
+    pub(crate) fn are_unclaimed(&self, loads: &[WorkerLoad]) -> bool {
+        let free = |load: &WorkerLoad| {
+            let rack = self.rack(load.slot.rack);
+            (rack.held | rack.claimed) & load.rack_mask() == 0
+        };
+        loads.iter().all(free)
+            && resources_by_slot(loads)
+                .into_iter()
+                .all(|(slot, need)| self.room(slot, PoolArea::Lendable).covers(need))
     }
 
     /// Returns whether the worker will have the cores and memory once its work has ended.
@@ -319,82 +326,12 @@
         })
     }
 
-    /// Holds cells for every task of the gang, or for none.
-    pub(crate) fn place(
-        &mut self,
-        job: JobKey,
-        demand: &CellDemand,
-        area: PoolArea,
-    ) -> Option<Vec<WorkerLoad>> {
-        let mut loads = Vec::new();
-        if self.place_cells(job, demand, area, &mut loads).is_some() {
-            return Some(loads);
-        }
-        for load in &loads {
-            self.release(job, load);
-        }
-        None
+    /// Returns whether the worker has room for the load and did not fail the job before.
+    pub(crate) fn suits(&self, load: &WorkerLoad, demand: &CellDemand, area: PoolArea) -> bool {
+        self.has_room(load, area) && !demand.avoided.contains(&load.slot)
     }
 
-    fn place_cells(
-        &mut self,
-        job: JobKey,
-        demand: &CellDemand,
-        area: PoolArea,
-        loads: &mut Vec<WorkerLoad>,
-    ) -> Option<()> {
-        if demand.runs.is_empty() {
-            return self.place_processes(job, demand, area, loads);
-        }
-        if !pack_guarantees(self.index(area).counts(), demand.counts()).is_empty() {
-            return None;
-        }
-        for run in &demand.runs {
-            for _ in 0..run.count {
-                let found = self.find_cell(demand, run.level, run.tasks, area)?;
-                for load in found {
-                    self.hold(job, &load);
-                    loads.push(load);
-                }
-            }
-        }
-        Some(())
-    }
-
-    fn index(&self, area: PoolArea) -> &BlockIndex {
-        match area {
-            PoolArea::Open => &self.open,
-            PoolArea::Lendable => &self.lendable,
-        }
-    }
-
-    /// Returns the best-fitting free cell whose workers have the cores and memory.
-    fn find_cell(
-        &self,
-        demand: &CellDemand,
-        level: CellLevel,
-        tasks: u32,
-        area: PoolArea,
-    ) -> Option<Vec<WorkerLoad>> {
-        let index = self.index(area);
-        let step = level.accelerators().max(8) as u8;
-        for from in CellLevel::ALL.into_iter().filter(|from| *from >= level) {
-            for rack in index.racks(from) {
-                for start in set_bits(maximal_blocks(index.mask(rack))[from as usize]) {
-                    let end = start + from.accelerators() as u8;
-                    for offset in (start..end).step_by(usize::from(step)) {
-                        let loads = WorkerLoad::of_block(CellBlock { rack, offset, level }, tasks, demand);
-                        if loads.iter().all(|load| self.has_room(load, area)) {
-                            return Some(loads);
-                        }
-                    }
-                }
-            }
-        }
-        None
-    }
-
-    pub(crate) fn has_room(&self, load: &WorkerLoad, area: PoolArea) -> bool {
+    fn has_room(&self, load: &WorkerLoad, area: PoolArea) -> bool {
         self.room(load.slot, area).covers(load.resources())
     }
 
@@ -420,6 +357,16 @@
     }
 }
 
+/// Adds up what the loads need on each worker.
+fn resources_by_slot(loads: &[WorkerLoad]) -> BTreeMap<WorkerSlot, HostResources> {
+    let mut needs: BTreeMap<WorkerSlot, HostResources> = BTreeMap::new();
+    for load in loads {
+        let need = needs.entry(load.slot).or_default();
+        *need = need.plus(load.resources());
+    }
+    needs
+}
+
 fn with_bits(mask: u64, bits: u64, set: bool) -> u64 {
     if set { mask | bits } else { mask & !bits }
 }
--- a/crates/sched/src/process_pick.rs
+++ b/crates/sched/src/process_pick.rs
@@ -28,7 +28,7 @@
                         slot,
                         ..whole.clone()
                     })
-                    .find(|load| self.has_room(load, area))?;
+                    .find(|load| self.suits(load, demand, area))?;
                 self.hold(job, &load);
                 loads.push(load);
                 Some(())
@@ -74,6 +74,9 @@
 
     /// Returns how many tasks the worker has room for.
     fn worker_tasks(&self, slot: WorkerSlot, demand: &CellDemand, area: PoolArea) -> u32 {
+        if demand.avoided.contains(&slot) {
+            return 0;
+        }
         self.room(slot, area).task_count(demand)
     }
 }
--- a/crates/sched/src/reclaim_pick.rs
+++ b/crates/sched/src/reclaim_pick.rs
@@ -11,11 +11,11 @@
 use crate::pool_state::PoolState;
 use crate::worker_load::WorkerLoad;
 
-/// How much a choice of cells disturbs: borrowers to preempt, those that cannot checkpoint, whether it
+/// How bad a choice of cells is: whether a worker failed the job before, borrowers to preempt, those that cannot checkpoint, whether it
 /// has to wait, and reserved accelerators; less is better in this order.
-type ReclaimCost = (usize, usize, bool, u32);
+type ReclaimCost = (bool, usize, usize, bool, u32);
 
-const NO_COST: ReclaimCost = (0, 0, false, 0);
+const NO_COST: ReclaimCost = (false, 0, 0, false, 0);
 
 /// A place for one cell of a guaranteed job.
 #[derive(Debug)]
@@ -166,9 +166,10 @@
             .iter()
             .filter(|victim| !self.jobs[**victim].spec.checkpointable)
             .count();
+        let failed_before = loads.iter().any(|load| self.demand.avoided.contains(&load.slot));
         let reserved = (rack.reserved & block.mask()).count_ones();
         Some(ReclaimChoice {
-            cost: (victims.len(), rigid, waits, reserved),
+            cost: (failed_before, victims.len(), rigid, waits, reserved),
             loads,
             block,
             binding,
--- a/crates/sched/src/reservation_pass.rs
+++ b/crates/sched/src/reservation_pass.rs
@@ -12,7 +12,10 @@
 /// Reservations of blocked jobs: when they are due, which cells they get, and their start.
 impl PlacementCore {
     /// Starts the jobs whose reservation is free, and stops backfill on those that are otherwise free.
+    ///
+    /// Reservations are made first, so that an earlier arrival can take the cells of a later one.
     pub(crate) fn pass_reserved(&mut self, now: ClockTime) {
+        self.make_reservations(now);
         let reserved: Vec<JobKey> = self.queue.reserved.values().copied().collect();
         for key in reserved {
             let JobPhase::Queued {
@@ -27,8 +30,11 @@
             }
             if loads.iter().any(|load| !self.pool.is_up(load.slot)) {
                 self.drop_reservation(key);
-            } else if loads.iter().all(|load| self.pool.is_unclaimed_ready(load)) {
+            } else if self.pool.are_unclaimed(&loads) {
                 self.start_reserved(key, loads, now);
+                if std::mem::take(&mut self.newly_due) {
+                    self.make_reservations(now);
+                }
             } else if let Some(yielding) = self.yielding_blockers(&loads) {
                 for job in yielding {
                     let stop_before = now + self.options.grace_ms;
@@ -36,7 +42,6 @@
                 }
             }
         }
-        self.make_reservations(now);
     }
 
     pub(crate) fn drop_reservation(&mut self, key: JobKey) {
--- a/crates/sched/tests/support/mod.rs
+++ b/crates/sched/tests/support/mod.rs
@@ -1,6 +1,8 @@
 //! Drives a placement core in virtual time.
 #![allow(dead_code, reason = "each test file uses a part")]
 
+pub(crate) mod oracle;
+
 use std::sync::Arc;
 
 use arbutuspick_model::*;
