Check waiting times and unused guarantees in random histories

Cause: the oracle did not state that the first blocked job gets a reservation after 30 s, nor that a guaranteed job starts while its cell is unused. Change: both are checked, the second at the end of each history. It found, and this fixes: a job whose reserved worker was lost, or whose earlier neighbour started, got its next reservation only with the next event. Backfill that yields is now stopped by the cores of all members on a worker together. Accounts are kept in order of share during a pass.

--- a/crates/sched/src/borrowed_pass.rs
+++ b/crates/sched/src/borrowed_pass.rs
@@ -23,17 +23,23 @@
         let mut cursors: BTreeMap<AccountName, QueueCursor> = accounts
             .map(|(account, queue)| (account.clone(), QueueCursor::new(queue)))
             .collect();
+        // Shares are not negative, so their bits have the order of their values.
+        let mut order: BTreeSet<(u64, AccountName)> = cursors
+            .keys()
+            .map(|account| (self.borrowed_share(account).to_bits(), account.clone()))
+            .collect();
         for _ in 0..self.options.max_tries {
-            let Some(account) = self.next_account(&cursors) else {
+            let Some((_, account)) = order.first() else {
                 return;
             };
             if !self.has_budget() {
                 return;
             }
+            let account = account.clone();
             let queue = &self.queue.accounts[&account];
             let next = cursors.get_mut(&account).and_then(|cursor| cursor.pop(queue));
             let Some((key, group)) = next else {
-                cursors.remove(&account);
+                order.pop_first();
                 continue;
             };
             let behind = is_behind(self.barrier, &self.jobs[key].rank());
@@ -42,9 +48,12 @@
                 failed.insert(attempt);
                 continue;
             }
-            match (self.queue.accounts.get(&account), cursors.get_mut(&account)) {
-                (Some(queue), Some(cursor)) => cursor.push(queue, group),
-                _ => drop(cursors.remove(&account)),
+            order.pop_first();
+            if let (Some(queue), Some(cursor)) =
+                (self.queue.accounts.get(&account), cursors.get_mut(&account))
+            {
+                cursor.push(queue, group);
+                order.insert((self.borrowed_share(&account).to_bits(), account));
             }
             if std::mem::take(&mut self.newly_due) {
                 // New reservations take cells away, so shapes that failed still fail in this pass.
@@ -55,13 +64,9 @@
         self.dirty = true;
     }
 
-    /// Returns the account with jobs to try and the smallest borrowed share.
-    fn next_account(&self, cursors: &BTreeMap<AccountName, QueueCursor>) -> Option<AccountName> {
-        let share = |account: &AccountName| self.usages.get(account).map_or(0.0, AccountUsage::share);
-        cursors
-            .keys()
-            .min_by(|a, b| share(a).total_cmp(&share(b)))
-            .cloned()
+    /// Returns the share by which accounts are ordered; the smallest goes first.
+    fn borrowed_share(&self, account: &AccountName) -> f64 {
+        self.usages.get(account).map_or(0.0, AccountUsage::share)
     }
 
     fn start_borrowed(&mut self, key: JobKey, behind: bool, now: ClockTime) -> bool {
--- a/crates/sched/src/pool_state.rs
+++ b/crates/sched/src/pool_state.rs
@@ -358,7 +358,7 @@
 }
 
 /// Adds up what the loads need on each worker.
-fn resources_by_slot(loads: &[WorkerLoad]) -> BTreeMap<WorkerSlot, HostResources> {
+pub(crate) fn resources_by_slot(loads: &[WorkerLoad]) -> BTreeMap<WorkerSlot, HostResources> {
     let mut needs: BTreeMap<WorkerSlot, HostResources> = BTreeMap::new();
     for load in loads {
         let need = needs.entry(load.slot).or_default();
--- a/crates/sched/src/reservation_pass.rs
+++ b/crates/sched/src/reservation_pass.rs
@@ -1,4 +1,4 @@
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use arbutuspick_model::{CellLevel, ClockTime, GangAdjacency};
 
@@ -6,6 +6,7 @@
 use crate::cell_demand::CellDemand;
 use crate::gang_queue::ShapeKey;
 use crate::job_entry::{ArrivalRank, JobKey, JobPhase};
+use crate::pool_state::resources_by_slot;
 use crate::worker_load::{WorkerLoad, WorkerSlot};
 use crate::{PlacementCore, PreemptReason};
 
@@ -15,9 +16,14 @@
     ///
     /// Reservations are made first, so that an earlier arrival can take the cells of a later one.
     pub(crate) fn pass_reserved(&mut self, now: ClockTime) {
+        for (key, loads) in self.reserved_loads() {
+            if loads.iter().any(|load| !self.pool.is_up(load.slot)) {
+                self.drop_reservation(key);
+            }
+        }
         self.make_reservations(now);
-        let reserved: Vec<JobKey> = self.queue.reserved.values().copied().collect();
-        for key in reserved {
+        for (key, _) in self.reserved_loads() {
+            // A start may have made another job due, which then took over cells of this one.
             let JobPhase::Queued {
                 reservation: Some(loads),
             } = &self.jobs[key].phase
@@ -28,9 +34,7 @@
             if !self.has_budget() {
                 return;
             }
-            if loads.iter().any(|load| !self.pool.is_up(load.slot)) {
-                self.drop_reservation(key);
-            } else if self.pool.are_unclaimed(&loads) {
+            if self.pool.are_unclaimed(&loads) {
                 self.start_reserved(key, loads, now);
                 if std::mem::take(&mut self.newly_due) {
                     self.make_reservations(now);
@@ -44,6 +48,19 @@
         }
     }
 
+    /// Returns the reservations in order of arrival.
+    fn reserved_loads(&self) -> Vec<(JobKey, Vec<WorkerLoad>)> {
+        let reserved = self.queue.reserved.values();
+        reserved
+            .filter_map(|key| match &self.jobs[*key].phase {
+                JobPhase::Queued {
+                    reservation: Some(loads),
+                } => Some((*key, loads.clone())),
+                _ => None,
+            })
+            .collect()
+    }
+
     pub(crate) fn drop_reservation(&mut self, key: JobKey) {
         let entry = &mut self.jobs[key];
         let rank = entry.rank();
@@ -54,6 +71,8 @@
                 self.pool.reserve(load, false);
             }
             self.queue.reserved.remove(&rank);
+            // The job at the barrier may be able to reserve what this one gives back.
+            self.dirty |= self.barrier.is_some();
         }
     }
 
@@ -70,8 +89,8 @@
     }
 
     /// Returns the backfill to stop when nothing else keeps the reservation from starting.
-    fn yielding_blockers(&self, loads: &[WorkerLoad]) -> Option<Vec<JobKey>> {
-        let mut blockers = Vec::new();
+    fn yielding_blockers(&self, loads: &[WorkerLoad]) -> Option<BTreeSet<JobKey>> {
+        let mut blockers = BTreeSet::new();
         for load in loads {
             let rack = self.pool.rack(load.slot.rack);
             for bit in set_bits(rack.held & load.rack_mask()) {
@@ -79,25 +98,28 @@
                 if !self.is_yielding(holder) {
                     return None;
                 }
-                blockers.push(holder);
+                blockers.insert(holder);
             }
-            let worker = self.pool.worker(load.slot)?;
+        }
+        for (slot, need) in resources_by_slot(loads) {
+            let worker = self.pool.worker(slot)?;
+            let need = need.plus(worker.claimed);
             let mut free = worker.free;
-            let need = load.resources().plus(worker.claimed);
-            for holder in &blockers {
-                free = free.plus(worker.held.get(holder).copied().unwrap_or_default());
+            for (holder, amount) in &worker.held {
+                if blockers.contains(holder) {
+                    free = free.plus(*amount);
+                }
             }
             for (holder, amount) in &worker.held {
-                if !free.covers(need) && self.is_yielding(*holder) && !blockers.contains(holder) {
+                if !free.covers(need) && !blockers.contains(holder) && self.is_yielding(*holder) {
                     free = free.plus(*amount);
-                    blockers.push(*holder);
+                    blockers.insert(*holder);
                 }
             }
             if !free.covers(need) {
                 return None;
             }
         }
-        blockers.dedup();
         Some(blockers)
     }
 
--- a/crates/sched/tests/placement_invariants.rs
+++ b/crates/sched/tests/placement_invariants.rs
@@ -214,6 +214,10 @@
             let after = self.core.state();
             self.oracle.check_actions(&actions, &before, &after, self.now);
             self.oracle.check_state(&after);
+            if !self.oracle.jobs.is_empty() && self.core.next_wakeup(self.now).is_none_or(|at| at > self.now)
+            {
+                self.oracle.check_waiting(&after, self.now);
+            }
             if before.state != CentreState::Returning {
                 let left = self.oracle.missing_cells(&after);
                 assert!(
@@ -419,6 +423,20 @@
         });
     }
 
+    /// Brings everything back and lets time pass until nothing more can start.
+    fn settle(&mut self) {
+        self.broken.clear();
+        self.change_centre(4);
+        for i in 0..worker_names().len() {
+            self.join(i);
+        }
+        for _ in 0..16 {
+            self.apply(Step::StopPreempted);
+            self.apply(Step::Advance(31_000));
+        }
+        self.oracle.check_settled(&self.core.state());
+    }
+
     fn apply(&mut self, step: Step) {
         match step {
             Step::Join(index) => self.join(index.index(worker_names().len())),
@@ -504,6 +522,10 @@
         run.apply(step);
         run
     }
+
+    fn teardown(mut run: CentreRun, (): ()) {
+        run.settle();
+    }
 }
 
 fn config() -> Config {
--- a/crates/sched/tests/support/oracle.rs
+++ b/crates/sched/tests/support/oracle.rs
@@ -363,6 +363,52 @@
         }
     }
 
+    /// The first feasible job in the queue has a reservation after 30 s; claims of guaranteed jobs may
+    /// leave no room for one.
+    pub(crate) fn check_waiting(&self, dump: &PlacementDump, now: ClockTime) {
+        if !self.may_place() || dump.jobs.values().any(|job| job.phase == "claiming") {
+            return;
+        }
+        let whole = self.whole_racks(dump, |worker| worker.up);
+        let waiting = dump.jobs.iter().filter(|(job, dump)| {
+            matches!(dump.phase, "queued" | "reserved") && fits(&self.jobs[*job].spec, &whole)
+        });
+        if let Some((job, first)) = waiting.min_by_key(|(job, dump)| (dump.queued_at, **job)) {
+            let waited = now.millis_since(self.jobs[job].waiting_since);
+            assert!(
+                waited < 30_000 || first.phase == "reserved",
+                "{job} waited {waited} ms without reservation"
+            );
+        }
+    }
+
+    /// A guaranteed job does not wait for ever while a cell of its account's guarantee is unused.
+    pub(crate) fn check_settled(&self, dump: &PlacementDump) {
+        if self.missing_cells(dump).iter().any(|missing| *missing > 0) {
+            return;
+        }
+        for (job, entry) in self.jobs.iter().filter(|(_, entry)| entry.live.is_none()) {
+            let shape = entry.spec.shape;
+            if shape.tasks > 1 || shape.cores > 1 || shape.accelerators == 0 {
+                continue;
+            }
+            let account = &entry.spec.account;
+            for level in CellLevel::ALL
+                .into_iter()
+                .filter(|level| level.accelerators() >= shape.accelerators)
+            {
+                let used = dump.bindings.iter().filter(|binding| {
+                    binding.home && binding.account == *account && binding.block.level == level
+                });
+                let promised = self.guaranteed_cells(account, level, false);
+                assert!(
+                    promised <= used.count() as u32,
+                    "{job} waits beside its account's unused {level:?} cell"
+                );
+            }
+        }
+    }
+
     pub(crate) fn guaranteed_cells(&self, account: &AccountName, level: CellLevel, displaced: bool) -> u32 {
         let share = self.accounts.iter().find(|share| share.account == *account);
         let home = share.map_or(&[][..], |share| &share.home);
