--- /dev/null
+++ b/crates/sched/tests/centre_choice.rs
@@ -0,0 +1,72 @@
+//! New jobs go to the data centre of their guarantee, then to free cells, then to a short queue.
+
+use std::collections::BTreeMap;
+
+use arbutuspick_model::*;
+use arbutuspick_sched::*;
+
+fn centre(name: &str) -> CentreName {
+    CentreName::try_from(name).unwrap()
+}
+
+fn summary(state: CentreState, free: u32, queued_jobs: u32) -> PlacementSummary {
+    let mut summary = PlacementSummary {
+        state,
+        queued_jobs,
+        ..PlacementSummary::default()
+    };
+    summary.usable[CellLevel::Rack] = 4;
+    summary.free[CellLevel::Worker] = free;
+    summary
+}
+
+// Guards against jobs sent to a data centre that is out, or away from their guarantee.
+#[test]
+fn order_of_choice() {
+    let account = AccountName::try_from("a").unwrap();
+    let shape = GangShape {
+        accelerators: 8,
+        ..GangShape::default()
+    };
+    let spec = JobSpec::new(account.clone()).with_shape(shape);
+    let home = [CellGuarantee {
+        data_centre: centre("trent"),
+        cell: CellLevel::Worker,
+        count: 1,
+    }];
+    let mut promised = summary(CentreState::In, 0, 9);
+    promised.accounts.entry(account).or_default().unused_cells[CellLevel::Worker] = 1;
+    let mut summaries = BTreeMap::from([
+        (centre("out"), summary(CentreState::Out, 9, 0)),
+        (centre("leaving"), summary(CentreState::Leaving, 9, 0)),
+        (centre("busy"), summary(CentreState::Returning, 2, 5)),
+        (centre("idle"), summary(CentreState::In, 2, 1)),
+        (centre("full"), summary(CentreState::In, 1, 0)),
+        (centre("trent"), promised),
+    ]);
+    for expected in ["trent", "idle", "busy", "full"] {
+        assert_eq!(choose_centre(&spec, &summaries, &home), Some(centre(expected)));
+        summaries.remove(&centre(expected));
+    }
+    assert_eq!(choose_centre(&spec, &summaries, &home), None);
+}
+
+// Guards against a configuration whose guarantees cannot all be honoured.
+#[yare::parameterized(
+    exact = { &[(64, 1), (16, 1), (8, 1)], true },
+    too_many = { &[(8, 12)], false },
+    scattered = { &[(32, 3)], false },
+    short_rack = { &[(64, 2)], false },
+)]
+fn packing_checked(cells: &[(u32, u32)], accepted: bool) {
+    let racks = [("r1", 8), ("r2", 3)].map(|(name, workers)| (RackName::try_from(name).unwrap(), workers));
+    let guarantee = |(cell, count): &(u32, u32)| CellGuarantee {
+        data_centre: centre("trent"),
+        cell: CellLevel::try_from(*cell).unwrap(),
+        count: *count,
+    };
+    let guarantees = cells.iter().map(guarantee).collect();
+    let accounts = BTreeMap::from([(AccountName::try_from("a").unwrap(), guarantees)]);
+    let checked = check_guarantees(&centre("trent"), &BTreeMap::from(racks), &accounts);
+    assert_eq!(checked.is_ok(), accepted, "{checked:?}");
+}
