--- a/crates/sched/src/gang_queue.rs
+++ b/crates/sched/src/gang_queue.rs
@@ -44,7 +44,7 @@
 }
 
 /// Jobs of an account with the same class and shape, in order of arrival.
-type GroupKey = (JobClass, ShapeKey);
+pub(crate) type GroupKey = (JobClass, ShapeKey);
 
 /// Queued jobs of one account.
 #[derive(Debug, Default)]
@@ -53,18 +53,15 @@
 }
 
 impl AccountQueue {
-    /// Returns the first job by class and arrival among the groups that are not skipped.
-    pub(crate) fn first<F>(&self, skipped: F) -> Option<(JobKey, ShapeKey)>
-    where
-        F: Fn(JobClass, &ShapeKey, &ArrivalRank) -> bool,
-    {
-        let heads = self.groups.iter().filter_map(|((class, shape), group)| {
-            let (rank, job) = group.first_key_value()?;
-            (!skipped(*class, shape, rank)).then_some((*class, *rank, *job, *shape))
-        });
-        heads
-            .min_by_key(|(class, rank, ..)| (*class, *rank))
-            .map(|(_, _, job, shape)| (job, shape))
+    /// Returns the first job of the group.
+    pub(crate) fn head(&self, group: &GroupKey) -> Option<(ArrivalRank, JobKey)> {
+        let (rank, job) = self.groups.get(group)?.first_key_value()?;
+        Some((*rank, *job))
+    }
+
+    /// Returns the groups.
+    pub(crate) fn groups(&self) -> impl Iterator<Item = &GroupKey> {
+        self.groups.keys()
     }
 
     /// Returns the shapes of the queued jobs.
@@ -84,7 +81,9 @@
     pub(crate) claiming: BTreeMap<ArrivalRank, JobKey>,
     /// Jobs whose shape was not checked against the known workers yet.
     pub(crate) unchecked: BTreeSet<JobKey>,
-    /// Queued and claiming jobs by account.
+    /// Jobs whose start failed, by the time to try again; they count as queued, but cannot be placed.
+    pub(crate) delayed: BTreeMap<ArrivalRank, JobKey>,
+    /// Queued, claiming and delayed jobs by account.
     pub(crate) lengths: BTreeMap<AccountName, u32>,
 }
 
@@ -103,6 +102,7 @@
     pub(crate) fn remove(&mut self, job: &JobEntry, key: JobKey) {
         self.arrivals.remove(&job.rank());
         self.reserved.remove(&job.rank());
+        self.delayed.remove(&(job.retry_at, job.id));
         self.unchecked.remove(&key);
         let Some(account) = self.accounts.get_mut(&job.spec.account) else {
             return;
--- a/crates/sched/src/guaranteed_pass.rs
+++ b/crates/sched/src/guaranteed_pass.rs
@@ -3,8 +3,8 @@
 use arbutuspick_model::{AccountName, ClockTime, JobClass};
 
 use crate::cell_demand::CellDemand;
-use crate::gang_queue::ShapeKey;
-use crate::job_entry::{ArrivalRank, BoundPart, JobKey, JobPhase};
+use crate::job_entry::{BoundPart, JobKey, JobPhase};
+use crate::queue_cursor::QueueCursor;
 use crate::reclaim_pick::{ReclaimBinding, ReclaimChoice, ReclaimPick};
 use crate::worker_load::WorkerLoad;
 use crate::{PlacementCore, PreemptReason};
@@ -20,7 +20,7 @@
             };
             if loads.iter().any(|load| !self.pool.is_up(load.slot)) {
                 self.drop_claim(key);
-            } else if loads.iter().all(|load| self.pool.is_ready(load)) {
+            } else if self.pool.are_ready(loads) {
                 if !self.has_budget() {
                     return;
                 }
@@ -80,16 +80,18 @@
             .cloned()
             .collect();
         for account in accounts {
-            let mut failed: BTreeSet<ShapeKey> = BTreeSet::new();
-            let skipped = |failed: &BTreeSet<ShapeKey>, shape: &ShapeKey| failed.contains(shape);
-            while let Some((key, shape)) = self.queue.accounts.get(&account).and_then(|queue| {
-                queue.first(|_: JobClass, shape: &ShapeKey, _: &ArrivalRank| skipped(&failed, shape))
-            }) {
+            let mut cursor = QueueCursor::new(&self.queue.accounts[&account]);
+            while let Some(queue) = self.queue.accounts.get(&account) {
+                let Some((key, group)) = cursor.pop(queue) else {
+                    break;
+                };
                 if !self.has_budget() {
                     return;
                 }
-                if !self.claim_guaranteed(key, &account, now) {
-                    failed.insert(shape);
+                if self.claim_guaranteed(key, &account, now)
+                    && let Some(queue) = self.queue.accounts.get(&account)
+                {
+                    cursor.push(queue, group);
                 }
             }
         }
@@ -97,10 +99,12 @@
 
     fn claim_guaranteed(&mut self, key: JobKey, account: &AccountName, now: ClockTime) -> bool {
         let spec = self.jobs[key].spec.clone();
-        let Some(demand) = self.demand(&spec, true).filter(|demand| !demand.runs.is_empty()) else {
+        let demand = self.demand(&spec, true);
+        let Some(mut demand) = demand.filter(|demand| !demand.runs.is_empty()) else {
             return false;
         };
-        if !self.ledger.has_unused(account, demand.counts().accelerators()) {
+        demand.avoided = self.jobs[key].avoided.clone();
+        if !self.ledger.has_unused(&self.pool, account, demand.counts()) {
             return false;
         }
         let mut loads = Vec::new();
@@ -177,7 +181,7 @@
 
     fn start_ready_claim(&mut self, key: JobKey, now: ClockTime) {
         if let JobPhase::Claiming { loads, .. } = &self.jobs[key].phase
-            && loads.iter().all(|load| self.pool.is_ready(load))
+            && self.pool.are_ready(loads)
         {
             self.start_claimed(key, now);
         }
@@ -212,6 +216,11 @@
 
     /// Returns the cells of a job as borrowed work.
     pub(crate) fn borrowed_demand(&self, key: JobKey) -> Option<CellDemand> {
-        self.demand(&self.jobs[key].spec, false)
+        let job = &self.jobs[key];
+        let demand = self.demand(&job.spec, false)?;
+        Some(CellDemand {
+            avoided: job.avoided.clone(),
+            ..demand
+        })
     }
 }
