--- a/crates/route/src/candidate_group.rs
+++ b/crates/route/src/candidate_group.rs
@@ -27,7 +27,7 @@
 }
 
 /// What a group had to offer to one request.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct GroupOffer {
     pub(crate) claim: Option<SlotClaim>,
     /// Whether any member is live.
@@ -36,35 +36,62 @@
     pub(crate) any_admitted: bool,
 }
 
+/// The live members of a group as one request sees them.
+#[derive(Debug, Default)]
+struct GroupSurvey<'group> {
+    live: usize,
+    ejected: usize,
+    any_admitted: bool,
+    /// Admitted members with room that are not excluded.
+    candidates: Vec<&'group Arc<UpstreamState>>,
+    /// Ejected members whose probe is due.
+    probes: Vec<&'group Arc<UpstreamState>>,
+}
+
 impl CandidateGroup {
     /// Claims a slot: a due probe first, then the better of two random candidates with room.
     pub(crate) fn offer(&self, query: GroupQuery<'_>, random: &RandomSource) -> GroupOffer {
-        self.readmit_excess(query.now);
-        let mut offer = GroupOffer::default();
-        let mut candidates = Vec::with_capacity(self.members.len());
+        let mut survey = self.survey(query);
+        if survey.ejected * 2 > survey.live {
+            self.readmit_excess(query.now);
+            survey = self.survey(query);
+        }
+        let GroupSurvey {
+            live,
+            any_admitted,
+            candidates,
+            probes,
+            ..
+        } = survey;
+        let probe = probes.into_iter().find_map(|member| claim_probe(member, query));
+        GroupOffer {
+            claim: probe.or_else(|| claim_better(candidates, query, random)),
+            any_live: live > 0,
+            any_admitted,
+        }
+    }
+
+    fn survey(&self, query: GroupQuery<'_>) -> GroupSurvey<'_> {
+        let mut survey = GroupSurvey::default();
         for member in self.members.iter().filter(|member| member.is_live(query.now)) {
-            offer.any_live = true;
-            if query.excluded.contains(&member.entry.name) {
-                continue;
-            }
+            survey.live += 1;
+            let excluded = query.excluded.contains(&member.entry.name);
             match member.ejection.phase(query.now) {
+                EjectionPhase::Admitted if excluded => {}
                 EjectionPhase::Admitted => {
-                    offer.any_admitted = true;
+                    survey.any_admitted = true;
                     if member.slots.load().has_room(query.cap) {
-                        candidates.push(member);
+                        survey.candidates.push(member);
                     }
                 }
-                EjectionPhase::Ejected => {}
+                EjectionPhase::Ejected => survey.ejected += 1,
                 EjectionPhase::ProbeDue => {
-                    if let Some(claim) = claim_probe(member, query) {
-                        offer.claim = Some(claim);
-                        return offer;
-                    }
+                    survey.ejected += 1;
+                    survey.probes.push(member);
                 }
             }
         }
-        offer.claim = claim_better(candidates, query, random);
-        offer
+        survey
     }
 
     /// Ejects the member unless more than half of the live members would then be ejected.
@@ -83,10 +110,6 @@
     ///
     /// Members that leave or fall silent lower the number of live members after others were ejected.
     fn readmit_excess(&self, now: ClockTime) {
-        let (live, ejected) = self.count_ejected(now);
-        if ejected * 2 <= live {
-            return;
-        }
         self.change_ejections(|| {
             let (live, ejected) = self.count_ejected(now);
             let mut members: Vec<_> = self.ejected_members(now).collect();
--- a/crates/route/src/fair_queue.rs
+++ b/crates/route/src/fair_queue.rs
@@ -153,6 +153,15 @@
         content.remove_where(RefusalReason::Stopping, |_| true)
     }
 
+    /// Returns whether a request of the service waits, in which case a new one must not overtake it.
+    pub fn has_waiting(&self, service: &ServiceName) -> bool {
+        let content = self.content.lock();
+        content
+            .entries
+            .iter()
+            .any(|(_, ticket)| ticket.service == *service)
+    }
+
     /// Returns the number of waiting requests.
     pub fn len(&self) -> usize {
         self.content.lock().entries.len()
--- a/crates/route/tests/queue.rs
+++ b/crates/route/tests/queue.rs
@@ -113,6 +113,7 @@
     let id = push(&queue, "a", 1, 1).admitted.unwrap();
     let canopy = ServiceName::try_from("canopy").unwrap();
     assert_eq!(queue.pop(&canopy, ClockTime(1)).waiter, None);
+    assert!(queue.has_waiting(&service()) && !queue.has_waiting(&canopy));
     assert_eq!((queue.remove(id), queue.remove(id)), (Some(1), None));
 }
 
