Add load driver and the demo's workloads

The demo needs a bounded load on both deployments and a verdict that doesn't rest on what the scheduler says of itself.

Program drive plans the load from a YAML file, calls the entry VMs in turn, takes a data centre out and brings it back, and compares what callers were told with the stand-ins' logs. It exits 1 when a promise is broken, when the order was not recorded, or when no job ran. Task logs now carry the output by which a caller recognises its job, and whether a run resumed from a checkpoint.

It was not run against the real entry daemon yet, only against a naive one in drive_run.rs, which it fails when that runs twice, denies or cuts.

--- /dev/null
+++ b/crates/standins/src/drive/drive_report.rs
@@ -0,0 +1,204 @@
+use std::collections::BTreeMap;
+use std::fmt;
+
+use hdrhistogram::Histogram;
+
+use super::centre_order::OutageReport;
+use super::job_call::{JobReport, SaidOutcome};
+use super::pool_sampler::PoolSample;
+use super::request_call::RequestReport;
+use super::run_logs::RunLogs;
+
+/// Everything that a run of the driver found out.
+#[derive(Clone, Debug)]
+pub struct DriveReport {
+    /// Deployment.
+    pub deployment: String,
+    /// Length of the run in milliseconds.
+    pub run_ms: u64,
+    /// Jobs.
+    pub jobs: Vec<JobReport>,
+    /// Requests.
+    pub requests: Vec<RequestReport>,
+    /// Samples of the pools.
+    pub samples: Vec<PoolSample>,
+    /// The data centre that was taken out.
+    pub outage: Option<OutageReport>,
+    /// Logs of the stand-ins.
+    pub logs: RunLogs,
+    /// Broken promises.
+    pub broken: Vec<String>,
+}
+
+#[derive(Default)]
+struct OutcomeCounts {
+    outcomes: BTreeMap<SaidOutcome, u64>,
+    reasons: BTreeMap<String, u64>,
+}
+
+impl OutcomeCounts {
+    fn add(&mut self, said: SaidOutcome, reason: &str) {
+        *self.outcomes.entry(said).or_default() += 1;
+        if said != SaidOutcome::Ran {
+            *self.reasons.entry(format!("{said:?} {reason}")).or_default() += 1;
+        }
+    }
+}
+
+impl fmt::Display for OutcomeCounts {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let count = |said| self.outcomes.get(&said).copied().unwrap_or_default();
+        let total: u64 = self.outcomes.values().sum();
+        write!(
+            f,
+            "{total:>6} sent {:>6} ran {:>5} not run {:>5} unknown {:>5} unfinished",
+            count(SaidOutcome::Ran),
+            count(SaidOutcome::NotRun),
+            count(SaidOutcome::Unknown),
+            count(SaidOutcome::Unfinished)
+        )?;
+        for (reason, count) in &self.reasons {
+            write!(f, "\n      {count:>6} {reason}")?;
+        }
+        Ok(())
+    }
+}
+
+impl fmt::Display for DriveReport {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        writeln!(f, "== {}, {:.1} s", self.deployment, self.run_ms as f64 / 1000.0)?;
+        self.write_accounts(f)?;
+        self.write_times(f)?;
+        self.write_fragmentation(f)?;
+        self.write_outage(f)?;
+        writeln!(f, "== promises")?;
+        for line in &self.broken {
+            writeln!(f, "  BROKEN {line}")?;
+        }
+        writeln!(f, "  {} broken", self.broken.len())
+    }
+}
+
+impl DriveReport {
+    fn write_accounts(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let mut jobs: BTreeMap<&str, OutcomeCounts> = BTreeMap::new();
+        for job in &self.jobs {
+            jobs.entry(job.account.as_str())
+                .or_default()
+                .add(job.said, &job.reason);
+        }
+        let mut requests: BTreeMap<&str, OutcomeCounts> = BTreeMap::new();
+        for request in &self.requests {
+            let said = request.said();
+            let call = request.calls.iter().find(|call| call.said == said);
+            let reason = call.map_or("", |call| &call.reason);
+            requests
+                .entry(request.account.as_str())
+                .or_default()
+                .add(said, reason);
+        }
+        writeln!(f, "== outcomes by client account")?;
+        for (account, counts) in jobs {
+            writeln!(f, "  {account:<20} jobs     {counts}")?;
+        }
+        for (account, counts) in requests {
+            writeln!(f, "  {account:<20} requests {counts}")?;
+        }
+        Ok(())
+    }
+
+    fn write_times(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let mut classes: BTreeMap<&str, Histogram<u64>> = BTreeMap::new();
+        let ran = self.jobs.iter().filter(|job| job.said == SaidOutcome::Ran);
+        let job_times = ran.map(|job| (size_class(job.accelerators), job.ended_at - job.submitted_at));
+        let answered = self
+            .requests
+            .iter()
+            .filter(|request| request.said() == SaidOutcome::Ran);
+        let request_times = answered.map(|request| ("requests", request.ended_at - request.sent_at));
+        for (class, millis) in job_times.chain(request_times) {
+            let histogram = classes
+                .entry(class)
+                .or_insert_with(|| Histogram::new(3).expect("3 significant digits are allowed"));
+            histogram.saturating_record(millis);
+        }
+        writeln!(f, "== completion time in ms, of what ran")?;
+        for (class, histogram) in classes {
+            writeln!(
+                f,
+                "  {class:<28} {:>6} median {:>6} p95 {:>6} p99 {:>6}",
+                histogram.len(),
+                histogram.value_at_quantile(0.5),
+                histogram.value_at_quantile(0.95),
+                histogram.value_at_quantile(0.99)
+            )?;
+        }
+        Ok(())
+    }
+
+    fn write_fragmentation(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let mut centres: BTreeMap<&str, Vec<f64>> = BTreeMap::new();
+        for sample in &self.samples {
+            let values = centres.entry(sample.data_centre.as_str()).or_default();
+            values.push(sample.fragmentation());
+        }
+        writeln!(f, "== free accelerators outside of whole free workers")?;
+        for (centre, values) in centres {
+            let mean = values.iter().sum::<f64>() / values.len() as f64;
+            let most = values.iter().copied().fold(0.0, f64::max);
+            let count = values.len();
+            writeln!(
+                f,
+                "  {centre:<16} {count:>4} samples, mean {mean:.3}, most {most:.3}"
+            )?;
+        }
+        Ok(())
+    }
+
+    fn write_outage(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Some(outage) = &self.outage else {
+            return Ok(());
+        };
+        writeln!(f, "== {} out", outage.data_centre)?;
+        for answer in &outage.answers {
+            writeln!(f, "  {answer}")?;
+        }
+        let (Some(from), Some(until)) = (outage.out_recorded_at, outage.in_sent_at) else {
+            return Ok(());
+        };
+        let during = |at: u64| (from..until).contains(&at);
+        let jobs = self
+            .jobs
+            .iter()
+            .filter(|job| job.said == SaidOutcome::Ran && during(job.ended_at));
+        let requests = self
+            .requests
+            .iter()
+            .filter(|request| request.said() == SaidOutcome::Ran && during(request.ended_at));
+        let task_ms: u64 = self
+            .logs
+            .runs()
+            .map(|(_, run)| overlap(run.started_at, run.ended_at.unwrap_or(u64::MAX), from, until))
+            .sum();
+        writeln!(
+            f,
+            "  in {:.1} s: {} jobs and {} requests ran, {:.1} task seconds",
+            (until - from) as f64 / 1000.0,
+            jobs.count(),
+            requests.count(),
+            task_ms as f64 / 1000.0
+        )
+    }
+}
+
+fn overlap(start: u64, end: u64, from: u64, until: u64) -> u64 {
+    end.min(until).saturating_sub(start.max(from))
+}
+
+fn size_class(accelerators: u32) -> &'static str {
+    match accelerators {
+        0 | 1 => "jobs of 1 accelerator",
+        2..=8 => "jobs of 2 to 8 accelerators",
+        _ => "jobs of 9 or more",
+    }
+}
--- /dev/null
+++ b/crates/standins/src/drive/entry_pool.rs
@@ -0,0 +1,132 @@
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering};
+
+use arbutuspick_model::{CentreName, ClockTime};
+use arbutuspick_platform::{CallError, ProcessClock, UpstreamAnswer, UpstreamClient, UpstreamRequest};
+use bytes::Bytes;
+use hyper::header::{AUTHORIZATION, CONTENT_TYPE, HeaderName, HeaderValue};
+use hyper::{HeaderMap, Method};
+use serde_json::Value;
+
+/// Connections to one entry VM at the same time.
+const MAX_CONNECTIONS: usize = 1024;
+
+/// One call of the entry VMs' API.
+#[derive(Clone, Debug)]
+pub(crate) struct EntryCall {
+    pub(crate) method: Method,
+    pub(crate) path: String,
+    pub(crate) headers: HeaderMap,
+    pub(crate) body: Bytes,
+}
+
+impl EntryCall {
+    pub(crate) fn new(method: Method, path: &str, token: &str) -> Self {
+        let call = Self {
+            method,
+            path: path.to_owned(),
+            headers: HeaderMap::new(),
+            body: Bytes::new(),
+        };
+        call.with_header(AUTHORIZATION, &format!("Bearer {token}"))
+    }
+
+    pub(crate) fn with_header(mut self, name: HeaderName, value: &str) -> Self {
+        if let Ok(value) = HeaderValue::try_from(value) {
+            self.headers.insert(name, value);
+        }
+        self
+    }
+
+    pub(crate) fn with_json(mut self, body: &Value) -> Self {
+        self.body = body.to_string().into();
+        self.with_header(CONTENT_TYPE, "application/json")
+    }
+}
+
+/// The entry VMs, called in turn as by a balancer.
+#[derive(Debug)]
+pub(crate) struct EntryPool {
+    pub(crate) clock: ProcessClock,
+    clients: Vec<(CentreName, UpstreamClient)>,
+    next: AtomicUsize,
+}
+
+impl EntryPool {
+    pub(crate) fn new(entries: &[(CentreName, SocketAddr)]) -> Self {
+        let client = |(centre, address): &(CentreName, SocketAddr)| {
+            (centre.clone(), UpstreamClient::new(*address, MAX_CONNECTIONS))
+        };
+        Self {
+            clock: ProcessClock::new(),
+            clients: entries.iter().map(client).collect(),
+            next: AtomicUsize::new(0),
+        }
+    }
+
+    /// Returns the data centres with an entry VM of each.
+    pub(crate) fn centres(&self) -> Vec<(CentreName, UpstreamClient)> {
+        let mut centres = self.clients.clone();
+        centres.sort_by(|a, b| a.0.cmp(&b.0));
+        centres.dedup_by(|a, b| a.0 == b.0);
+        centres
+    }
+
+    /// Sends a call to the next entry VM that can be connected to.
+    pub(crate) async fn call(
+        &self,
+        call: &EntryCall,
+        deadline: ClockTime,
+    ) -> Result<UpstreamAnswer, CallError> {
+        let mut last = None;
+        for _ in 0..self.clients.len() {
+            let index = self.next.fetch_add(1, Ordering::Relaxed) % self.clients.len();
+            match send(&self.clients[index].1, call, deadline).await {
+                Err(error @ CallError::NotSent { .. }) => last = Some(error),
+                result => return result,
+            }
+        }
+        Err(last.unwrap_or_else(|| CallError::NotSent {
+            message: "there is no entry VM".into(),
+            retry_ms: 0,
+        }))
+    }
+}
+
+/// Sends a call to one entry VM.
+pub(crate) async fn send(
+    client: &UpstreamClient,
+    call: &EntryCall,
+    deadline: ClockTime,
+) -> Result<UpstreamAnswer, CallError> {
+    let EntryCall {
+        method,
+        path,
+        headers,
+        body,
+    } = call.clone();
+    let request = UpstreamRequest {
+        method,
+        path: path.into(),
+        headers,
+        body,
+        deadline,
+    };
+    client.send(request).await
+}
+
+/// Returns the JSON body, or null.
+pub(crate) fn json_body(answer: &UpstreamAnswer) -> Value {
+    serde_json::from_slice(&answer.body).unwrap_or_default()
+}
+
+/// Finds a field anywhere in a JSON document.
+pub(crate) fn find_field<'a>(value: &'a Value, name: &str) -> Option<&'a Value> {
+    match value {
+        Value::Object(fields) => fields
+            .get(name)
+            .or_else(|| fields.values().find_map(|field| find_field(field, name))),
+        Value::Array(items) => items.iter().find_map(|item| find_field(item, name)),
+        _ => None,
+    }
+}
--- /dev/null
+++ b/crates/standins/src/drive/promise_check.rs
@@ -0,0 +1,129 @@
+use std::collections::{BTreeMap, HashMap, HashSet};
+
+use arbutuspick_model::CentreName;
+
+use super::centre_order::OutageReport;
+use super::job_call::{JobReport, ResultCheck, SaidOutcome};
+use super::request_call::RequestReport;
+use super::run_logs::RunLogs;
+use crate::task_log::{TaskEnd, TaskRun};
+
+/// Time from a recorded order to the last possible start.
+const IN_FORCE_MS: u64 = 2_000;
+/// Difference of the stand-ins' wall clocks on one machine.
+const CLOCK_TOLERANCE_MS: u64 = 5;
+
+/// Compares what callers were told with what ran; returns a line for every broken promise.
+pub fn check_promises(
+    jobs: &[JobReport],
+    requests: &[RequestReport],
+    outage: Option<&OutageReport>,
+    logs: &RunLogs,
+) -> Vec<String> {
+    let mut broken = Vec::new();
+    let mut runs: HashMap<&str, Vec<&TaskRun>> = HashMap::new();
+    for (_, run) in logs.runs() {
+        runs.entry(&run.output).or_default().push(run);
+    }
+    for job in jobs {
+        let runs = runs.get(job.label.as_str()).map_or(&[][..], Vec::as_slice);
+        check_job(job, runs, &mut broken);
+    }
+    for request in requests {
+        let count = logs.requests.get(&request.label).copied().unwrap_or_default();
+        check_request(request, count, &mut broken);
+    }
+    if let Some(outage) = outage {
+        check_outage(outage, logs, &mut broken);
+    }
+    broken
+}
+
+fn check_job(job: &JobReport, runs: &[&TaskRun], broken: &mut Vec<String>) {
+    let label = &job.label;
+    let ids: HashSet<_> = runs.iter().map(|run| run.job).collect();
+    if ids.len() > 1 {
+        broken.push(format!("job {label}: its key ran as {} jobs", ids.len()));
+    }
+    if !job.idempotent {
+        let mut fresh: BTreeMap<u32, u32> = BTreeMap::new();
+        for run in runs.iter().filter(|run| run.resumed_ms.is_none()) {
+            *fresh.entry(run.member).or_default() += 1;
+        }
+        if let Some((member, count)) = fresh.into_iter().find(|(_, count)| *count > 1) {
+            broken.push(format!(
+                "job {label}: member {member} ran {count} times, but is not idempotent"
+            ));
+        }
+    }
+    if job.said == SaidOutcome::NotRun && !runs.is_empty() {
+        let count = runs.len();
+        broken.push(format!(
+            "job {label}: said not run ({}), but {count} tasks started",
+            job.reason
+        ));
+    }
+    if job.said == SaidOutcome::Ran && !ran_whole(job, runs) {
+        broken.push(format!(
+            "job {label}: said ran, but attempt {} did not finish whole",
+            job.attempt
+        ));
+    }
+    if let ResultCheck::Wrong(message) = &job.result {
+        broken.push(format!("job {label}: {message}"));
+    }
+}
+
+fn ran_whole(job: &JobReport, runs: &[&TaskRun]) -> bool {
+    let finished = runs
+        .iter()
+        .filter(|run| run.attempt.0 == job.attempt && run.how == Some(TaskEnd::Finished));
+    let mut members: Vec<u32> = finished.map(|run| run.member).collect();
+    members.sort_unstable();
+    members == (0..job.tasks).collect::<Vec<_>>()
+}
+
+fn check_request(request: &RequestReport, count: u64, broken: &mut Vec<String>) {
+    let label = &request.label;
+    if !request.idempotent && count > 1 {
+        broken.push(format!(
+            "request {label}: ran {count} times, but is not idempotent"
+        ));
+    }
+    let said = |outcome| request.calls.iter().any(|call| call.said == outcome);
+    // When another call for the same key may have run it, this call's "not run" is about itself only.
+    let elsewhere = said(SaidOutcome::Ran) || said(SaidOutcome::Unknown);
+    if said(SaidOutcome::NotRun) && !elsewhere && count > 0 {
+        broken.push(format!("request {label}: said not run, but ran {count} times"));
+    }
+    if said(SaidOutcome::Ran) && count == 0 {
+        broken.push(format!("request {label}: said ran, but did not run"));
+    }
+    for call in &request.calls {
+        if let ResultCheck::Wrong(message) = &call.result {
+            broken.push(format!("request {label}: {message}"));
+        }
+    }
+}
+
+fn check_outage(outage: &OutageReport, logs: &RunLogs, broken: &mut Vec<String>) {
+    let Some(recorded_at) = outage.out_recorded_at else {
+        broken.push(format!(
+            "data centre {}: the order was not recorded",
+            outage.data_centre
+        ));
+        return;
+    };
+    let from = recorded_at + IN_FORCE_MS + CLOCK_TOLERANCE_MS;
+    let until = outage.in_sent_at.unwrap_or(u64::MAX);
+    let is_late = |(centre, run): &(&CentreName, &TaskRun)| {
+        **centre == outage.data_centre && run.started_at > from && run.started_at < until
+    };
+    for (centre, run) in logs.runs().filter(is_late) {
+        let late = run.started_at - recorded_at;
+        broken.push(format!(
+            "job {}: member {} started in {centre} {late} ms after the order was recorded",
+            run.output, run.member
+        ));
+    }
+}
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -6,6 +6,7 @@
 mod call_stats;
 mod checkpoint_store;
 mod control_client;
+pub mod drive;
 mod http_server;
 mod platform_control;
 mod platform_standin;
--- a/crates/standins/src/task_log.rs
+++ b/crates/standins/src/task_log.rs
@@ -1,3 +1,5 @@
+use std::sync::Arc;
+
 use arbutuspick_model::{AttemptNumber, JobId, WorkerName};
 use serde::{Deserialize, Serialize};
 
@@ -26,8 +28,10 @@
     pub attempt: AttemptNumber,
     /// Index of the member in the gang.
     pub member: u32,
-    /// Work already done when it started, from a checkpoint, in milliseconds at full speed.
-    pub resumed_ms: u64,
+    /// Output that the payload asks for, by which the caller of the job recognises the run.
+    pub output: Arc<str>,
+    /// Work already done when it resumed from a checkpoint, in milliseconds at full speed.
+    pub resumed_ms: Option<u64>,
     /// Start.
     pub started_at: u64,
     /// End, or nothing while it runs.
--- a/crates/standins/src/upstream_standin.rs
+++ b/crates/standins/src/upstream_standin.rs
@@ -56,7 +56,7 @@
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 #[serde(default)]
 pub struct UpstreamWork {
-    /// Id under which the run is logged when there is no header `x-request-id`.
+    /// Id under which the run is logged; when it is empty, header `x-request-id` is used.
     pub id: String,
     /// Service time in milliseconds, without jitter.
     pub work_ms: u64,
@@ -195,11 +195,7 @@
 
     async fn run(self: Arc<Self>, request: &ServerRequest, faults: UpstreamFaults) -> ServerReply {
         let work: UpstreamWork = request.json().unwrap_or_default();
-        let header = request
-            .headers
-            .get("x-request-id")
-            .and_then(|id| id.to_str().ok());
-        let id = header.unwrap_or(&work.id).to_owned();
+        let id = request_id(request, &work);
         let Some((slot, run_count)) = Arc::clone(&self).take_slot(&id) else {
             return not_run();
         };
@@ -278,6 +274,18 @@
     }
 }
 
+/// The id in the body comes first, since a proxy may replace the header.
+fn request_id(request: &ServerRequest, work: &UpstreamWork) -> String {
+    if !work.id.is_empty() {
+        return work.id.clone();
+    }
+    let header = request
+        .headers
+        .get("x-request-id")
+        .and_then(|id| id.to_str().ok());
+    header.unwrap_or_default().to_owned()
+}
+
 fn not_run() -> ServerReply {
     let mut response = Response::new(Bytes::from_static(b"every slot is taken"));
     *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
--- a/crates/standins/src/worker_part.rs
+++ b/crates/standins/src/worker_part.rs
@@ -33,7 +33,7 @@
     /// Work done at `progress_at`.
     progress: TaskProgress,
     progress_at: WorkerTime,
-    pub(crate) resumed_ms: u64,
+    pub(crate) resumed_ms: Option<u64>,
     speed_percent: u64,
     fails_early: bool,
 }
@@ -53,7 +53,7 @@
             lease_until: WorkerTime(0),
             progress,
             progress_at: WorkerTime(0),
-            resumed_ms: progress.done_ms,
+            resumed_ms: request.checkpoint.as_ref().map(|_| progress.done_ms),
             speed_percent: 100,
             fails_early: false,
         }
@@ -74,7 +74,7 @@
             lease_until: WorkerTime(0),
             progress: TaskProgress::default(),
             progress_at: WorkerTime(0),
-            resumed_ms: 0,
+            resumed_ms: None,
             speed_percent: 100,
             fails_early: false,
         }
--- a/crates/standins/src/worker_standin.rs
+++ b/crates/standins/src/worker_standin.rs
@@ -345,6 +345,7 @@
                 job: key.0,
                 attempt: key.1,
                 member: member.index,
+                output: Arc::clone(&part.payload.output),
                 resumed_ms: part.resumed_ms,
                 started_at: self.wall_ms(at),
                 ended_at: None,
--- a/crates/standins/tests/checkpoints.rs
+++ b/crates/standins/tests/checkpoints.rs
@@ -41,7 +41,8 @@
     let status = case.present_epoch(1).await.unwrap();
     let states: Vec<_> = status.parts.iter().map(|part| part.state.clone()).collect();
     assert_eq!(states, [PartState::Stopped, finished("x")]);
-    assert_eq!(case.worker.log().runs[2].resumed_ms, 600);
+    let resumed: Vec<_> = case.worker.log().runs.iter().map(|run| run.resumed_ms).collect();
+    assert_eq!(resumed, [None, None, Some(600), Some(600)]);
 }
 
 #[tokio::test]
--- /dev/null
+++ b/crates/standins/tests/drive_run.rs
@@ -0,0 +1,88 @@
+//! A run of the driver must pass for an entry VM that keeps its promises, and fail for one that doesn't.
+
+mod naive_entry;
+
+use arbutuspick_model::{CentreName, RackName, ServiceName, UpstreamName, WorkerName};
+use arbutuspick_standins::drive::{DriveOptions, DriveReport, SaidOutcome, Workload, drive_load};
+use arbutuspick_standins::{
+    PlatformOptions, PlatformStandin, UpstreamOptions, UpstreamStandin, WorkerOptions, WorkerStandin,
+};
+use naive_entry::{Misbehaviour, start_entry};
+
+const WORKLOAD: &str = "
+deployment: trial
+seed: 3
+load_s: 1
+limit_s: 10
+operator_token: operator:duty
+outage: {data_centre: severn, out_at_s: 0, in_at_s: 1, drain_ms: 100}
+accounts:
+  - name: parks
+    token: account:parks
+    jobs: [{name: pair, bursts: 1, jobs: 5, shape: {tasks: 2}, run_ms: [10, 30]}]
+    requests:
+      - {service: booking, per_s: 20, work_ms: [0, 1], deadline_ms: 5000, idempotent_percent: 0, keyed_percent: 50, duplicate_percent: 50}
+";
+
+async fn drive(misbehaviour: Misbehaviour) -> DriveReport {
+    let trent = CentreName::try_from("trent").unwrap();
+    let worker = WorkerStandin::start(WorkerOptions::new(
+        WorkerName::try_from("w0").unwrap(),
+        trent.clone(),
+        RackName::try_from("r0").unwrap(),
+    ))
+    .await
+    .unwrap();
+    let mut options = UpstreamOptions::new(
+        UpstreamName::try_from("u0").unwrap(),
+        trent.clone(),
+        ServiceName::try_from("booking").unwrap(),
+    );
+    options.slots = 64;
+    let upstream = UpstreamStandin::start(options).await.unwrap();
+    let vms = vec![worker.entry(), upstream.entry()];
+    let platform = PlatformStandin::start(PlatformOptions {
+        vms,
+        ..PlatformOptions::default()
+    })
+    .await
+    .unwrap();
+    let entry = start_entry(worker.address(), upstream.address(), misbehaviour).await;
+    let options = DriveOptions {
+        workload: Workload::parse(WORKLOAD).unwrap(),
+        entries: vec![(trent, entry)],
+        platform: platform.address(),
+    };
+    drive_load(options).await.unwrap()
+}
+
+#[tokio::test]
+async fn honest_entry() {
+    let report = drive(Misbehaviour::None).await;
+    assert_eq!(report.broken, Vec::<String>::new(), "{report}");
+    assert!(report.jobs.iter().all(|job| job.said == SaidOutcome::Ran));
+    assert_eq!((report.jobs.len(), report.requests.len()), (5, 20));
+    assert!(!report.samples.is_empty());
+    let text = report.to_string();
+    assert!(text.contains("jobs of 2 to 8 accelerators"), "{text}");
+    assert!(text.contains("severn out"), "{text}");
+}
+
+#[tokio::test]
+async fn repeating_entry() {
+    let report = drive(Misbehaviour::RunTwice).await;
+    assert_eq!(report.broken.len(), 20, "{:?}", report.broken);
+}
+
+#[tokio::test]
+async fn denying_entry() {
+    let report = drive(Misbehaviour::DenyRuns).await;
+    let denied = report.broken.iter().filter(|line| line.contains("said not run"));
+    assert_eq!(denied.count(), 5, "{:?}", report.broken);
+}
+
+#[tokio::test]
+async fn cutting_entry() {
+    let report = drive(Misbehaviour::CutResults).await;
+    assert_eq!(report.broken.len(), 5, "{:?}", report.broken);
+}
--- /dev/null
+++ b/crates/standins/tests/naive_entry/mod.rs
@@ -0,0 +1,210 @@
+//! An entry VM without any of the scheduler's care: one worker at a time, no records, no retries.
+
+use std::collections::{HashMap, HashSet};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use arbutuspick_model::{AttemptNumber, JobId, LeaseEpoch, WorkerTime};
+use arbutuspick_platform::{
+    AttemptRequest, EpochRequest, MemberPart, MemberResult, PartState, PrepareRequest, ProcessClock,
+    RenewRequest, StartRequest, UpstreamClient, UpstreamRequest, WorkerClient,
+};
+use axum::body::Bytes;
+use axum::extract::{Path, State};
+use axum::http::{HeaderMap, HeaderValue, Method, StatusCode};
+use axum::response::{IntoResponse, Response};
+use axum::routing::{get, post};
+use axum::{Json, Router};
+use parking_lot::Mutex;
+use serde_json::{Value, json};
+use tokio::net::TcpListener;
+use tokio::sync::Semaphore;
+use tokio::time::sleep;
+
+const TIMEOUT: Duration = Duration::from_secs(5);
+const NO_LIMIT: WorkerTime = WorkerTime(1 << 50);
+
+/// How the entry VM misbehaves.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Misbehaviour {
+    None,
+    /// Sends every request to the upstream twice.
+    RunTwice,
+    /// Says "not run" of jobs that ran.
+    DenyRuns,
+    /// Drops the last member of every result.
+    CutResults,
+}
+
+struct EntryState {
+    worker: WorkerClient,
+    upstream: UpstreamClient,
+    misbehaviour: Misbehaviour,
+    /// One gang at a time, as there is no placement.
+    worker_free: Semaphore,
+    jobs: Mutex<HashMap<String, Option<Vec<MemberResult>>>>,
+    keys: Mutex<HashSet<String>>,
+}
+
+type Shared = State<Arc<EntryState>>;
+
+pub(crate) async fn start_entry(
+    worker: SocketAddr,
+    upstream: SocketAddr,
+    misbehaviour: Misbehaviour,
+) -> SocketAddr {
+    let state = EntryState {
+        worker: WorkerClient::new(worker),
+        upstream: UpstreamClient::new(upstream, 64),
+        misbehaviour,
+        worker_free: Semaphore::new(1),
+        jobs: Mutex::default(),
+        keys: Mutex::default(),
+    };
+    let app = Router::new()
+        .route("/v1/jobs", post(submit))
+        .route("/v1/jobs/{id}/wait", get(wait))
+        .route("/v1/jobs/{id}/result", get(result))
+        .route("/v1/services/{service}/requests", post(request))
+        .route(
+            "/v1/pool",
+            get(async || Json(json!({"pool": {"free": [1, 0, 0, 1, 0, 0, 0]}}))),
+        )
+        .route(
+            "/v1/operator/data-centres/{dc}",
+            get(async || Json(json!({"order": 7}))),
+        )
+        .route("/v1/operator/data-centres/{dc}/{order}", post(order))
+        .with_state(Arc::new(state));
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move { axum::serve(listener, app).await });
+    address
+}
+
+async fn submit(State(state): Shared, Json(body): Json<Value>) -> Response {
+    let id = JobId::generate();
+    state.jobs.lock().insert(id.to_string(), None);
+    tokio::spawn(async move {
+        let results = run_gang(&state, id, &body).await;
+        state.jobs.lock().insert(id.to_string(), Some(results));
+    });
+    (StatusCode::ACCEPTED, Json(json!({"job": id, "state": "queued"}))).into_response()
+}
+
+async fn run_gang(state: &EntryState, job: JobId, body: &Value) -> Vec<MemberResult> {
+    let _permit = state.worker_free.acquire().await.unwrap();
+    let (epoch, attempt) = (LeaseEpoch(1), AttemptNumber(1));
+    let tasks = body["shape"]["tasks"].as_u64().unwrap() as u32;
+    let prepare = PrepareRequest {
+        epoch,
+        job,
+        attempt,
+        members: (0..tasks)
+            .map(|index| MemberPart {
+                index,
+                accelerators: 1 << index,
+            })
+            .collect(),
+        cores: 1,
+        memory_mib: 1,
+        payload: body["payload"].as_str().unwrap().into(),
+        checkpointable: false,
+        checkpoint: None,
+        hold_until: NO_LIMIT,
+    };
+    let start = StartRequest {
+        epoch,
+        job,
+        attempt,
+        start_before: NO_LIMIT,
+        lease_until: NO_LIMIT,
+    };
+    let worker = &state.worker;
+    worker
+        .epoch(&EpochRequest { epoch }, TIMEOUT)
+        .await
+        .unwrap()
+        .result
+        .unwrap();
+    worker.prepare(&prepare, TIMEOUT).await.unwrap().result.unwrap();
+    worker.start(&start, TIMEOUT).await.unwrap().result.unwrap();
+    loop {
+        let renew = RenewRequest {
+            epoch,
+            leases: Vec::new(),
+        };
+        let status = worker.renew(&renew, TIMEOUT).await.unwrap().result.unwrap();
+        if let PartState::Finished { results } = status.parts[0].state.clone() {
+            let attempt = AttemptRequest { epoch, job, attempt };
+            worker.release(&attempt, TIMEOUT).await.unwrap().result.unwrap();
+            return results;
+        }
+        sleep(Duration::from_millis(5)).await;
+    }
+}
+
+async fn wait(State(state): Shared, Path(id): Path<String>) -> Json<Value> {
+    let ended = loop {
+        if state.jobs.lock()[&id].is_some() {
+            break match state.misbehaviour {
+                Misbehaviour::DenyRuns => "not_run",
+                _ => "ran",
+            };
+        }
+        sleep(Duration::from_millis(5)).await;
+    };
+    Json(json!({"job": id, "state": ended, "attempt": 1, "data_centre": "trent"}))
+}
+
+async fn result(State(state): Shared, Path(id): Path<String>) -> Json<Vec<MemberResult>> {
+    let mut results = state.jobs.lock()[&id].clone().unwrap();
+    if state.misbehaviour == Misbehaviour::CutResults {
+        results.pop();
+    }
+    Json(results)
+}
+
+async fn request(State(state): Shared, headers: HeaderMap, body: Bytes) -> Response {
+    if let Some(key) = headers.get("idempotency-key")
+        && !state.keys.lock().insert(key.to_str().unwrap().to_owned())
+    {
+        let said = json!({"outcome": "unknown", "reason": "claimed_elsewhere"});
+        return with_outcome(
+            (StatusCode::GATEWAY_TIMEOUT, Json(said)).into_response(),
+            "unknown",
+        );
+    }
+    let sent = UpstreamRequest {
+        method: Method::POST,
+        path: "/".into(),
+        headers: HeaderMap::new(),
+        body,
+        deadline: ProcessClock::new().now() + 5_000,
+    };
+    if state.misbehaviour == Misbehaviour::RunTwice {
+        state.upstream.send(sent.clone()).await.unwrap();
+    }
+    let answer = state.upstream.send(sent).await.unwrap();
+    let said = if answer.status == StatusCode::OK {
+        "ran"
+    } else {
+        "not_run"
+    };
+    with_outcome((answer.status, answer.body).into_response(), said)
+}
+
+fn with_outcome(mut response: Response, said: &'static str) -> Response {
+    response
+        .headers_mut()
+        .insert("x-outcome", HeaderValue::from_static(said));
+    response
+}
+
+async fn order(Json(body): Json<Value>) -> Response {
+    if body["based_on"] == 7 {
+        return Json(json!({"state": "recorded"})).into_response();
+    }
+    StatusCode::CONFLICT.into_response()
+}
