Read the pool answer of all data centres in the driver

The entry daemon's /v1/pool answers for all data centres, so the first list of free cells in it need not be that of the data centre sampled.

The driver now looks up the data centre by name, and reads the order number from its documented field instead of searching the document.

Measured: the tests of drive_run.rs pass with the new answer; the assertion on samples is now on their content.

--- a/crates/standins/src/drive/centre_order.rs
+++ b/crates/standins/src/drive/centre_order.rs
@@ -5,7 +5,7 @@
 use serde_json::{Value, json};
 use tokio::time::sleep;
 
-use super::entry_pool::{EntryCall, EntryPool, find_field, json_body};
+use super::entry_pool::{EntryCall, EntryPool, json_body};
 use super::workload::OutagePlan;
 use crate::wall_clock::WallClock;
 
@@ -91,9 +91,6 @@
         let Ok(answer) = self.entries.call(&call, self.entries.clock.now() + CALL_MS).await else {
             return 0;
         };
-        let body = json_body(&answer);
-        find_field(&body, "order")
-            .and_then(Value::as_u64)
-            .unwrap_or_default()
+        json_body(&answer)["order"].as_u64().unwrap_or_default()
     }
 }
--- a/crates/standins/src/drive/entry_pool.rs
+++ b/crates/standins/src/drive/entry_pool.rs
@@ -119,14 +119,3 @@
 pub(crate) fn json_body(answer: &UpstreamAnswer) -> Value {
     serde_json::from_slice(&answer.body).unwrap_or_default()
 }
-
-/// Finds a field anywhere in a JSON document.
-pub(crate) fn find_field<'a>(value: &'a Value, name: &str) -> Option<&'a Value> {
-    match value {
-        Value::Object(fields) => fields
-            .get(name)
-            .or_else(|| fields.values().find_map(|field| find_field(field, name))),
-        Value::Array(items) => items.iter().find_map(|item| find_field(item, name)),
-        _ => None,
-    }
-}
--- a/crates/standins/src/drive/pool_sampler.rs
+++ b/crates/standins/src/drive/pool_sampler.rs
@@ -5,7 +5,7 @@
 use serde_json::Value;
 use tokio::time::{MissedTickBehavior, interval};
 
-use super::entry_pool::{EntryCall, EntryPool, find_field, json_body, send};
+use super::entry_pool::{EntryCall, EntryPool, json_body, send};
 
 const PERIOD: Duration = Duration::from_millis(500);
 const CALL_MS: u64 = 400;
@@ -22,10 +22,15 @@
 }
 
 impl PoolSample {
-    /// Reads maximal free cells by level from an entry VM's summary.
-    pub fn from_summary(data_centre: CentreName, summary: &Value) -> Option<Self> {
-        let counts = find_field(summary, "free").filter(|field| field.is_array());
-        let counts = counts.or_else(|| find_field(summary, "free_cells"))?.as_array()?;
+    /// Reads maximal free cells by level from an entry VM's answer about all data centres.
+    ///
+    /// Returns nothing while the VM has no fresh summary of the data centre.
+    pub fn from_answer(data_centre: CentreName, answer: &Value) -> Option<Self> {
+        let centres = answer["data_centres"].as_array()?;
+        let centre = centres
+            .iter()
+            .find(|centre| centre["data_centre"] == data_centre.as_str())?;
+        let counts = centre["summary"]["free"].as_array()?;
         let mut sample = Self {
             data_centre,
             free: 0,
@@ -65,7 +70,7 @@
             let Ok(answer) = send(&client, &call, entries.clock.now() + CALL_MS).await else {
                 continue;
             };
-            let sample = PoolSample::from_summary(centre, &json_body(&answer));
+            let sample = PoolSample::from_answer(centre, &json_body(&answer));
             samples.lock().extend(sample);
         }
     }
--- a/crates/standins/tests/drive_run.rs
+++ b/crates/standins/tests/drive_run.rs
@@ -62,7 +62,11 @@
     assert_eq!(report.broken, Vec::<String>::new(), "{report}");
     assert!(report.jobs.iter().all(|job| job.said == SaidOutcome::Ran));
     assert_eq!((report.jobs.len(), report.requests.len()), (5, 20));
-    assert!(!report.samples.is_empty());
+    let sample = &report.samples[0];
+    assert_eq!(
+        (sample.data_centre.as_str(), sample.free, sample.free_in_workers),
+        ("trent", 9, 8)
+    );
     let text = report.to_string();
     assert!(text.contains("jobs of 2 to 8 accelerators"), "{text}");
     assert!(text.contains("severn out"), "{text}");
--- a/crates/standins/tests/naive_entry/mod.rs
+++ b/crates/standins/tests/naive_entry/mod.rs
@@ -67,10 +67,7 @@
         .route("/v1/jobs/{id}/wait", get(wait))
         .route("/v1/jobs/{id}/result", get(result))
         .route("/v1/services/{service}/requests", post(request))
-        .route(
-            "/v1/pool",
-            get(async || Json(json!({"pool": {"free": [1, 0, 0, 1, 0, 0, 0]}}))),
-        )
+        .route("/v1/pool", get(pool))
         .route(
             "/v1/operator/data-centres/{dc}",
             get(async || Json(json!({"order": 7}))),
@@ -202,6 +199,12 @@
     response
 }
 
+async fn pool() -> Json<Value> {
+    let summary = json!({"free": [1, 0, 0, 1, 0, 0, 0]});
+    let out = json!({"data_centre": "severn", "state": "out", "summary": null});
+    Json(json!({"data_centres": [out, {"data_centre": "trent", "state": "in", "summary": summary}]}))
+}
+
 async fn order(Json(body): Json<Value>) -> Response {
     if body["based_on"] == 7 {
         return Json(json!({"state": "recorded"})).into_response();
