Fix completion times and refused requests in the driver's report

The first trial against the entry daemon reported a median of 2 ms for gangs that run 6 s: a growing histogram doesn't grow in saturating_record. Requests refused with 4xx were counted as unknown.

The histogram now has bounds, and refusals of a call count as not run, except for conflicts.

--- a/crates/standins/src/drive/drive_report.rs
+++ b/crates/standins/src/drive/drive_report.rs
@@ -9,6 +9,9 @@
 use super::request_call::RequestReport;
 use super::run_logs::RunLogs;
 
+/// Longest time told apart from longer ones; runs end after 90 s.
+const LONGEST_MS: u64 = 200_000;
+
 /// Everything that a run of the driver found out.
 #[derive(Clone, Debug)]
 pub struct DriveReport {
@@ -117,9 +120,7 @@
             .filter(|request| request.said() == SaidOutcome::Ran);
         let request_times = answered.map(|request| ("requests", request.ended_at - request.sent_at));
         for (class, millis) in job_times.chain(request_times) {
-            let histogram = classes
-                .entry(class)
-                .or_insert_with(|| Histogram::new(3).expect("3 significant digits are allowed"));
+            let histogram = classes.entry(class).or_insert_with(new_histogram);
             histogram.saturating_record(millis);
         }
         writeln!(f, "== completion time in ms, of what ran")?;
@@ -191,6 +192,11 @@
     }
 }
 
+/// Bounds must be given, since a histogram that grows doesn't grow in `saturating_record`.
+fn new_histogram() -> Histogram<u64> {
+    Histogram::new_with_bounds(1, LONGEST_MS, 3).expect("the bounds and 3 digits are allowed")
+}
+
 fn overlap(start: u64, end: u64, from: u64, until: u64) -> u64 {
     end.min(until).saturating_sub(start.max(from))
 }
--- a/crates/standins/src/drive/request_call.rs
+++ b/crates/standins/src/drive/request_call.rs
@@ -133,6 +133,8 @@
         let (said, result) = match header {
             Some("ran") => (SaidOutcome::Ran, self.compare(answer, sent)),
             Some("not_run") => (SaidOutcome::NotRun, ResultCheck::NotChecked),
+            // The call itself was refused, for example because the account is not in the configuration.
+            None if is_refusal(answer.status) => (SaidOutcome::NotRun, ResultCheck::NotChecked),
             _ => (SaidOutcome::Unknown, ResultCheck::NotChecked),
         };
         let body: serde_json::Value = serde_json::from_slice(&answer.body).unwrap_or_default();
@@ -160,6 +162,11 @@
     }
 }
 
+/// A conflict says something of another call for the key, so it is no refusal.
+fn is_refusal(status: StatusCode) -> bool {
+    status.is_client_error() && status != StatusCode::CONFLICT
+}
+
 fn lost(error: &CallError) -> CallReport {
     let said = if error.had_no_effect() {
         SaidOutcome::NotRun
