Add messages and connections between entry VMs

Entry VMs exchange hints and read-only answers. Each VM dials every peer, sends hints and numbered requests on that connection, and answers on the connections it accepted.

--- /dev/null
+++ b/crates/peer/src/peer_link.rs
@@ -0,0 +1,130 @@
+use std::io;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures::{SinkExt, StreamExt};
+use rand::Rng;
+use tokio::net::TcpStream;
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::time::{interval, sleep, timeout};
+use tokio_util::codec::{FramedRead, FramedWrite, LengthDelimitedCodec};
+use tokio_util::sync::CancellationToken;
+
+use crate::link_queue::LinkQueue;
+use crate::{Hello, LinkOptions, PeerAddress, PeerEnvelope, PeerMessage, frame_codec};
+
+type FrameReader = FramedRead<OwnedReadHalf, LengthDelimitedCodec>;
+type FrameWriter = FramedWrite<OwnedWriteHalf, LengthDelimitedCodec>;
+
+/// Number of heartbeats; requests are numbered from 1, so the last number can't meet them.
+const HEARTBEAT_NUMBER: u64 = u64::MAX;
+
+/// The dialled connection to one peer, made again whenever it is lost.
+pub(crate) struct PeerLink {
+    pub(crate) peer: PeerAddress,
+    pub(crate) hello: Hello,
+    pub(crate) options: LinkOptions,
+    pub(crate) queue: Arc<LinkQueue>,
+}
+
+impl PeerLink {
+    /// Keeps the connection up until the token is cancelled.
+    pub(crate) async fn run(self, stop: CancellationToken) {
+        tokio::select! {
+            () = stop.cancelled() => {}
+            () = self.keep_connected() => {}
+        }
+        self.queue.set_connected(false);
+    }
+
+    async fn keep_connected(&self) {
+        let LinkOptions {
+            first_backoff,
+            last_backoff,
+            ..
+        } = self.options;
+        let mut backoff = first_backoff;
+        loop {
+            match self.connect().await {
+                Ok(stream) => {
+                    backoff = first_backoff;
+                    let error = self.serve(stream).await;
+                    log::info!("[peer] connection to {} lost: {error}", self.peer.vm);
+                }
+                Err(error) => log::debug!("[peer] connecting to {} failed: {error}", self.peer.vm),
+            }
+            self.queue.set_connected(false);
+            sleep(jittered(backoff)).await;
+            backoff = (backoff * 2).min(last_backoff);
+        }
+    }
+
+    async fn connect(&self) -> io::Result<TcpStream> {
+        let stream = timeout(self.options.write_limit, TcpStream::connect(self.peer.address)).await??;
+        stream.set_nodelay(true)?;
+        Ok(stream)
+    }
+
+    async fn serve(&self, stream: TcpStream) -> io::Error {
+        let (read_half, write_half) = stream.into_split();
+        let reader = FramedRead::new(read_half, frame_codec());
+        let writer = FramedWrite::new(write_half, frame_codec());
+        tokio::select! {
+            error = self.read_answers(reader) => error,
+            error = self.write_messages(writer) => error,
+        }
+    }
+
+    async fn read_answers(&self, mut reader: FrameReader) -> io::Error {
+        loop {
+            let frame = match timeout(self.options.silence_limit, reader.next()).await {
+                Ok(Some(Ok(frame))) => frame,
+                Ok(Some(Err(error))) => return error,
+                Ok(None) => return io::ErrorKind::ConnectionReset.into(),
+                Err(_) => return io::ErrorKind::TimedOut.into(),
+            };
+            match PeerEnvelope::from_frame(&frame) {
+                Ok(PeerEnvelope {
+                    request: HEARTBEAT_NUMBER,
+                    ..
+                }) => self.queue.set_connected(true),
+                Ok(PeerEnvelope {
+                    request,
+                    message: Some(message),
+                }) => self.queue.answer(request, message),
+                Ok(_) => log::warn!("[peer] {} sent an answer of an unknown kind", self.peer.vm),
+                Err(error) => return io::Error::new(io::ErrorKind::InvalidData, error),
+            }
+        }
+    }
+
+    async fn write_messages(&self, mut writer: FrameWriter) -> io::Error {
+        let mut heartbeat = interval(self.options.heartbeat);
+        // The first tick comes at once, so that Hello is the first frame.
+        heartbeat.tick().await;
+        let hello =
+            PeerEnvelope::request(HEARTBEAT_NUMBER, PeerMessage::Hello(self.hello.clone())).to_frame();
+        if let Err(error) = self.write(&mut writer, hello.clone()).await {
+            return error;
+        }
+        loop {
+            let frame = tokio::select! {
+                _ = heartbeat.tick() => hello.clone(),
+                envelope = self.queue.next() => envelope.to_frame(),
+            };
+            if let Err(error) = self.write(&mut writer, frame).await {
+                return error;
+            }
+        }
+    }
+
+    async fn write(&self, writer: &mut FrameWriter, frame: Bytes) -> io::Result<()> {
+        timeout(self.options.write_limit, writer.send(frame)).await?
+    }
+}
+
+/// Returns a random part of the back-off, so that peers do not dial a restarted VM all at once.
+fn jittered(backoff: Duration) -> Duration {
+    backoff.mul_f64(rand::rng().random_range(0.0..1.0))
+}
