--- /dev/null
+++ b/crates/entry/src/api/api_body.rs
@@ -0,0 +1,59 @@
+use arbutuspick_model::FieldError;
+use axum::body::to_bytes;
+use axum::extract::{FromRequest, Request};
+use axum::http::StatusCode;
+use bytes::Bytes;
+use serde::de::DeserializeOwned;
+
+use super::{ApiError, SharedContext};
+
+/// The whole body of a request, within the limit.
+pub(crate) struct ApiBody(pub(crate) Bytes);
+
+impl ApiBody {
+    /// Reads a JSON document; the error names the position and the rule.
+    pub(crate) fn json<Document>(&self) -> Result<Document, ApiError>
+    where
+        Document: DeserializeOwned,
+    {
+        serde_json::from_slice(&self.0).map_err(|error| {
+            let excerpt = String::from_utf8_lossy(&self.0).into_owned();
+            FieldError::new(
+                "body",
+                excerpt,
+                format!("must be the documented JSON object: {error}"),
+            )
+            .into()
+        })
+    }
+}
+
+impl FromRequest<SharedContext> for ApiBody {
+    type Rejection = ApiError;
+
+    async fn from_request(request: Request, context: &SharedContext) -> Result<Self, ApiError> {
+        let limit = context.settings.limits.body_bytes;
+        match to_bytes(request.into_body(), limit).await {
+            Ok(bytes) => Ok(Self(bytes)),
+            Err(error) if is_too_long(&error) => {
+                let rule = format!("must have at most {limit} bytes");
+                Err(ApiError::new(
+                    StatusCode::PAYLOAD_TOO_LARGE,
+                    "body_too_large",
+                    format!("field \"body\": {rule}"),
+                )
+                .with_detail("limit_bytes", &limit))
+            }
+            Err(error) => Err(ApiError::new(
+                StatusCode::BAD_REQUEST,
+                "body_cut",
+                format!("the body did not arrive whole: {error}"),
+            )),
+        }
+    }
+}
+
+fn is_too_long(error: &axum::Error) -> bool {
+    let source = std::error::Error::source(error);
+    source.is_some_and(<dyn std::error::Error>::is::<http_body_util::LengthLimitError>)
+}
--- /dev/null
+++ b/crates/entry/src/api/api_error.rs
@@ -0,0 +1,210 @@
+use arbutuspick_model::{DoubtReason, FieldError, RefusalReason};
+use axum::Json;
+use axum::http::{HeaderValue, StatusCode, header};
+use axum::response::{IntoResponse, Response};
+use serde::Serialize;
+use serde_json::{Map, Value, json};
+
+use super::request_scope::{OUTCOME, current_id};
+
+/// Time after which a caller may try again when nothing is known about the cause, in seconds.
+const RETRY_AFTER_S: u32 = 1;
+/// Time to retry when the platform does not answer, in seconds; the longest back-off is 5 s.
+const PLATFORM_RETRY_AFTER_S: u32 = 5;
+
+/// An error answer:
+/// `{"error": {"code", "message", "field"?, "value"?, "rule"?}, "outcome"?, "reason"?, "request_id"}`.
+#[derive(Clone, Debug)]
+pub(crate) struct ApiError(Box<ErrorParts>);
+
+#[derive(Clone, Debug)]
+struct ErrorParts {
+    status: StatusCode,
+    code: &'static str,
+    message: String,
+    field: Option<FieldError>,
+    outcome: Option<(&'static str, Value)>,
+    retry_after: Option<u32>,
+    details: Map<String, Value>,
+}
+
+impl ApiError {
+    pub(crate) fn new<Message>(status: StatusCode, code: &'static str, message: Message) -> Self
+    where
+        Message: Into<String>,
+    {
+        Self(Box::new(ErrorParts {
+            status,
+            code,
+            message: message.into(),
+            field: None,
+            outcome: None,
+            retry_after: None,
+            details: Map::new(),
+        }))
+    }
+
+    /// What was asked for does not exist, or not for this caller.
+    pub(crate) fn not_found(what: &str) -> Self {
+        Self::new(
+            StatusCode::NOT_FOUND,
+            "not_found",
+            format!("the {what} does not exist"),
+        )
+    }
+
+    /// Another write came first, or the state does not allow the change.
+    pub(crate) fn conflict<Message>(code: &'static str, message: Message) -> Self
+    where
+        Message: Into<String>,
+    {
+        Self::new(StatusCode::CONFLICT, code, message)
+    }
+
+    /// The caller may not do this.
+    pub(crate) fn forbidden(message: &str) -> Self {
+        Self::new(StatusCode::FORBIDDEN, "forbidden", message)
+    }
+
+    /// The platform gave no answer; what was asked for was not recorded or cannot be read.
+    pub(crate) fn platform(message: &str) -> Self {
+        let error = Self::new(StatusCode::SERVICE_UNAVAILABLE, "platform_unavailable", message);
+        error.with_retry_after(PLATFORM_RETRY_AFTER_S)
+    }
+
+    /// The daemon found something that should not be possible.
+    pub(crate) fn internal<Cause>(cause: Cause) -> Self
+    where
+        Cause: std::fmt::Display,
+    {
+        log::error!("[api] request {}: {cause}", current_id());
+        Self::new(
+            StatusCode::INTERNAL_SERVER_ERROR,
+            "internal",
+            "an internal error is in the log",
+        )
+    }
+
+    /// The work provably did not run.
+    pub(crate) fn not_run(reason: RefusalReason) -> Self {
+        let (status, message) = refusal_text(reason);
+        let error = Self::new(status, "not_run", message).with_outcome("not_run", &reason);
+        match status {
+            StatusCode::SERVICE_UNAVAILABLE if reason == RefusalReason::PlatformUnavailable => {
+                error.with_retry_after(PLATFORM_RETRY_AFTER_S)
+            }
+            StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS => {
+                error.with_retry_after(RETRY_AFTER_S)
+            }
+            _ => error,
+        }
+    }
+
+    /// The work may have run.
+    pub(crate) fn unknown(reason: DoubtReason) -> Self {
+        let message = "it is not known whether the work ran";
+        Self::new(StatusCode::GATEWAY_TIMEOUT, "unknown", message).with_outcome("unknown", &reason)
+    }
+
+    fn with_outcome<Reason>(mut self, outcome: &'static str, reason: &Reason) -> Self
+    where
+        Reason: Serialize,
+    {
+        self.0.outcome = Some((outcome, json!(reason)));
+        self
+    }
+
+    fn with_retry_after(mut self, seconds: u32) -> Self {
+        self.0.retry_after = Some(seconds);
+        self
+    }
+
+    /// Adds a member to the answer.
+    pub(crate) fn with_detail<Detail>(mut self, name: &str, detail: &Detail) -> Self
+    where
+        Detail: Serialize,
+    {
+        self.0.details.insert(name.into(), json!(detail));
+        self
+    }
+}
+
+impl From<FieldError> for ApiError {
+    fn from(error: FieldError) -> Self {
+        let message = error.to_string();
+        let mut answer = Self::new(StatusCode::BAD_REQUEST, "invalid_field", message);
+        answer.0.field = Some(error);
+        answer
+    }
+}
+
+impl IntoResponse for ApiError {
+    fn into_response(self) -> Response {
+        let ErrorParts {
+            status,
+            code,
+            message,
+            field,
+            outcome,
+            retry_after,
+            details,
+        } = *self.0;
+        let mut error = json!({"code": code, "message": message});
+        if let Some(FieldError { field, value, rule }) = field {
+            error["field"] = field.into();
+            error["value"] = value.into();
+            error["rule"] = rule.into();
+        }
+        let mut body = json!({"error": error, "request_id": &*current_id()});
+        if let Some((outcome, reason)) = &outcome {
+            body["outcome"] = (*outcome).into();
+            body["reason"] = reason.clone();
+        }
+        for (name, detail) in details {
+            body[name] = detail;
+        }
+        let mut response = (status, Json(body)).into_response();
+        let headers = response.headers_mut();
+        if let Some((outcome, _)) = outcome {
+            headers.insert(OUTCOME, HeaderValue::from_static(outcome));
+        }
+        if let Some(seconds) = retry_after {
+            headers.insert(header::RETRY_AFTER, seconds.into());
+        }
+        response
+    }
+}
+
+fn refusal_text(reason: RefusalReason) -> (StatusCode, &'static str) {
+    use RefusalReason as R;
+    match reason {
+        R::NeverFits => (
+            StatusCode::UNPROCESSABLE_ENTITY,
+            "the shape fits in no data centre",
+        ),
+        R::Cancelled => (StatusCode::CONFLICT, "it was cancelled before it started"),
+        R::QuotaExceeded => (
+            StatusCode::TOO_MANY_REQUESTS,
+            "the account has as many jobs queued as it may",
+        ),
+        R::Overloaded => (
+            StatusCode::SERVICE_UNAVAILABLE,
+            "the queue or the account's share of it is full",
+        ),
+        R::DeadlinePassed => (
+            StatusCode::SERVICE_UNAVAILABLE,
+            "it could not start before its deadline",
+        ),
+        R::NoUpstream => (StatusCode::SERVICE_UNAVAILABLE, "no upstream may take work"),
+        R::UpstreamRefused => (
+            StatusCode::SERVICE_UNAVAILABLE,
+            "every upstream that was tried refused it",
+        ),
+        R::PlatformUnavailable => (
+            StatusCode::SERVICE_UNAVAILABLE,
+            "the platform's table did not record it",
+        ),
+        R::Stopping => (StatusCode::SERVICE_UNAVAILABLE, "the entry VM is stopping"),
+        R::AttemptsExhausted => (StatusCode::SERVICE_UNAVAILABLE, "no attempt could be started"),
+    }
+}
--- /dev/null
+++ b/crates/entry/src/api/job_routes.rs
@@ -0,0 +1,225 @@
+use arbutuspick_model::{
+    AccountName, FieldError, FinalOutcome, GangShape, JobClass, JobId, JobSpec, RefusalReason,
+};
+use arbutuspick_records::{BodyDigest, JobRecord};
+use axum::Json;
+use axum::extract::{Path, RawQuery, State};
+use axum::http::{HeaderMap, HeaderValue, StatusCode, header};
+use axum::response::{IntoResponse, Response};
+use serde::Deserialize;
+use serde_json::{Value, json};
+
+use super::{ApiBody, ApiError, CallerName, SharedContext, idempotency_key, query_millis};
+use crate::CallerRole;
+use crate::daemon::StopPhase;
+use crate::jobs::{JobView, SeenJob, SubmitRequest, WatchFault, cancel_job, submit_job};
+use crate::requests::{ReplayFault, fetch_checked};
+
+/// Body of a submission.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct RawSubmission {
+    /// Account; needed from operators, and an account may only name itself.
+    account: Option<AccountName>,
+    #[serde(default)]
+    shape: GangShape,
+    #[serde(default)]
+    class: JobClass,
+    #[serde(default)]
+    idempotent: bool,
+    #[serde(default)]
+    checkpointable: bool,
+    #[serde(default)]
+    declared_run_ms: u64,
+    #[serde(default)]
+    payload: String,
+}
+
+impl RawSubmission {
+    fn into_spec(self, caller: &CallerRole) -> Result<JobSpec, ApiError> {
+        let account = match (caller, self.account) {
+            (CallerRole::Account(own), None) => own.clone(),
+            (CallerRole::Account(own), Some(account)) if *own == account => account,
+            (CallerRole::Account(_), Some(_)) => {
+                return Err(ApiError::forbidden("an account submits only its own jobs"));
+            }
+            (CallerRole::Operator(_), Some(account)) => account,
+            (CallerRole::Operator(_), None) => {
+                return Err(
+                    FieldError::new("account", "", "must be present with an operator's token").into(),
+                );
+            }
+            (CallerRole::Owner(_), _) => {
+                return Err(ApiError::forbidden("an account's or operator's token is needed"));
+            }
+        };
+        let mut spec = JobSpec::new(account)
+            .with_shape(self.shape)
+            .with_class(self.class)
+            .with_declared_run_ms(self.declared_run_ms)
+            .with_payload(self.payload);
+        spec.idempotent = self.idempotent;
+        spec.checkpointable = self.checkpointable;
+        Ok(spec.check()?)
+    }
+}
+
+/// `POST /v1/jobs`
+pub(super) async fn submit(
+    State(context): State<SharedContext>,
+    CallerName(caller): CallerName,
+    headers: HeaderMap,
+    body: ApiBody,
+) -> Result<Response, ApiError> {
+    let key = idempotency_key(&headers)?;
+    let spec = body.json::<RawSubmission>()?.into_spec(&caller)?;
+    if !context.config.load().accounts.contains_key(&spec.account) {
+        return Err(ApiError::forbidden("the account is not in the configuration"));
+    }
+    if context.stop.phase() == StopPhase::Draining {
+        return Err(ApiError::not_run(RefusalReason::Stopping));
+    }
+    let digest = BodyDigest::of(&[b"job", &body.0]);
+    // Spawned, so that a caller who goes away does not leave the write half done and the holder untold.
+    let work = super::in_current_request({
+        let context = context.clone();
+        async move { submit_job(&context, SubmitRequest { spec, key, digest }).await }
+    });
+    let view = context
+        .stop
+        .tracker
+        .spawn(work)
+        .await
+        .map_err(ApiError::internal)??;
+    metrics::counter!("arbutuspick_jobs_submitted_total").increment(1);
+    Ok((StatusCode::ACCEPTED, Json(view)).into_response())
+}
+
+fn parse_job(id: &str) -> Result<JobId, ApiError> {
+    Ok(JobId::try_from(id)?)
+}
+
+impl From<WatchFault> for ApiError {
+    fn from(fault: WatchFault) -> Self {
+        match fault {
+            WatchFault::Call { .. } => Self::platform("the status of the job cannot be read"),
+            WatchFault::Content { source } => Self::internal(source),
+        }
+    }
+}
+
+/// Returns the job when this caller may see it.
+fn visible<'a>(seen: &'a SeenJob, caller: &CallerRole) -> Result<&'a JobRecord, ApiError> {
+    let record = seen.row.as_ref().map(|row| &row.record);
+    let record = record.filter(|record| match caller {
+        CallerRole::Account(account) => record.account == *account,
+        CallerRole::Operator(_) => true,
+        CallerRole::Owner(_) => false,
+    });
+    record.ok_or_else(|| ApiError::not_found("job"))
+}
+
+/// Returns the view of a job; an old one carries its age.
+fn job_view(context: &SharedContext, seen: &SeenJob, record: &JobRecord) -> JobView {
+    let age_ms = seen
+        .is_old
+        .then(|| context.clock.now().millis_since(seen.read_at));
+    JobView {
+        age_ms,
+        ..JobView::from(record)
+    }
+}
+
+/// `GET /v1/jobs/{id}`
+pub(super) async fn status(
+    State(context): State<SharedContext>,
+    CallerName(caller): CallerName,
+    Path(id): Path<String>,
+) -> Result<Json<JobView>, ApiError> {
+    let seen = context.jobs.read(parse_job(&id)?).await?;
+    let record = visible(&seen, &caller)?;
+    Ok(Json(job_view(&context, &seen, record)))
+}
+
+/// `GET /v1/jobs/{id}/wait?timeout_ms=`
+pub(super) async fn wait(
+    State(context): State<SharedContext>,
+    CallerName(caller): CallerName,
+    Path(id): Path<String>,
+    RawQuery(query): RawQuery,
+) -> Result<Json<Value>, ApiError> {
+    let job = parse_job(&id)?;
+    let limit = query_millis(query.as_deref(), "timeout_ms", context.settings.limits.max_wait)?;
+    let Ok(_place) = context.waiters.try_acquire() else {
+        return Err(
+            ApiError::not_run(RefusalReason::Overloaded).with_detail("cause", &"too many callers wait")
+        );
+    };
+    let seen = context.jobs.read(job).await?;
+    visible(&seen, &caller)?;
+    let deadline = context.clock.now() + limit.as_millis() as u64;
+    let seen = tokio::select! {
+        biased;
+        seen = context.jobs.wait_final(job, deadline) => seen?,
+        () = context.stop.reached(StopPhase::Draining) => return Ok(Json(json!({"continue": job}))),
+    };
+    let record = visible(&seen, &caller)?;
+    Ok(Json(json!(job_view(&context, &seen, record))))
+}
+
+/// `GET /v1/jobs/{id}/result`
+pub(super) async fn result(
+    State(context): State<SharedContext>,
+    CallerName(caller): CallerName,
+    Path(id): Path<String>,
+) -> Result<Response, ApiError> {
+    let seen = context.jobs.read(parse_job(&id)?).await?;
+    let record = visible(&seen, &caller)?;
+    let Some(FinalOutcome::Ran { result }) = &record.outcome else {
+        let view = job_view(&context, &seen, record);
+        return Err(ApiError::conflict("no_result", "the job has no result").with_detail("job", &view));
+    };
+    let bytes = fetch_checked(&context.objects, result)
+        .await
+        .map_err(|fault| match fault {
+            ReplayFault::Call { .. } => ApiError::platform("the result cannot be read"),
+            ReplayFault::Damaged { .. } => {
+                log::error!("[api] request {}: {fault}", super::current_id());
+                ApiError::new(StatusCode::BAD_GATEWAY, "result_damaged", fault.to_string())
+            }
+        })?;
+    let digest = HeaderValue::from_str(&result.sha256).map_err(ApiError::internal)?;
+    let mut response = bytes.into_response();
+    let headers = response.headers_mut();
+    headers.insert(
+        header::CONTENT_TYPE,
+        HeaderValue::from_static("application/octet-stream"),
+    );
+    headers.insert("x-result-sha256", digest);
+    Ok(response)
+}
+
+/// `DELETE /v1/jobs/{id}`
+pub(super) async fn cancel(
+    State(context): State<SharedContext>,
+    CallerName(caller): CallerName,
+    Path(id): Path<String>,
+) -> Result<Response, ApiError> {
+    let job = parse_job(&id)?;
+    let account = match caller {
+        CallerRole::Account(account) => Some(account),
+        CallerRole::Operator(_) => None,
+        CallerRole::Owner(_) => return Err(ApiError::not_found("job")),
+    };
+    let work = super::in_current_request({
+        let context = context.clone();
+        async move { cancel_job(&context, job, account.as_ref()).await }
+    });
+    let view = context
+        .stop
+        .tracker
+        .spawn(work)
+        .await
+        .map_err(ApiError::internal)??;
+    Ok((StatusCode::ACCEPTED, Json(view)).into_response())
+}
--- /dev/null
+++ b/crates/entry/src/api/operator_routes.rs
@@ -0,0 +1,28 @@
+use arbutuspick_model::PoolConfig;
+use arbutuspick_platform::VmRole;
+use axum::Json;
+use axum::extract::State;
+use serde_json::{Value, json};
+
+use super::{ApiError, SharedContext, StaffCaller};
+
+/// `GET /v1/operator/workers`: the platform's list, and what the holder sees when it runs here.
+pub(super) async fn workers(
+    State(context): State<SharedContext>,
+    _: StaffCaller,
+) -> Result<Json<Value>, ApiError> {
+    let list = context.vms.list(VmRole::Worker, None).await;
+    let list = list.map_err(|_| ApiError::platform("the list of workers cannot be read"))?;
+    let view = context.holder.view();
+    let seen = view
+        .epoch
+        .map(|epoch| json!({"epoch": epoch, "workers": view.workers}));
+    Ok(Json(
+        json!({"as_of": list.as_of, "workers": list.vms, "holder": seen}),
+    ))
+}
+
+/// `GET /v1/operator/accounts`
+pub(super) async fn accounts(State(context): State<SharedContext>, _: StaffCaller) -> Json<PoolConfig> {
+    Json(PoolConfig::clone(&context.config.load()))
+}
--- /dev/null
+++ b/crates/entry/src/api/service_routes.rs
@@ -0,0 +1,129 @@
+use arbutuspick_model::{FieldError, RefusalReason, ServiceName};
+use arbutuspick_platform::UpstreamAnswer;
+use arbutuspick_route::RequestKind;
+use axum::extract::{Path, State};
+use axum::http::{HeaderMap, HeaderValue, header};
+use axum::response::{IntoResponse, Response};
+
+use super::{AccountCaller, ApiBody, ApiError, OUTCOME, SharedContext, header_value, idempotency_key};
+use super::{REQUEST_ID, callers_id, request_headers::millis};
+use crate::daemon::StopPhase;
+use crate::requests::{KeyedEnd, RouteEnd, RouteRequest, run_keyed};
+
+/// Headers of the caller that are sent on to the upstream.
+const FORWARDED: [&str; 6] = [
+    "accept",
+    "accept-encoding",
+    "accept-language",
+    "content-encoding",
+    "content-type",
+    "idempotency-key",
+];
+
+/// `POST /v1/services/{service}/requests`
+pub(super) async fn request(
+    State(context): State<SharedContext>,
+    AccountCaller(account): AccountCaller,
+    Path(service): Path<String>,
+    headers: HeaderMap,
+    ApiBody(body): ApiBody,
+) -> Result<Response, ApiError> {
+    let service = ServiceName::try_from(service)?;
+    if !context.settings.services.contains(&service) {
+        return Err(ApiError::not_found("service"));
+    }
+    let key = idempotency_key(&headers)?;
+    let kind = request_kind(&headers)?;
+    let limit = header_value(&headers, "x-deadline-ms")?;
+    let limit = millis("x-deadline-ms", limit, context.settings.limits.max_deadline)?;
+    let deadline = context.clock.now() + limit.as_millis() as u64;
+    let weight = match context.config.load().accounts.get(&account) {
+        Some(config) => config.weight,
+        None => return Err(ApiError::forbidden("the account is not in the configuration")),
+    };
+    if context.stop.phase() == StopPhase::Draining {
+        return Err(ApiError::not_run(RefusalReason::Stopping));
+    }
+    let request = RouteRequest {
+        account,
+        weight,
+        service,
+        kind,
+        headers: forwarded_headers(&headers),
+        body,
+        deadline,
+    };
+    let end = match key {
+        Some(key) if kind == RequestKind::NonIdempotent => run_keyed(&context, request, key).await,
+        _ => KeyedEnd::Route(context.router.run(&request).await),
+    };
+    match end {
+        KeyedEnd::Route(end) => answer(end),
+        KeyedEnd::Reused => Err(ApiError::conflict(
+            "key_reused",
+            "the idempotency key was used with a different body",
+        )),
+    }
+}
+
+fn request_kind(headers: &HeaderMap) -> Result<RequestKind, FieldError> {
+    match header_value(headers, "x-idempotent")? {
+        None | Some("false") => Ok(RequestKind::NonIdempotent),
+        Some("true") => Ok(RequestKind::Idempotent),
+        Some(other) => Err(FieldError::new("x-idempotent", other, "must be true or false")),
+    }
+}
+
+fn forwarded_headers(headers: &HeaderMap) -> HeaderMap {
+    let mut forwarded = HeaderMap::new();
+    for name in FORWARDED {
+        for value in headers.get_all(name) {
+            forwarded.append(name, value.clone());
+        }
+    }
+    if let Some(id) = callers_id(headers).and_then(|id| HeaderValue::from_str(&id).ok()) {
+        forwarded.insert(REQUEST_ID, id);
+    }
+    forwarded
+}
+
+fn answer(end: RouteEnd) -> Result<Response, ApiError> {
+    let outcome = match &end {
+        RouteEnd::Ran(_) => "ran",
+        RouteEnd::NotRun(_) => "not_run",
+        RouteEnd::Unknown(_) => "unknown",
+    };
+    metrics::counter!("arbutuspick_requests_total", "outcome" => outcome).increment(1);
+    match end {
+        RouteEnd::Ran(answer) => Ok(upstream_response(answer)),
+        RouteEnd::NotRun(reason) => Err(ApiError::not_run(reason)),
+        RouteEnd::Unknown(reason) => Err(ApiError::unknown(reason)),
+    }
+}
+
+/// Passes on what the upstream answered, without the headers of its connection.
+fn upstream_response(answer: UpstreamAnswer) -> Response {
+    let UpstreamAnswer {
+        status,
+        headers,
+        body,
+    } = answer;
+    let mut response = (status, body).into_response();
+    let passed = response.headers_mut();
+    // The framework's guess of a type must not stand in for a missing one.
+    passed.remove(header::CONTENT_TYPE);
+    for name in [
+        "content-type",
+        "content-encoding",
+        "content-language",
+        "etag",
+        "location",
+        "retry-after",
+    ] {
+        for value in headers.get_all(name) {
+            passed.append(name, value.clone());
+        }
+    }
+    passed.insert(OUTCOME, HeaderValue::from_static("ran"));
+    response
+}
--- /dev/null
+++ b/crates/entry/src/config/centre_board.rs
@@ -0,0 +1,118 @@
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
+use arbutuspick_model::{CentreName, ClockTime, PlatformTime, VmName};
+use arbutuspick_records::{CentreRecord, EpochRecord, Versioned, in_force_at};
+use arc_swap::ArcSwap;
+use parking_lot::Mutex;
+
+/// Rows of one data centre, as they were last read.
+#[derive(Clone, Debug, Default)]
+pub struct CentreView {
+    /// Row `dc/{dc}`, if it exists.
+    pub record: Option<Versioned<CentreRecord>>,
+    /// Row `epoch/{dc}`, if it exists.
+    pub epoch: Option<Versioned<EpochRecord>>,
+    /// Platform time of the answer that first had this order; the commit was not later.
+    pub seen_at: PlatformTime,
+}
+
+impl CentreView {
+    /// Returns whether new work may be assigned to the data centre. An absent row means that it is in.
+    pub fn takes_work(&self) -> bool {
+        self.record.as_ref().is_none_or(|row| row.record.permits_start())
+    }
+
+    /// Returns the time from which on the last order is in force everywhere.
+    pub fn in_force_at(&self) -> Option<PlatformTime> {
+        self.record.as_ref().map(|_| in_force_at(self.seen_at))
+    }
+
+    /// Returns the VM that holds the placement lease.
+    pub fn holder(&self) -> Option<&VmName> {
+        self.epoch.as_ref().map(|row| &row.record.holder.vm)
+    }
+}
+
+/// Rows of all data centres, as they were last read.
+#[derive(Debug)]
+pub struct CentreBoard {
+    own: CentreName,
+    views: Mutex<BTreeMap<CentreName, CentreView>>,
+    closed: Arc<ArcSwap<BTreeSet<CentreName>>>,
+    read_at: Mutex<Option<ClockTime>>,
+}
+
+impl CentreBoard {
+    /// Creates a board of data centres whose rows were not read yet.
+    pub fn new(own: CentreName, centres: Vec<CentreName>) -> Self {
+        let views = centres.into_iter().map(|centre| (centre, CentreView::default()));
+        Self {
+            own,
+            views: Mutex::new(views.collect()),
+            closed: Arc::default(),
+            read_at: Mutex::default(),
+        }
+    }
+
+    /// Returns the names of all data centres.
+    pub fn names(&self) -> Vec<CentreName> {
+        self.views.lock().keys().cloned().collect()
+    }
+
+    /// Returns the rows of a data centre, if it is known.
+    pub fn view(&self, centre: &CentreName) -> Option<CentreView> {
+        self.views.lock().get(centre).cloned()
+    }
+
+    /// Returns the rows of all data centres.
+    pub fn views(&self) -> BTreeMap<CentreName, CentreView> {
+        self.views.lock().clone()
+    }
+
+    /// Returns the other data centres that take no new work, in a place where changes appear.
+    pub fn closed_others(&self) -> Arc<ArcSwap<BTreeSet<CentreName>>> {
+        Arc::clone(&self.closed)
+    }
+
+    /// Returns the time at which the rows were last read.
+    pub fn read_at(&self) -> Option<ClockTime> {
+        *self.read_at.lock()
+    }
+
+    /// Takes rows that were read; a row with a lower version than the known one is older and is ignored.
+    ///
+    /// The platform time is the one of the answer that had the rows.
+    pub fn update<Rows>(&self, rows: Rows, time: PlatformTime, now: ClockTime)
+    where
+        Rows: IntoIterator<Item = (CentreName, CentreView)>,
+    {
+        let mut views = self.views.lock();
+        for (centre, CentreView { record, epoch, .. }) in rows {
+            if let Some(view) = views.get_mut(&centre) {
+                let order =
+                    |record: &Option<Versioned<CentreRecord>>| record.as_ref().map(|row| row.record.order);
+                let known_order = order(&view.record);
+                keep_newer(&mut view.record, record);
+                // The holder's progress on an order is a new version of the same order.
+                if order(&view.record) != known_order {
+                    view.seen_at = time;
+                }
+                keep_newer(&mut view.epoch, epoch);
+            }
+        }
+        let closed = views
+            .iter()
+            .filter(|(centre, view)| **centre != self.own && !view.takes_work());
+        self.closed
+            .store(Arc::new(closed.map(|(centre, _)| centre.clone()).collect()));
+        *self.read_at.lock() = Some(now);
+    }
+}
+
+/// Takes the row with the higher version.
+fn keep_newer<R>(known: &mut Option<Versioned<R>>, read: Option<Versioned<R>>) {
+    if Versioned::version_of(read.as_ref()) > Versioned::version_of(known.as_ref()) {
+        *known = read;
+    }
+}
--- /dev/null
+++ b/crates/entry/src/daemon/entry_context.rs
@@ -0,0 +1,93 @@
+use std::net::SocketAddr;
+
+use arbutuspick_peer::{Hello, LinkOptions, PeerLinks};
+use arbutuspick_platform::{ClientOptions, ObjectClient, ProcessClock, TableClient, VmClient};
+use arbutuspick_records::VmIdentity;
+use arbutuspick_route::RoutingOptions;
+use metrics_exporter_prometheus::PrometheusHandle;
+use tokio::sync::Semaphore;
+
+use super::metrics_setup::metrics_handle;
+use super::{HolderTask, StopState};
+use crate::Settings;
+use crate::config::{CentreBoard, ConfigStore, ConfigSync};
+use crate::jobs::{JobWatch, SummaryBoard};
+use crate::requests::{ClaimBoard, RequestRouter};
+
+/// Writes and reads a second that the platform grants to all entry VMs together.
+const PLATFORM_WRITES: u32 = 300;
+const PLATFORM_READS: u32 = 1_800;
+
+/// Everything that handlers and loops of one daemon share.
+pub(crate) struct EntryContext {
+    pub(crate) settings: Settings,
+    pub(crate) identity: VmIdentity,
+    /// Address of the peer listener, which other VMs use.
+    pub(crate) peer_address: SocketAddr,
+    pub(crate) clock: ProcessClock,
+    pub(crate) table: TableClient,
+    pub(crate) objects: ObjectClient,
+    pub(crate) vms: VmClient,
+    pub(crate) config: ConfigStore,
+    pub(crate) sync: ConfigSync,
+    pub(crate) centres: CentreBoard,
+    pub(crate) summaries: SummaryBoard,
+    pub(crate) router: RequestRouter,
+    pub(crate) claims: ClaimBoard,
+    pub(crate) jobs: JobWatch,
+    /// Places for callers who wait for the end of a job.
+    pub(crate) waiters: Semaphore,
+    pub(crate) peers: PeerLinks,
+    pub(crate) holder: HolderTask,
+    pub(crate) stop: StopState,
+    pub(crate) metrics: PrometheusHandle,
+}
+
+impl EntryContext {
+    /// Creates the state of a daemon whose peer listener is bound. Has to be called within a tokio runtime.
+    pub(crate) fn new(settings: Settings, peer_address: SocketAddr) -> Self {
+        let clock = ProcessClock::new();
+        let stop = StopState::new();
+        let options = ClientOptions::new(settings.platform)
+            .with_writes_per_s((PLATFORM_WRITES / settings.entry_vms).max(1))
+            .with_reads_per_s((PLATFORM_READS / settings.entry_vms).max(1));
+        let table = TableClient::new(options.clone());
+        let identity = VmIdentity::generate(settings.vm.clone());
+        // The draws of different VMs must differ, or they would choose the same upstreams.
+        let seed = identity.incarnation.as_u64_pair().0;
+        let routing = RoutingOptions::new(settings.data_centre.clone())
+            .with_entry_vms(settings.entry_vms)
+            .with_seed(seed);
+        let peers = PeerLinks::new(hello_of(&settings), LinkOptions::default(), stop.end.clone());
+        peers.set_peers(settings.peers.clone());
+        Self {
+            identity,
+            peer_address,
+            clock,
+            objects: ObjectClient::new(options.clone()),
+            vms: VmClient::new(options),
+            config: ConfigStore::default(),
+            sync: ConfigSync::default(),
+            centres: CentreBoard::new(settings.data_centre.clone(), settings.data_centres()),
+            summaries: SummaryBoard::default(),
+            router: RequestRouter::new(routing, clock),
+            claims: ClaimBoard::default(),
+            jobs: JobWatch::new(table.clone(), clock),
+            waiters: Semaphore::new(settings.limits.waiters),
+            table,
+            peers,
+            holder: HolderTask::new(),
+            stop,
+            metrics: metrics_handle(),
+            settings,
+        }
+    }
+}
+
+/// Returns the greeting of a VM.
+pub(crate) fn hello_of(settings: &Settings) -> Hello {
+    Hello {
+        vm: settings.vm.as_str().into(),
+        data_centre: settings.data_centre.as_str().into(),
+    }
+}
--- /dev/null
+++ b/crates/entry/src/daemon/entry_daemon.rs
@@ -0,0 +1,188 @@
+use std::future::IntoFuture;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use arbutuspick_peer::PeerServer;
+use axum::serve::ListenerExt;
+use snafu::{ResultExt, Snafu};
+use tokio::net::TcpListener;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::task::JoinHandle;
+use tokio::time::{sleep, timeout};
+
+use super::entry_context::hello_of;
+use super::holder_task::run_summaries;
+use super::peer_handler::peer_handler;
+use super::{EntryContext, StopPhase};
+use crate::api::api_router;
+use crate::config::run_config_sync;
+use crate::jobs::run_job_rescue;
+use crate::requests::refuse_all;
+use crate::watch::{run_health_checks, run_list_poll, run_queue_ticks};
+use crate::{ExitStatus, Settings};
+
+/// Why the daemon could not start.
+#[derive(Debug, Snafu)]
+pub enum DaemonError {
+    /// An address of the settings cannot be bound.
+    #[snafu(display("field {field:?}: value {address:?} cannot be bound: {source}"))]
+    Bind {
+        /// Field of the settings.
+        field: &'static str,
+        /// Address.
+        address: SocketAddr,
+        /// Cause.
+        source: io::Error,
+    },
+}
+
+/// A running entry daemon.
+///
+/// ```no_run
+/// # async fn example(settings: arbutuspick_entry::Settings) -> Result<(), arbutuspick_entry::DaemonError> {
+/// use arbutuspick_entry::EntryDaemon;
+/// let daemon = EntryDaemon::start(settings).await?;
+/// println!("listening on {}", daemon.http_address);
+/// daemon.stop().await;
+/// # Ok(())
+/// # }
+/// ```
+pub struct EntryDaemon {
+    /// Address for callers and operators.
+    pub http_address: SocketAddr,
+    /// Address for other entry VMs.
+    pub peer_address: SocketAddr,
+    context: Arc<EntryContext>,
+    http: JoinHandle<io::Result<()>>,
+}
+
+impl EntryDaemon {
+    /// Binds both listeners and starts all loops.
+    pub async fn start(settings: Settings) -> Result<Self, DaemonError> {
+        let (field, address) = ("http_listen", settings.http_listen);
+        let listener = TcpListener::bind(address)
+            .await
+            .context(BindSnafu { field, address })?;
+        let http_address = listener.local_addr().context(BindSnafu { field, address })?;
+        let (field, address) = ("peer_listen", settings.peer_listen);
+        let server = PeerServer::bind(address, hello_of(&settings));
+        let server = server.await.context(BindSnafu { field, address })?;
+        let peer_address = server.local_addr().context(BindSnafu { field, address })?;
+        let context = Arc::new(EntryContext::new(settings, peer_address));
+        log::info!(
+            "[api] {} listens on {http_address}, for peers on {peer_address}",
+            context.identity
+        );
+        tokio::spawn(server.run(peer_handler(Arc::clone(&context)), context.stop.end.clone()));
+        start_loops(&context);
+        let http = start_http(&context, listener);
+        Ok(Self {
+            http_address,
+            peer_address,
+            context,
+            http,
+        })
+    }
+
+    /// Returns whether the daemon is ready for work.
+    pub fn is_ready(&self) -> bool {
+        self.context.config.is_ready() && self.context.stop.phase() == StopPhase::Serving
+    }
+
+    /// Stops as planned: requests in flight finish, and long waiters are told to go on elsewhere.
+    ///
+    /// Returns whether everything finished within the limit.
+    pub async fn stop(self) -> bool {
+        let Self { context, http, .. } = self;
+        let limits = &context.settings.limits;
+        log::info!("[api] planned stop begins");
+        context.stop.advance(StopPhase::Leaving);
+        sleep(limits.balancer_lag).await;
+        context.stop.advance(StopPhase::Draining);
+        context.router.queue.close();
+        let finished = async {
+            // The server ends when every connection has answered what is in flight.
+            if let Ok(Err(error)) = http.await {
+                log::error!("[api] serving ended with: {error}");
+            }
+            context.stop.tracker.close();
+            context.stop.tracker.wait().await;
+        };
+        let in_time = timeout(limits.stop_limit, finished).await.is_ok();
+        if !in_time {
+            log::warn!(
+                "[api] work in flight did not finish within {:?}",
+                limits.stop_limit
+            );
+            refuse_all(context.router.queue.close_and_drain());
+        }
+        context.stop.end.cancel();
+        log::info!("[api] stopped");
+        in_time
+    }
+}
+
+fn start_http(context: &Arc<EntryContext>, listener: TcpListener) -> JoinHandle<io::Result<()>> {
+    let router = api_router(Arc::clone(context));
+    let draining = {
+        let context = Arc::clone(context);
+        async move { context.stop.reached(StopPhase::Draining).await }
+    };
+    // Small answers must not wait for the acknowledgement of earlier ones.
+    let listener = listener.tap_io(|stream| {
+        if let Err(error) = stream.set_nodelay(true) {
+            log::debug!("[api] setting TCP_NODELAY failed: {error}");
+        }
+    });
+    let server = axum::serve(listener, router).with_graceful_shutdown(draining);
+    tokio::spawn(server.into_future())
+}
+
+fn start_loops(context: &Arc<EntryContext>) {
+    spawn_loop(context, run_config_sync(Arc::clone(context)));
+    spawn_loop(context, run_list_poll(Arc::clone(context)));
+    spawn_loop(context, run_health_checks(Arc::clone(context)));
+    spawn_loop(context, run_queue_ticks(Arc::clone(context)));
+    spawn_loop(context, run_summaries(Arc::clone(context)));
+    spawn_loop(context, run_job_rescue(Arc::clone(context)));
+    context.holder.start(context);
+}
+
+/// Runs a loop until the daemon ends.
+fn spawn_loop<Work>(context: &Arc<EntryContext>, work: Work)
+where
+    Work: Future<Output = ()> + Send + 'static,
+{
+    let end = context.stop.end.clone();
+    tokio::spawn(async move {
+        tokio::select! { () = end.cancelled() => {}, () = work => {} }
+    });
+}
+
+/// Runs the daemon until SIGTERM or SIGINT.
+pub(crate) fn run_daemon(settings: Settings) -> ExitStatus {
+    let runtime = match tokio::runtime::Builder::new_multi_thread().enable_all().build() {
+        Ok(runtime) => runtime,
+        Err(error) => {
+            log::error!("[api] starting the runtime failed: {error}");
+            return ExitStatus::Failed;
+        }
+    };
+    runtime
+        .block_on(run_until_signal(settings))
+        .unwrap_or_else(|error| {
+            log::error!("[api] {error}");
+            ExitStatus::Failed
+        })
+}
+
+async fn run_until_signal(settings: Settings) -> Result<ExitStatus, Box<dyn std::error::Error>> {
+    // Before the start, since a signal without a handler would end the process at once.
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    let daemon = EntryDaemon::start(settings).await?;
+    tokio::select! { _ = terminate.recv() => {}, _ = interrupt.recv() => {} }
+    daemon.stop().await;
+    Ok(ExitStatus::Done)
+}
--- /dev/null
+++ b/crates/entry/src/daemon/peer_handler.rs
@@ -0,0 +1,53 @@
+use std::sync::Arc;
+
+use arbutuspick_model::{JobId, VmName};
+use arbutuspick_peer::{PeerHandler, PeerMessage};
+use futures::FutureExt;
+
+use super::EntryContext;
+use crate::config::read_whole_config;
+use crate::jobs::read_summary;
+
+/// Returns the handler of messages from other entry VMs.
+pub(crate) fn peer_handler(context: Arc<EntryContext>) -> PeerHandler {
+    Arc::new(move |sender, message| handle(Arc::clone(&context), sender, message).boxed())
+}
+
+async fn handle(context: Arc<EntryContext>, sender: VmName, message: PeerMessage) -> Option<PeerMessage> {
+    match message {
+        PeerMessage::ConfigHead(head) => {
+            if head.revision > context.config.revision().0 {
+                context.sync.wake();
+            }
+            None
+        }
+        PeerMessage::ConfigPull(pull) => Some(PeerMessage::ConfigPage(read_whole_config(&context, &pull))),
+        PeerMessage::PoolSummary(summary) => {
+            match read_summary(&summary, context.clock.now()) {
+                Ok((centre, summary)) => context.summaries.take(centre, summary),
+                Err(error) => log::warn!("[peer] summary of {sender} ignored: {error}"),
+            }
+            None
+        }
+        PeerMessage::InboxNotice(notice) => {
+            if notice.data_centre == context.settings.data_centre.as_str() {
+                context.holder.inbox_changed();
+            }
+            None
+        }
+        PeerMessage::ClaimQuery(query) => Some(PeerMessage::ClaimAnswer(context.claims.answer(&query).await)),
+        PeerMessage::JobEnded(ended) => {
+            if let Some(job) = parse_job(&sender, &ended.job) {
+                context.jobs.wake(job);
+            }
+            None
+        }
+        PeerMessage::Hello(_) | PeerMessage::ConfigPage(_) | PeerMessage::ClaimAnswer(_) => None,
+    }
+}
+
+fn parse_job(sender: &VmName, job: &str) -> Option<JobId> {
+    JobId::try_from(job)
+        .inspect_err(|error| log::warn!("[peer] message of {sender} ignored: {error}"))
+        .ok()
+}
--- /dev/null
+++ b/crates/entry/src/jobs/centre_choice.rs
@@ -0,0 +1,46 @@
+use std::collections::BTreeMap;
+
+use arbutuspick_model::{CentreName, JobSpec};
+use arbutuspick_sched::{PlacementSummary, choose_centre};
+
+use crate::config::CentreView;
+use crate::daemon::EntryContext;
+
+/// Chooses the data centre of a job among those that take work, or nothing when none does.
+///
+/// Without any fresh summary it is the own data centre, whose holder can move the job on.
+pub(crate) fn choose_data_centre(context: &EntryContext, spec: &JobSpec) -> Option<CentreName> {
+    let views = context.centres.views();
+    let open = |centre: &CentreName| views.get(centre).is_some_and(CentreView::takes_work);
+    let own = &context.settings.data_centre;
+    choose_by_summary(context, spec, |_| true)
+        .or_else(|| open(own).then(|| own.clone()))
+        .or_else(|| views.keys().find(|centre| open(centre)).cloned())
+}
+
+/// Chooses another data centre for a job that has to leave one, if a fresh summary offers one.
+pub(crate) fn choose_other_centre(
+    context: &EntryContext,
+    spec: &JobSpec,
+    leaving: &CentreName,
+) -> Option<CentreName> {
+    choose_by_summary(context, spec, |centre| centre != leaving)
+}
+
+fn choose_by_summary<Filter>(context: &EntryContext, spec: &JobSpec, filter: Filter) -> Option<CentreName>
+where
+    Filter: Fn(&CentreName) -> bool,
+{
+    let views = context.centres.views();
+    let summaries = context.summaries.fresh(context.clock.now()).into_iter();
+    let open: BTreeMap<CentreName, PlacementSummary> = summaries
+        .filter(|(centre, _)| filter(centre) && views.get(centre).is_some_and(CentreView::takes_work))
+        .map(|(centre, known)| (centre, known.summary))
+        .collect();
+    let config = context.config.load();
+    let account = config.accounts.get(&spec.account);
+    let home = account
+        .map(|account| account.guarantees.as_slice())
+        .unwrap_or_default();
+    choose_centre(spec, &open, home)
+}
--- /dev/null
+++ b/crates/entry/src/jobs/job_cancel.rs
@@ -0,0 +1,80 @@
+use std::sync::Arc;
+
+use arbutuspick_model::{AccountName, JobId, WriteId};
+use arbutuspick_platform::CallPriority;
+use arbutuspick_records::{CommitResolution, JobError, JobRecord, RowKey, Versioned};
+
+use super::JobView;
+use super::job_submit::notify_holder;
+use crate::api::ApiError;
+use crate::daemon::EntryContext;
+use crate::table::{commit, read_rows};
+
+/// Time in which a cancellation is repeated or read back after a lost answer, in milliseconds.
+const COMMIT_LIMIT_MS: u64 = 3_000;
+/// Attempts against concurrent changes of the row.
+const MAX_CONFLICTS: usize = 8;
+
+/// Records a cancellation. A job that has started is left to its holder, and its end is reported later.
+pub(crate) async fn cancel_job(
+    context: &Arc<EntryContext>,
+    job: JobId,
+    account: Option<&AccountName>,
+) -> Result<JobView, ApiError> {
+    for _ in 0..MAX_CONFLICTS {
+        let row = read_job(context, job).await?;
+        if account.is_some_and(|account| *account != row.record.account) {
+            return Err(ApiError::not_found("job"));
+        }
+        let change = match row.cancel(WriteId::generate()) {
+            Ok(change) => change,
+            // The cancellation is already recorded.
+            Err(JobError::Cancelled { .. }) => return Ok(JobView::from(&row.record)),
+            Err(error) => {
+                let view = JobView::from(&row.record);
+                return Err(ApiError::conflict("job_ended", error.to_string()).with_detail("job", &view));
+            }
+        };
+        let deadline = context.clock.now() + COMMIT_LIMIT_MS;
+        match commit(
+            &context.table,
+            &change.transaction,
+            CallPriority::Submission,
+            deadline,
+        )
+        .await
+        {
+            CommitResolution::Committed { version } => {
+                let row = change.committed(version);
+                let view = JobView::from(&row.record);
+                notify_holder(context, &row.record.data_centre, job);
+                context.jobs.record(row).await;
+                return Ok(view);
+            }
+            CommitResolution::Conflict { .. } | CommitResolution::Overwritten => {}
+            CommitResolution::NotSent => return Err(ApiError::platform("the cancellation is not recorded")),
+            CommitResolution::Unresolved => {
+                return Err(ApiError::platform(
+                    "it is not known whether the cancellation is recorded",
+                ));
+            }
+        }
+    }
+    Err(ApiError::conflict(
+        "job_busy",
+        "the job changed during every attempt to cancel it",
+    ))
+}
+
+async fn read_job(context: &EntryContext, job: JobId) -> Result<Versioned<JobRecord>, ApiError> {
+    let key = RowKey::Job(job);
+    let rows = read_rows(
+        &context.table,
+        std::slice::from_ref(&key),
+        CallPriority::Submission,
+    )
+    .await;
+    let rows = rows.map_err(|_| ApiError::platform("the cancellation is not recorded"))?;
+    let row = rows.get(&key).map_err(ApiError::internal)?;
+    row.ok_or_else(|| ApiError::not_found("job"))
+}
--- /dev/null
+++ b/crates/entry/src/jobs/job_submit.rs
@@ -0,0 +1,159 @@
+use std::sync::Arc;
+
+use arbutuspick_model::{
+    AccountName, CallerKey, CentreName, DoubtReason, JobId, JobSpec, RefusalReason, WriteId,
+};
+use arbutuspick_peer::{InboxNotice, PeerMessage};
+use arbutuspick_platform::CallPriority;
+use arbutuspick_records::{
+    BodyDigest, CommitResolution, JobRecord, JobSubmission, KeyRecord, PlannedChange, RowKey, Versioned,
+    judge_submission,
+};
+
+use super::{JobView, choose_data_centre};
+use crate::api::ApiError;
+use crate::daemon::EntryContext;
+use crate::table::{KEEP_KEY_MS, commit, read_rows};
+
+/// Time in which a submission is repeated or read back after a lost answer, in milliseconds.
+const COMMIT_LIMIT_MS: u64 = 3_000;
+
+/// A job that a caller submits.
+pub(crate) struct SubmitRequest {
+    pub(crate) spec: JobSpec,
+    pub(crate) key: Option<CallerKey>,
+    pub(crate) digest: BodyDigest,
+}
+
+/// Records a job and tells the holder of its data centre.
+///
+/// The same key with the same body gives the job of the first submission.
+pub(crate) async fn submit_job(
+    context: &Arc<EntryContext>,
+    request: SubmitRequest,
+) -> Result<JobView, ApiError> {
+    let SubmitRequest { spec, key, digest } = request;
+    let Some(data_centre) = choose_data_centre(context, &spec) else {
+        return refuse_closed(context, &spec, key.as_ref(), digest).await;
+    };
+    let Some(now) = context.table.platform_time() else {
+        return Err(ApiError::not_run(RefusalReason::PlatformUnavailable));
+    };
+    let job = JobId::generate();
+    let submission = JobSubmission {
+        job,
+        spec,
+        caller_key: key,
+        body_digest: digest,
+        data_centre,
+        now,
+        delete_key_after: now + KEEP_KEY_MS,
+    };
+    let change = JobRecord::submit(submission, WriteId::generate());
+    let deadline = context.clock.now() + COMMIT_LIMIT_MS;
+    let resolution = commit(
+        &context.table,
+        &change.transaction,
+        CallPriority::Submission,
+        deadline,
+    )
+    .await;
+    resolve(context, change, resolution, digest).await
+}
+
+async fn resolve(
+    context: &Arc<EntryContext>,
+    change: PlannedChange<JobRecord>,
+    resolution: CommitResolution,
+    digest: BodyDigest,
+) -> Result<JobView, ApiError> {
+    let job = change.record.job;
+    match resolution {
+        CommitResolution::Committed { version } => {
+            let row = change.committed(version);
+            let view = JobView::from(&row.record);
+            notify_holder(context, &row.record.data_centre, job);
+            context.jobs.record(row).await;
+            Ok(view)
+        }
+        CommitResolution::Conflict { .. } => {
+            let JobRecord {
+                account, caller_key, ..
+            } = &change.record;
+            let earlier = match caller_key {
+                Some(key) => earlier_job(context, account, key, digest).await?,
+                None => None,
+            };
+            earlier.ok_or_else(|| unresolved(job))
+        }
+        // The identifier is new, so a row of this job can only come from this submission.
+        CommitResolution::Overwritten => match context.jobs.read(job).await.ok().and_then(|seen| seen.row) {
+            Some(row) => Ok(JobView::from(&row.record)),
+            None => Err(unresolved(job)),
+        },
+        CommitResolution::NotSent => Err(ApiError::not_run(RefusalReason::PlatformUnavailable)),
+        CommitResolution::Unresolved => Err(unresolved(job)),
+    }
+}
+
+/// The submission may be recorded; the caller can ask for the job later.
+fn unresolved(job: JobId) -> ApiError {
+    ApiError::unknown(DoubtReason::WriteUnresolved).with_detail("job", &job)
+}
+
+/// Refuses a job while no data centre takes work, unless its key was used for a recorded job.
+async fn refuse_closed(
+    context: &EntryContext,
+    spec: &JobSpec,
+    key: Option<&CallerKey>,
+    digest: BodyDigest,
+) -> Result<JobView, ApiError> {
+    if let Some(key) = key
+        && let Some(view) = earlier_job(context, &spec.account, key, digest).await?
+    {
+        return Ok(view);
+    }
+    let refusal = ApiError::not_run(RefusalReason::Overloaded);
+    Err(refusal.with_detail("cause", &"every data centre is out or leaving"))
+}
+
+/// Returns the job that the key was first used for, if there is one.
+async fn earlier_job(
+    context: &EntryContext,
+    account: &AccountName,
+    key: &CallerKey,
+    digest: BodyDigest,
+) -> Result<Option<JobView>, ApiError> {
+    let key = RowKey::Key(account.clone(), key.clone());
+    let rows = read_rows(
+        &context.table,
+        std::slice::from_ref(&key),
+        CallPriority::Submission,
+    )
+    .await;
+    // "Not run" would be wrong, since the job of the key may be recorded.
+    let rows = rows.map_err(|_| ApiError::unknown(DoubtReason::WriteUnresolved))?;
+    let row: Option<Versioned<KeyRecord>> = rows.get(&key).map_err(ApiError::internal)?;
+    let job = judge_submission(row.as_ref().map(|row| &row.record), digest)
+        .map_err(|error| ApiError::conflict("key_reused", error.to_string()))?;
+    let Some(job) = job else {
+        return Ok(None);
+    };
+    let seen = context.jobs.read(job).await;
+    let row = seen.map_err(|_| unresolved(job))?.row;
+    Ok(row.map(|row| JobView::from(&row.record)))
+}
+
+/// Tells the placement holder of a data centre to look at a job; without it the holder finds the row itself.
+pub(crate) fn notify_holder(context: &EntryContext, data_centre: &CentreName, job: JobId) {
+    let notice = PeerMessage::InboxNotice(InboxNotice {
+        data_centre: data_centre.as_str().into(),
+        job: job.to_string(),
+    });
+    let view = context.centres.view(data_centre).unwrap_or_default();
+    match view.holder() {
+        Some(vm) if *vm == context.identity.vm => context.holder.inbox_changed(),
+        Some(vm) => context.peers.hint(vm, notice),
+        None => context.peers.hint_centre(data_centre, notice),
+    }
+}
--- /dev/null
+++ b/crates/entry/src/settings/entry_limits.rs
@@ -0,0 +1,83 @@
+use std::time::Duration;
+
+use arbutuspick_model::FieldError;
+
+use super::RawLimits;
+
+/// Limits of the daemon. The defaults are the highest values.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct EntryLimits {
+    /// Largest request body in bytes.
+    pub body_bytes: usize,
+    /// Longest deadline of a request to a service.
+    pub max_deadline: Duration,
+    /// Longest wait for the end of a job.
+    pub max_wait: Duration,
+    /// Time from the start of a planned stop until no new work is taken.
+    pub balancer_lag: Duration,
+    /// Time from then on in which requests in flight may finish.
+    pub stop_limit: Duration,
+    /// Most waits for ends of jobs at once.
+    pub waiters: usize,
+    /// Time without news of a data centre's holder after which its queued jobs are moved.
+    pub rescue_after: Duration,
+}
+
+impl Default for EntryLimits {
+    fn default() -> Self {
+        Self {
+            body_bytes: 1024 * 1024,
+            max_deadline: Duration::from_secs(25),
+            max_wait: Duration::from_secs(25),
+            balancer_lag: Duration::from_secs(2),
+            stop_limit: Duration::from_secs(30),
+            waiters: 4096,
+            // A takeover takes 4 to 6 s, so a data centre that can recover by itself does so first.
+            rescue_after: Duration::from_secs(10),
+        }
+    }
+}
+
+impl TryFrom<RawLimits> for EntryLimits {
+    type Error = FieldError;
+    fn try_from(raw: RawLimits) -> Result<Self, FieldError> {
+        let defaults = Self::default();
+        let millis = |name, value, default: Duration| {
+            let highest = default.as_millis() as u64;
+            in_range(name, value, highest).map(Duration::from_millis)
+        };
+        Ok(Self {
+            body_bytes: in_range("limits.body_bytes", raw.body_bytes, defaults.body_bytes as u64)? as usize,
+            max_deadline: millis(
+                "limits.max_deadline_ms",
+                raw.max_deadline_ms,
+                defaults.max_deadline,
+            )?,
+            max_wait: millis("limits.max_wait_ms", raw.max_wait_ms, defaults.max_wait)?,
+            balancer_lag: millis(
+                "limits.balancer_lag_ms",
+                raw.balancer_lag_ms,
+                defaults.balancer_lag,
+            )?,
+            stop_limit: millis("limits.stop_limit_ms", raw.stop_limit_ms, defaults.stop_limit)?,
+            waiters: in_range("limits.waiters", raw.waiters, defaults.waiters as u64)? as usize,
+            rescue_after: millis(
+                "limits.rescue_after_ms",
+                raw.rescue_after_ms,
+                defaults.rescue_after,
+            )?,
+        })
+    }
+}
+
+fn in_range(name: &str, value: Option<u64>, highest: u64) -> Result<u64, FieldError> {
+    let value = value.unwrap_or(highest);
+    if !(1..=highest).contains(&value) {
+        return Err(FieldError::new(
+            name,
+            value,
+            format!("must be from 1 to {highest}"),
+        ));
+    }
+    Ok(value)
+}
--- /dev/null
+++ b/crates/entry/src/table/table_commit.rs
@@ -0,0 +1,57 @@
+use std::time::Duration;
+
+use arbutuspick_model::ClockTime;
+use arbutuspick_platform::{CallError, CallPriority, ProcessClock, TableClient};
+use arbutuspick_records::{CommitAnswer, CommitProgress, CommitResolution, CommitStep, TableTransaction};
+use tokio::time::sleep;
+
+/// Most calls for one commit, reads included.
+const MAX_CALLS: u32 = 40;
+/// Pause between two calls of one commit.
+const CALL_PAUSE: Duration = Duration::from_millis(100);
+
+/// Commits a transaction; when the answer is lost, repeats it or reads the rows back until the deadline.
+///
+/// A transaction of which no byte was sent is given up at once, so that callers can be told to retry.
+pub(crate) async fn commit(
+    table: &TableClient,
+    transaction: &TableTransaction,
+    priority: CallPriority,
+    deadline: ClockTime,
+) -> CommitResolution {
+    let clock = ProcessClock::new();
+    let mut progress = CommitProgress::new(transaction, deadline, MAX_CALLS);
+    let mut in_doubt = false;
+    loop {
+        let answer = match progress.step(clock.now()) {
+            CommitStep::Done(resolution) => return resolution,
+            CommitStep::Send => match table.transact(transaction, priority).await {
+                Ok(answer) => CommitAnswer::Result(answer.body),
+                Err(error) => failed(&error),
+            },
+            CommitStep::ReadBack(keys) => match table.read(&keys, priority).await {
+                Ok(answer) => CommitAnswer::Rows(answer.body),
+                Err(error) => failed(&error),
+            },
+        };
+        match &answer {
+            CommitAnswer::NotSent if !in_doubt => return CommitResolution::NotSent,
+            CommitAnswer::NotSent => sleep(CALL_PAUSE).await,
+            CommitAnswer::Lost => {
+                in_doubt = true;
+                sleep(CALL_PAUSE).await;
+            }
+            CommitAnswer::Result(_) | CommitAnswer::Rows(_) => {}
+        }
+        progress.record(answer);
+    }
+}
+
+fn failed(error: &CallError) -> CommitAnswer {
+    log::debug!("[table] call failed: {error}");
+    if error.had_no_effect() {
+        CommitAnswer::NotSent
+    } else {
+        CommitAnswer::Lost
+    }
+}
--- /dev/null
+++ b/crates/entry/src/watch/health_check.rs
@@ -0,0 +1,55 @@
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use arbutuspick_model::UpstreamName;
+use arbutuspick_platform::{UpstreamClient, UpstreamRequest};
+use axum::http::{HeaderMap, Method};
+use bytes::Bytes;
+use tokio::time::{MissedTickBehavior, interval};
+
+use crate::daemon::EntryContext;
+use crate::requests::is_leaving;
+
+/// Interval of the looks for silent upstreams; each is checked at most once a second.
+const LOOK_INTERVAL: Duration = Duration::from_millis(250);
+/// Time limit of one check, in milliseconds. An upstream is out of use after 3 s of silence.
+const CHECK_LIMIT_MS: u64 = 900;
+/// Path of the check.
+const HEALTH_PATH: &str = "/health";
+
+/// Checks upstreams from which nothing was heard lately, until the daemon ends.
+pub(crate) async fn run_health_checks(context: Arc<EntryContext>) {
+    let mut ticks = interval(LOOK_INTERVAL);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        ticks.tick().await;
+        for (name, address) in context.router.routing.stale(context.clock.now()) {
+            tokio::spawn(check(Arc::clone(&context), name, address));
+        }
+    }
+}
+
+async fn check(context: Arc<EntryContext>, name: UpstreamName, address: SocketAddr) {
+    // A connection of its own, so that a check never takes the place of a request.
+    let client = UpstreamClient::new(address, 1);
+    let request = UpstreamRequest {
+        method: Method::GET,
+        path: HEALTH_PATH.into(),
+        headers: HeaderMap::new(),
+        body: Bytes::new(),
+        deadline: context.clock.now() + CHECK_LIMIT_MS,
+    };
+    match client.send(request).await {
+        Ok(answer) => {
+            let now = context.clock.now();
+            if is_leaving(&answer.headers) {
+                context.router.routing.mark_leaving(&name, now);
+            }
+            if answer.status.is_success() {
+                context.router.routing.record_heard(&name, now);
+            }
+        }
+        Err(error) => log::debug!("[router] health check of {name} failed: {error}"),
+    }
+}
