Run the placement holder against the stand-ins

The loop had never been run. A test in one process now submits gangs, reads the stored result and replaces the holder while a gang runs; the successor adopts it without a second start.

--- a/crates/holder/src/placement_lease.rs
+++ b/crates/holder/src/placement_lease.rs
@@ -67,7 +67,7 @@
     links: &HolderLinks,
     shutdown: &CancellationToken,
 ) -> Option<PlacementLease> {
-    loop {
+    while !shutdown.is_cancelled() {
         match try_take(options, links).await {
             Ok(Some(lease)) => return Some(lease),
             Ok(None) => {}
@@ -79,6 +79,7 @@
             () = tokio::time::sleep_until(pause) => {}
         }
     }
+    None
 }
 
 async fn try_take(options: &HolderOptions, links: &HolderLinks) -> Result<Option<PlacementLease>, CallError> {
@@ -131,6 +132,7 @@
         let pause = links.clock.instant(links.clock.now() + RENEW_MS);
         tokio::select! {
             () = stop.cancelled() => return give_up(&lease, &links).await,
+            () = validity.closed() => return,
             () = tokio::time::sleep_until(pause) => {}
         }
         if !renew_once(&mut lease, &options, &links).await {
--- /dev/null
+++ b/crates/holder/tests/whole_path.rs
@@ -0,0 +1,211 @@
+//! Guards against a holder that does not bring a recorded job to its recorded outcome, or whose successor
+//! stops or repeats what runs.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::time::Duration;
+
+use arbutuspick_holder::{HolderLinks, HolderNotice, HolderOptions, HolderView, run_holder};
+use arbutuspick_model::{
+    AccountName, CentreName, FinalOutcome, GangShape, JobId, JobSpec, PlatformTime, PoolConfig, VmName,
+    WriteId,
+};
+use arbutuspick_platform::{
+    CallPriority, ClientOptions, CommitEnd, ObjectClient, ProcessClock, TableClient, VmClient,
+    commit_transaction,
+};
+use arbutuspick_records::{BodyDigest, JobRecord, JobState, JobSubmission, RowKey, Versioned, VmIdentity};
+use arbutuspick_sched::PlacementOptions;
+use arbutuspick_standins::{
+    FleetOptions, PlatformControl, PlatformOptions, PlatformStandin, TaskEnd, WorkerFleet,
+};
+use arc_swap::ArcSwap;
+use tokio::sync::mpsc;
+use tokio::time::{Instant, interval};
+use tokio_util::sync::CancellationToken;
+
+const PATIENCE: Duration = Duration::from_secs(30);
+
+struct HolderBench {
+    platform: PlatformStandin,
+    fleet: WorkerFleet,
+    table: TableClient,
+}
+
+struct RunningHolder {
+    notices: mpsc::Sender<HolderNotice>,
+    view: Arc<ArcSwap<HolderView>>,
+    shutdown: CancellationToken,
+    task: tokio::task::JoinHandle<()>,
+}
+
+fn trent() -> CentreName {
+    CentreName::try_from("trent").unwrap()
+}
+
+impl HolderBench {
+    async fn start(workers: usize) -> Self {
+        let platform = PlatformStandin::start(PlatformOptions::default()).await.unwrap();
+        let fleet = WorkerFleet::start(&FleetOptions::new(workers, trent()))
+            .await
+            .unwrap();
+        platform.control(&PlatformControl {
+            add_vms: fleet.entries(),
+            ..PlatformControl::default()
+        });
+        let table = TableClient::new(ClientOptions::new(platform.address()));
+        Self {
+            platform,
+            fleet,
+            table,
+        }
+    }
+
+    fn run_holder(&self, vm: &str) -> RunningHolder {
+        let options = ClientOptions::new(self.platform.address())
+            .with_writes_per_s(1_000)
+            .with_reads_per_s(1_000);
+        let links = HolderLinks {
+            table: TableClient::new(options.clone()),
+            objects: ObjectClient::new(options.clone()),
+            vms: VmClient::new(options),
+            clock: ProcessClock::new(),
+            config: Arc::new(ArcSwap::from_pointee(PoolConfig::default())),
+            out_centres: Arc::new(ArcSwap::from_pointee(BTreeSet::new())),
+            choose_centre: Arc::new(|_| None),
+            job_ended: Arc::new(|_| {}),
+        };
+        let options = HolderOptions {
+            data_centre: trent(),
+            identity: VmIdentity::generate(VmName::try_from(vm).unwrap()),
+            peer_address: "127.0.0.1:1".parse().unwrap(),
+            placement: PlacementOptions::default(),
+        };
+        let (notices, receiver) = mpsc::channel(16);
+        let view = Arc::new(ArcSwap::from_pointee(HolderView::default()));
+        let shutdown = CancellationToken::new();
+        let task = tokio::spawn(run_holder(
+            options,
+            links,
+            receiver,
+            view.clone(),
+            shutdown.clone(),
+        ));
+        RunningHolder {
+            notices,
+            view,
+            shutdown,
+            task,
+        }
+    }
+
+    async fn submit(&self, spec: JobSpec) -> JobId {
+        let job = JobId::generate();
+        let submission = JobSubmission {
+            job,
+            spec,
+            caller_key: None,
+            body_digest: BodyDigest::of(&[b"body"]),
+            data_centre: trent(),
+            now: self.platform.time(),
+            delete_key_after: PlatformTime(u64::MAX),
+        };
+        let change = JobRecord::submit(submission, WriteId::generate());
+        let deadline = ProcessClock::new().now() + 5_000;
+        let end = commit_transaction(
+            &self.table,
+            &change.transaction,
+            deadline,
+            CallPriority::Submission,
+        )
+        .await;
+        assert!(matches!(end, CommitEnd::Committed { .. }), "{end:?}");
+        job
+    }
+
+    fn record(&self, job: JobId) -> JobRecord {
+        let row = self.platform.row(&RowKey::Job(job).to_string()).unwrap();
+        Versioned::<JobRecord>::try_from(&row).unwrap().record
+    }
+
+    async fn reach<F>(&self, job: JobId, wanted: F) -> JobRecord
+    where
+        F: Fn(&JobRecord) -> bool,
+    {
+        let deadline = Instant::now() + PATIENCE;
+        let mut ticks = interval(Duration::from_millis(20));
+        loop {
+            ticks.tick().await;
+            let record = self.record(job);
+            if wanted(&record) {
+                return record;
+            }
+            assert!(Instant::now() < deadline, "job stays {record:?}");
+        }
+    }
+
+    fn finished_members(&self, job: JobId) -> usize {
+        let runs = self.fleet.workers.iter().flat_map(|worker| worker.log().runs);
+        runs.filter(|run| run.job == job && run.how == Some(TaskEnd::Finished))
+            .count()
+    }
+
+    fn started_members(&self, job: JobId) -> usize {
+        let runs = self.fleet.workers.iter().flat_map(|worker| worker.log().runs);
+        runs.filter(|run| run.job == job).count()
+    }
+}
+
+fn gang(tasks: u32, run_ms: u64) -> JobSpec {
+    let shape = GangShape {
+        tasks,
+        accelerators: 8,
+        ..GangShape::default()
+    };
+    JobSpec::new(AccountName::try_from("parks").unwrap())
+        .with_shape(shape)
+        .with_payload(format!("{{\"run_ms\": {run_ms}, \"output\": \"done\"}}"))
+}
+
+#[tokio::test]
+async fn gang_runs() {
+    let bench = HolderBench::start(4).await;
+    let holder = bench.run_holder("trent-1");
+    let job = bench.submit(gang(3, 200)).await;
+    let record = bench.reach(job, |record| record.state.is_final()).await;
+    assert!(
+        matches!(record.outcome, Some(FinalOutcome::Ran { .. })),
+        "{record:?}"
+    );
+    assert_eq!(bench.finished_members(job), 3);
+    let Some(FinalOutcome::Ran { result }) = record.outcome else {
+        unreachable!()
+    };
+    assert_eq!(
+        bench.platform.object(&result.object).unwrap().len() as u64,
+        result.bytes
+    );
+    assert!(holder.view.load().epoch.is_some());
+    drop(holder.notices);
+    holder.shutdown.cancel();
+    holder.task.await.unwrap();
+}
+
+#[tokio::test]
+async fn successor_adopts() {
+    let bench = HolderBench::start(3).await;
+    let first = bench.run_holder("trent-1");
+    let job = bench.submit(gang(3, 6_000)).await;
+    bench.reach(job, |record| record.state == JobState::Running).await;
+    // An aborted task ends without giving the lease up, as a killed process does.
+    first.task.abort();
+    let second = bench.run_holder("trent-2");
+    let record = bench.reach(job, |record| record.state.is_final()).await;
+    assert!(
+        matches!(record.outcome, Some(FinalOutcome::Ran { .. })),
+        "{record:?}"
+    );
+    assert_eq!(bench.started_members(job), 3, "members were started again");
+    second.shutdown.cancel();
+    second.task.await.unwrap();
+}
