Bind claims to their transaction and test interleavings

Two tasks of one process could claim the same key at once. The task whose answer was lost then withdrew the claim under which the other had sent the request, because both claims named the same process. A second VM could send the request again.

A RequestClaim now carries the id of its transaction; outcome and withdrawal need the row that this transaction wrote. A stateful test lets entry VMs, paused holders and operators interleave over MemoryTable with lost answers, lost requests and delayed duplicates, and an oracle checks every commit. Also adds Versioned::find and examples for the main records.

--- a/crates/records/src/centre_record.rs
+++ b/crates/records/src/centre_record.rs
@@ -14,6 +14,21 @@
 pub const START_PERMIT_MS: u64 = 2_000;
 
 /// Row `dc/{dc}`: operators' order for a data centre. Without the row the data centre is in.
+///
+/// ```
+/// use arbutuspick_model::{CentreName, OrderNumber, PlatformTime, WriteId};
+/// use arbutuspick_records::{CentreOrder, CentreRecord, OrderKind};
+/// let order = CentreOrder {
+///     data_centre: CentreName::try_from("trent")?,
+///     kind: OrderKind::Out { drain_deadline: PlatformTime(60_000) },
+///     based_on: OrderNumber(0),
+///     operator: "operator-1".into(),
+///     now: PlatformTime(0),
+/// };
+/// let change = CentreRecord::order(None, order, WriteId::generate()).unwrap();
+/// assert!(!change.record.permits_start());
+/// # Ok::<(), arbutuspick_model::FieldError>(())
+/// ```
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CentreRecord {
     /// State.
--- a/crates/records/src/job_record.rs
+++ b/crates/records/src/job_record.rs
@@ -156,6 +156,25 @@
 
 impl JobRecord {
     /// Plans the submission of a job: puts the rows of its key, the job and the notice to its holder.
+    ///
+    /// ```
+    /// use arbutuspick_model::{AccountName, CentreName, JobId, JobSpec, PlatformTime, WriteId};
+    /// use arbutuspick_records::memory::MemoryTable;
+    /// use arbutuspick_records::{BodyDigest, CommitResult, JobRecord, JobSubmission};
+    /// let submission = JobSubmission {
+    ///     job: JobId::generate(),
+    ///     spec: JobSpec::new(AccountName::try_from("parks")?),
+    ///     caller_key: None,
+    ///     body_digest: BodyDigest::of(&[b"{}"]),
+    ///     data_centre: CentreName::try_from("trent")?,
+    ///     now: PlatformTime(0),
+    ///     delete_key_after: PlatformTime(86_400_000),
+    /// };
+    /// let change = JobRecord::submit(submission, WriteId::generate());
+    /// let result = MemoryTable::default().commit(&change.transaction);
+    /// assert!(matches!(result, CommitResult::Committed { .. }));
+    /// # Ok::<(), arbutuspick_model::FieldError>(())
+    /// ```
     pub fn submit(submission: JobSubmission, write_id: WriteId) -> PlannedChange<Self> {
         let JobSubmission {
             job,
--- a/crates/records/src/key_record.rs
+++ b/crates/records/src/key_record.rs
@@ -88,6 +88,11 @@
     pub claimant: VmIdentity,
     /// Time after which the row may be deleted.
     pub delete_after: PlatformTime,
+    /// Transaction of the claim.
+    ///
+    /// Tasks of one process may claim the same key at once. The id tells their claims apart, so that one
+    /// task does not withdraw the claim under which another sent the request.
+    pub write_id: WriteId,
 }
 
 /// A change of a key row that its record does not allow.
@@ -152,15 +157,16 @@
     /// Plans the claim: the row is absent, or holds a withdrawn claim for the same body.
     ///
     /// The request may be sent only after this transaction is known to have committed.
-    pub fn claim(
-        &self,
-        row: Option<&Versioned<KeyRecord>>,
-        write_id: WriteId,
-    ) -> Result<PlannedChange<KeyRecord>, ClaimError> {
+    pub fn claim(&self, row: Option<&Versioned<KeyRecord>>) -> Result<PlannedChange<KeyRecord>, ClaimError> {
         if let Some(row) = row {
             self.check_free(&row.record)?;
         }
-        Ok(self.planned(row, ClaimState::Claimed, write_id))
+        Ok(self.planned(row, ClaimState::Claimed, self.write_id))
+    }
+
+    /// Returns whether the row holds this claim and no outcome.
+    pub fn holds(&self, row: &KeyRecord) -> bool {
+        row.is_claimed_by(&self.claimant) && row.write_id == self.write_id
     }
 
     /// Plans to record the outcome of the request.
@@ -172,7 +178,7 @@
     ) -> Result<PlannedChange<KeyRecord>, ClaimError> {
         let claimant = &self.claimant;
         snafu::ensure!(
-            row.record.is_claimed_by(claimant),
+            self.holds(&row.record),
             claim_error::NotHeldSnafu {
                 claimant: claimant.clone()
             }
@@ -180,10 +186,10 @@
         Ok(self.planned(Some(row), ClaimState::Finished { outcome }, write_id))
     }
 
-    /// Plans to withdraw a claim whose request did not run; nothing when there is nothing to withdraw.
+    /// Plans to withdraw this claim, whose request did not run; nothing when there is nothing to withdraw.
     ///
-    /// An absent row or a withdrawn claim is overwritten as well, so that a delayed claim of this
-    /// process, whose answer was lost, can no longer commit.
+    /// An absent row or a withdrawn claim is overwritten as well, so that the claim can no longer
+    /// commit when its answer was lost and it is delayed.
     pub fn withdraw(
         &self,
         row: Option<&Versioned<KeyRecord>>,
@@ -191,10 +197,7 @@
     ) -> Option<PlannedChange<KeyRecord>> {
         let needed = match row.map(|row| &row.record) {
             None => true,
-            Some(record) => {
-                record.digest == self.digest
-                    && (record.is_claimed_by(&self.claimant) || record.is_withdrawn())
-            }
+            Some(record) => self.holds(record) || record.is_withdrawn() && record.digest == self.digest,
         };
         needed.then(|| self.planned(row, ClaimState::Withdrawn, write_id))
     }
--- a/crates/records/src/turn_record.rs
+++ b/crates/records/src/turn_record.rs
@@ -6,6 +6,15 @@
 use crate::{CalendarMonth, PlannedChange, RowKey, RowVersion, TableTransaction, Versioned};
 
 /// Row `turn`: the month and the owner who decides in it.
+///
+/// ```
+/// use arbutuspick_model::{OwnerName, PlatformTime, WriteId};
+/// use arbutuspick_records::TurnRecord;
+/// let rotation = vec![OwnerName::try_from("association")?, OwnerName::try_from("copa-viva")?];
+/// let turn = TurnRecord::begin(rotation, PlatformTime(0), WriteId::generate()).unwrap().record;
+/// assert_eq!((turn.month.to_string().as_str(), turn.owner.as_str()), ("1970-01", "association"));
+/// # Ok::<(), arbutuspick_model::FieldError>(())
+/// ```
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct TurnRecord {
     /// Month.
--- a/crates/records/src/versioned.rs
+++ b/crates/records/src/versioned.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 use snafu::{ResultExt, Snafu};
 
-use crate::{RowVersion, TableRow};
+use crate::{RowKey, RowVersion, TableRow};
 
 /// A row whose value is not the JSON document that its key promises.
 #[derive(Debug, Snafu)]
@@ -45,6 +45,20 @@
     }
 }
 
+impl<R> Versioned<R>
+where
+    R: DeserializeOwned,
+{
+    /// Decodes the row with a key among rows that were read, if it is there.
+    pub fn find(rows: &[TableRow], key: &RowKey) -> Result<Option<Self>, DecodeError> {
+        let key = key.to_string();
+        rows.iter()
+            .find(|row| *row.key == *key)
+            .map(Self::try_from)
+            .transpose()
+    }
+}
+
 impl<R> TryFrom<&TableRow> for Versioned<R>
 where
     R: DeserializeOwned,
--- a/crates/records/tests/claims.rs
+++ b/crates/records/tests/claims.rs
@@ -21,35 +21,32 @@
 
 #[test]
 fn one_claimant() {
-    let (first, second) = (claim(&process("vm-1")), claim(&process("vm-2")));
+    let (first, second) = (claim(&process("vm-1"), 1), claim(&process("vm-2"), 2));
     let mut table = MemoryTable::default();
-    let row = commit(&mut table, first.claim(None, write(1)).unwrap());
-    assert!(conflicts(
-        &mut table,
-        &second.claim(None, write(2)).unwrap().transaction
-    ));
+    let row = commit(&mut table, first.claim(None).unwrap());
+    assert!(conflicts(&mut table, &second.claim(None).unwrap().transaction));
     assert_eq!(verdict(&row, &first), ClaimVerdict::Mine);
     assert_eq!(
         verdict(&row, &second),
         ClaimVerdict::ClaimedElsewhere(first.claimant.clone())
     );
     assert!(matches!(
-        second.claim(Some(&row), write(3)),
+        second.claim(Some(&row)),
         Err(ClaimError::NotFree { .. })
     ));
     assert!(matches!(
-        second.finish(&row, outcome(), write(3)),
+        second.finish(&row, outcome(), write(13)),
         Err(ClaimError::NotHeld { .. })
     ));
-    assert_eq!(second.withdraw(Some(&row), write(3)), None);
+    assert_eq!(second.withdraw(Some(&row), write(13)), None);
 }
 
 /// A restarted process does not know whether its predecessor sent the request.
 #[test]
 fn restarted_claimant() {
-    let first = claim(&process("vm-1"));
-    let row = commit(&mut MemoryTable::default(), first.claim(None, write(1)).unwrap());
-    let restarted = claim(&process("vm-1"));
+    let first = claim(&process("vm-1"), 1);
+    let row = commit(&mut MemoryTable::default(), first.claim(None).unwrap());
+    let restarted = claim(&process("vm-1"), 1);
     assert_eq!(
         verdict(&row, &restarted),
         ClaimVerdict::ClaimedElsewhere(first.claimant)
@@ -58,23 +55,23 @@
 
 #[test]
 fn replay() {
-    let (first, second) = (claim(&process("vm-1")), claim(&process("vm-2")));
+    let (first, second) = (claim(&process("vm-1"), 1), claim(&process("vm-2"), 2));
     let mut table = MemoryTable::default();
-    let row = commit(&mut table, first.claim(None, write(1)).unwrap());
-    let row = commit(&mut table, first.finish(&row, outcome(), write(2)).unwrap());
+    let row = commit(&mut table, first.claim(None).unwrap());
+    let row = commit(&mut table, first.finish(&row, outcome(), write(12)).unwrap());
     assert_eq!(verdict(&row, &second), ClaimVerdict::Replay(outcome()));
-    assert!(first.finish(&row, outcome(), write(3)).is_err());
-    assert_eq!(first.withdraw(Some(&row), write(3)), None);
+    assert!(first.finish(&row, outcome(), write(13)).is_err());
+    assert_eq!(first.withdraw(Some(&row), write(13)), None);
 }
 
 #[test]
 fn withdrawn_claim() {
-    let (first, second) = (claim(&process("vm-1")), claim(&process("vm-2")));
+    let (first, second) = (claim(&process("vm-1"), 1), claim(&process("vm-2"), 2));
     let mut table = MemoryTable::default();
-    let row = commit(&mut table, first.claim(None, write(1)).unwrap());
-    let row = commit(&mut table, first.withdraw(Some(&row), write(2)).unwrap());
+    let row = commit(&mut table, first.claim(None).unwrap());
+    let row = commit(&mut table, first.withdraw(Some(&row), write(12)).unwrap());
     assert_eq!(verdict(&row, &second), ClaimVerdict::Fresh);
-    let row = commit(&mut table, second.claim(Some(&row), write(3)).unwrap());
+    let row = commit(&mut table, second.claim(Some(&row)).unwrap());
     assert_eq!(
         verdict(&row, &first),
         ClaimVerdict::ClaimedElsewhere(second.claimant)
@@ -84,21 +81,32 @@
 /// A claim that arrives after it was withdrawn would block the key for good.
 #[test]
 fn delayed_claim() {
-    let (first, second) = (claim(&process("vm-1")), claim(&process("vm-2")));
+    let (first, second) = (claim(&process("vm-1"), 1), claim(&process("vm-2"), 2));
     let mut table = MemoryTable::default();
-    let delayed = first.claim(None, write(1)).unwrap();
-    let row = commit(&mut table, first.withdraw(None, write(2)).unwrap());
+    let delayed = first.claim(None).unwrap();
+    let row = commit(&mut table, first.withdraw(None, write(12)).unwrap());
     assert!(conflicts(&mut table, &delayed.transaction));
-    let delayed = first.claim(Some(&row), write(3)).unwrap();
-    let row = commit(&mut table, first.withdraw(Some(&row), write(4)).unwrap());
+    let delayed = first.claim(Some(&row)).unwrap();
+    let row = commit(&mut table, first.withdraw(Some(&row), write(14)).unwrap());
     assert!(conflicts(&mut table, &delayed.transaction));
     assert_eq!(verdict(&row, &second), ClaimVerdict::Fresh);
 }
 
+/// A task that withdraws its lost claim must not withdraw the claim under which another task sent.
+#[test]
+fn two_tasks() {
+    let sent = claim(&process("vm-1"), 1);
+    let mut lost = sent.clone();
+    lost.write_id = write(2);
+    let row = commit(&mut MemoryTable::default(), sent.claim(None).unwrap());
+    assert_eq!(lost.withdraw(Some(&row), write(13)), None);
+    assert!(lost.finish(&row, outcome(), write(13)).is_err());
+}
+
 #[test]
 fn different_body() {
-    let first = claim(&process("vm-1"));
-    let row = first.claim(None, write(1)).unwrap().record;
+    let first = claim(&process("vm-1"), 1);
+    let row = first.claim(None).unwrap().record;
     let other = BodyDigest::of(&[b"other"]);
     assert_eq!(
         judge_claim(Some(&row), other, &first.claimant),
@@ -114,7 +122,7 @@
 fn submitted_job() {
     let job = submission("trent", true).job;
     let digest = BodyDigest::of(&[b"body"]);
-    let row = KeyRecord::for_job(job, digest, NOW, write(1));
+    let row = KeyRecord::for_job(job, digest, NOW, write(11));
     assert_eq!(judge_submission(None, digest), Ok(None));
     assert_eq!(judge_submission(Some(&row), digest), Ok(Some(job)));
     assert_eq!(
@@ -125,12 +133,12 @@
 
 #[test]
 fn early_deletion() {
-    let first = claim(&process("vm-1"));
+    let first = claim(&process("vm-1"), 1);
     let mut table = MemoryTable::default();
-    let row = commit(&mut table, first.claim(None, write(1)).unwrap());
+    let row = commit(&mut table, first.claim(None).unwrap());
     let key = first.row_key();
-    assert!(row.delete(&key, row.record.delete_after, write(2)).is_err());
-    let transaction = row.delete(&key, row.record.delete_after + 1, write(2)).unwrap();
+    assert!(row.delete(&key, row.record.delete_after, write(12)).is_err());
+    let transaction = row.delete(&key, row.record.delete_after + 1, write(12)).unwrap();
     assert!(!conflicts(&mut table, &transaction) && table.get(&key.to_string()).is_none());
 }
 
--- /dev/null
+++ b/crates/records/tests/interleavings/oracle.rs
@@ -0,0 +1,307 @@
+use std::collections::{BTreeMap, BTreeSet};
+
+use arbutuspick_model::{
+    AttemptNumber, CentreName, CentreState, ConfigRevision, FinalOutcome, JobId, OwnerName, PlatformTime,
+    WriteId,
+};
+use arbutuspick_records::memory::MemoryTable;
+use arbutuspick_records::{
+    BodyDigest, CentreRecord, ClaimOutcome, ClaimState, EpochRecord, HeadRecord, InboxRecord, JobNotice,
+    JobRecord, JobState, KeyRecord, KeyUsage, LeaseRecord, RevisionRecord, RowKey, ScanQuery, TableRow,
+    TurnRecord, Versioned, VmIdentity,
+};
+use serde::de::DeserializeOwned;
+
+/// What a transaction is for, as far as the oracle must know it.
+#[derive(Clone, Debug)]
+pub(crate) enum Intent {
+    Submit {
+        job: JobId,
+        key: RowKey,
+        digest: BodyDigest,
+    },
+    Claim,
+    Take {
+        vm: u8,
+        centre: CentreName,
+    },
+    Start {
+        centre: CentreName,
+        holder: VmIdentity,
+        job: JobId,
+        attempt: AttemptNumber,
+        runs: bool,
+    },
+    Checkpoint {
+        job: JobId,
+    },
+    Decide {
+        owner: OwnerName,
+    },
+    Advance,
+    Other,
+}
+
+/// What really happened to one attempt of a job, whatever its row says.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Attempt {
+    pub(crate) ran: bool,
+    pub(crate) voided: bool,
+    pub(crate) checkpointed: bool,
+}
+
+/// A request that a process sent under a claim.
+#[derive(Clone, Debug)]
+pub(crate) struct Sent {
+    pub(crate) key: RowKey,
+    pub(crate) claim: WriteId,
+    pub(crate) not_run: bool,
+}
+
+/// Facts that the table must agree with after every commit.
+#[derive(Debug, Default)]
+pub(crate) struct Oracle {
+    pub(crate) attempts: BTreeMap<JobId, Vec<Attempt>>,
+    pub(crate) sent: Vec<Sent>,
+    pub(crate) accepted: Vec<(JobId, RowKey, BodyDigest)>,
+    pub(crate) committed: BTreeSet<WriteId>,
+    pub(crate) denied: BTreeSet<WriteId>,
+    outcomes: BTreeMap<JobId, FinalOutcome>,
+    replies: BTreeMap<String, ClaimOutcome>,
+    revisions: Vec<TableRow>,
+}
+
+fn load<R>(table: &MemoryTable, key: RowKey) -> Option<R>
+where
+    R: DeserializeOwned,
+{
+    table.load(&key).unwrap().map(|row: Versioned<R>| row.record)
+}
+
+pub(crate) fn scan<R>(table: &MemoryTable, prefix: &str) -> Vec<(TableRow, Versioned<R>)>
+where
+    R: DeserializeOwned,
+{
+    let query = ScanQuery {
+        prefix: prefix.into(),
+        after: None,
+        limit: 1_000,
+    };
+    let rows = table.scan(&query).rows;
+    rows.into_iter()
+        .map(|row| (row.clone(), Versioned::try_from(&row).unwrap()))
+        .collect()
+}
+
+impl Oracle {
+    /// Checks a transaction that committed, given the tables before and after it.
+    pub(crate) fn committed(
+        &mut self,
+        id: WriteId,
+        intent: &Intent,
+        before: &MemoryTable,
+        after: &MemoryTable,
+        now: PlatformTime,
+    ) {
+        assert!(self.committed.insert(id), "transaction {id} committed twice");
+        assert!(
+            !self.denied.contains(&id),
+            "transaction {id} committed after a conflict was reported"
+        );
+        match intent {
+            Intent::Start {
+                centre, holder, job, ..
+            } => {
+                let order: CentreRecord = load(before, RowKey::Centre(centre.clone())).unwrap_or_default();
+                let open = matches!(order.state, CentreState::In | CentreState::Returning);
+                assert!(open, "start while the data centre is {:?}", order.state);
+                let epoch: EpochRecord = load(before, RowKey::Epoch(centre.clone())).unwrap();
+                assert_eq!(epoch.holder, *holder, "start with an old epoch");
+                self.attempts.entry(*job).or_default().push(Attempt::default());
+            }
+            Intent::Checkpoint { job } => {
+                self.attempts
+                    .get_mut(job)
+                    .unwrap()
+                    .last_mut()
+                    .unwrap()
+                    .checkpointed = true;
+            }
+            Intent::Take { centre, .. } => check_takeover(centre, before, after, now),
+            Intent::Decide { owner } => {
+                let turn: TurnRecord = load(before, RowKey::Turn).unwrap();
+                assert_eq!(turn.owner, *owner, "decision in the month of another owner");
+            }
+            Intent::Advance => {
+                let [old, new] = [before, after].map(|table| load::<TurnRecord>(table, RowKey::Turn));
+                assert_eq!(
+                    new.unwrap().month,
+                    old.unwrap().month.next(),
+                    "turn skipped a month"
+                );
+            }
+            Intent::Submit { .. } | Intent::Claim | Intent::Other => {}
+        }
+    }
+
+    /// Records that a request is sent now.
+    pub(crate) fn send(&mut self, sent: Sent) {
+        let doubled = self
+            .sent
+            .iter()
+            .any(|other| other.key == sent.key && !other.not_run);
+        assert!(!doubled, "request of {} is sent twice", sent.key);
+        self.sent.push(sent);
+    }
+
+    pub(crate) fn check(&mut self, table: &MemoryTable) {
+        self.check_jobs(table);
+        self.check_accepted(table);
+        self.check_replies(table);
+        self.check_revisions(table);
+    }
+
+    fn check_jobs(&mut self, table: &MemoryTable) {
+        let mut keys = BTreeSet::new();
+        for (_, Versioned { record, .. }) in scan::<JobRecord>(table, "job/") {
+            assert!(
+                keys.insert(record.caller_key.clone()),
+                "two jobs with key {:?}",
+                record.caller_key
+            );
+            self.check_outcome(&record);
+            self.check_attempts(&record);
+            check_index(table, &record);
+        }
+    }
+
+    fn check_outcome(&mut self, record: &JobRecord) {
+        if let Some(outcome) = self.outcomes.get(&record.job) {
+            assert_eq!(record.outcome.as_ref(), Some(outcome), "final outcome changed");
+        }
+        let expected = match &record.outcome {
+            None => None,
+            Some(FinalOutcome::Ran { .. }) => Some(JobState::Ran),
+            Some(FinalOutcome::NotRun { .. }) => Some(JobState::NotRun),
+            Some(FinalOutcome::Unknown { .. }) => Some(JobState::Unknown),
+        };
+        assert_eq!(
+            record.state.is_final().then_some(record.state),
+            expected,
+            "state without outcome"
+        );
+        if let Some(outcome) = &record.outcome {
+            self.outcomes.insert(record.job, outcome.clone());
+        }
+    }
+
+    fn check_attempts(&self, record: &JobRecord) {
+        let attempts = self.attempts.get(&record.job).map_or(&[][..], Vec::as_slice);
+        let ran = attempts.iter().filter(|attempt| attempt.ran);
+        match record.state {
+            JobState::NotRun => assert_eq!(ran.clone().count(), 0, "job that ran is reported as not run"),
+            JobState::Ran => assert_ne!(ran.clone().count(), 0, "job that never ran has a result"),
+            _ => {}
+        }
+        let runs = ran.filter(|attempt| !attempt.checkpointed).count();
+        assert!(
+            record.spec.idempotent || runs <= 1,
+            "non-idempotent job ran twice"
+        );
+    }
+
+    fn check_accepted(&self, table: &MemoryTable) {
+        for (job, key, digest) in &self.accepted {
+            let row: Option<JobRecord> = load(table, RowKey::Job(*job));
+            let Some(row) = row else {
+                panic!("accepted job {job} is lost")
+            };
+            assert_eq!(
+                row.body_digest, *digest,
+                "key {key} was accepted for another body"
+            );
+        }
+    }
+
+    fn check_replies(&mut self, table: &MemoryTable) {
+        for (row, Versioned { record, .. }) in scan::<KeyRecord>(table, "key/") {
+            let reply = match record.usage {
+                KeyUsage::Claim {
+                    state: ClaimState::Finished { outcome },
+                    ..
+                } => Some(outcome),
+                _ => None,
+            };
+            let known = self.replies.get(&*row.key);
+            assert!(
+                known.is_none() || known == reply.as_ref(),
+                "outcome of {} changed",
+                row.key
+            );
+            reply
+                .into_iter()
+                .for_each(|reply| drop(self.replies.insert(row.key.to_string(), reply)));
+        }
+    }
+
+    fn check_revisions(&mut self, table: &MemoryTable) {
+        let rows = scan::<RevisionRecord>(table, "config/rev/");
+        let head: Option<HeadRecord> = load(table, RowKey::Head);
+        let head = head.map_or(0, |head| head.revision.0);
+        assert_eq!(head, rows.len() as u64, "head is not the number of revisions");
+        assert!(
+            rows.len() <= self.revisions.len() + 1,
+            "revision grew by more than one"
+        );
+        for (index, (row, Versioned { record, .. })) in rows.iter().enumerate() {
+            assert_eq!(
+                record.change.revision,
+                ConfigRevision(index as u64 + 1),
+                "gap in the revisions"
+            );
+            let known = self.revisions.get(index);
+            assert!(
+                known.is_none_or(|known| known == row),
+                "revision {} changed",
+                index + 1
+            );
+        }
+        assert!(rows.len() >= self.revisions.len(), "accepted revision is lost");
+        self.revisions = rows.into_iter().map(|(row, _)| row).collect();
+    }
+}
+
+/// An unfinished job is known to its data centre by a notice or an index entry, a finished one by neither.
+fn check_index(table: &MemoryTable, record: &JobRecord) {
+    for centre in ["trent", "severn"].map(|name| CentreName::try_from(name).unwrap()) {
+        let here = centre == record.data_centre && !record.state.is_final();
+        let placed = table
+            .get(&RowKey::Placed(centre.clone(), record.job).to_string())
+            .is_some();
+        let notice: Option<InboxRecord> = load(table, RowKey::Inbox(centre, record.job));
+        let noticed = notice.is_some();
+        let assigned = notice.is_some_and(|row| row.notice == JobNotice::Assigned);
+        assert!(
+            here || !placed && !assigned,
+            "job {} is indexed where it is not",
+            record.job
+        );
+        // A new holder reads the job row for each notice, whichever it is.
+        assert!(
+            !here || placed || noticed,
+            "job {} is lost to its data centre",
+            record.job
+        );
+    }
+}
+
+fn check_takeover(centre: &CentreName, before: &MemoryTable, after: &MemoryTable, now: PlatformTime) {
+    let lease: Option<LeaseRecord> = load(before, RowKey::Lease(centre.clone()));
+    assert!(
+        lease.is_none_or(|lease| lease.deadline <= now),
+        "lease was taken before its deadline"
+    );
+    let epoch =
+        |table| load::<EpochRecord>(table, RowKey::Epoch(centre.clone())).map_or(0, |row| row.epoch.0);
+    assert_eq!(epoch(after), epoch(before) + 1, "epoch did not grow by one");
+}
--- a/crates/records/tests/record_json.rs
+++ b/crates/records/tests/record_json.rs
@@ -5,7 +5,7 @@
 use arbutuspick_model::{DoubtReason, RefusalReason};
 use arbutuspick_records::{
     BodyDigest, ClaimOutcome, ClaimState, JobEnding, JobRecord, KeyRecord, KeyUsage, RecordedBody,
-    RecordedResponse, RowVersion, TableRow, Versioned, is_mine,
+    RecordedResponse, RowKey, RowVersion, TableRow, Versioned, is_mine,
 };
 use support::*;
 
@@ -47,8 +47,10 @@
     let job = submit(&mut table, false);
     let ending = JobEnding::Refused(RefusalReason::NeverFits);
     let ended = commit(&mut table, job.finish(ending, &guard, write(5)).unwrap());
-    let key = arbutuspick_records::RowKey::Job(job.record.job);
-    assert_eq!(table.load::<JobRecord>(&key).unwrap(), Some(ended));
+    let key = RowKey::Job(job.record.job);
+    let rows = [table.get(&key.to_string()).unwrap().clone()];
+    assert_eq!(Versioned::find(&rows, &key).unwrap(), Some(ended));
+    assert_eq!(Versioned::<JobRecord>::find(&rows, &RowKey::Turn).unwrap(), None);
 }
 
 #[test]
--- a/crates/records/tests/support/mod.rs
+++ b/crates/records/tests/support/mod.rs
@@ -110,12 +110,13 @@
     }
 }
 
-pub fn claim(process: &VmIdentity) -> RequestClaim {
+pub fn claim(process: &VmIdentity, number: u128) -> RequestClaim {
     RequestClaim {
         account: account(),
         key: key("slot-7"),
         digest: BodyDigest::of(&[b"body"]),
         claimant: process.clone(),
         delete_after: NOW + 86_400_000,
+        write_id: write(number),
     }
 }
