--- /dev/null
+++ b/crates/entry/tests/harness/mod.rs
@@ -0,0 +1,581 @@
+//! A pool of stand-ins in this process and entry daemons in processes of their own, all on loopback.
+
+#![allow(dead_code, reason = "every test file uses a part of the harness")]
+
+use std::fs;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU16, Ordering};
+use std::time::Duration;
+
+use arbutuspick_model::{CentreName, ServiceName};
+use arbutuspick_standins::{
+    FleetOptions, PlatformControl, PlatformOptions, PlatformStandin, TaskEnd, TaskRun, UpstreamFleet,
+    UpstreamFleetOptions, WorkerFleet,
+};
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::header::HeaderMap;
+use hyper::{Method, Request, StatusCode};
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::TokioExecutor;
+use serde_json::{Value, json};
+use tokio::time::{Instant, MissedTickBehavior, interval, timeout};
+
+/// Time in which a condition that a test waits for has to become true.
+pub(crate) const PATIENCE: Duration = Duration::from_secs(40);
+const POLL: Duration = Duration::from_millis(25);
+const CALL_TIMEOUT: Duration = Duration::from_secs(35);
+const PORTS_PER_POOL: u16 = 64;
+
+static NEXT_POOL: AtomicU16 = AtomicU16::new(0);
+
+/// Sizes of a pool.
+#[derive(Clone, Debug)]
+pub(crate) struct PoolOptions {
+    /// Data centres with their number of entry VMs.
+    pub(crate) centres: Vec<(&'static str, usize)>,
+    /// Workers of each data centre.
+    pub(crate) workers: usize,
+    /// Upstreams of each data centre.
+    pub(crate) upstreams: usize,
+    /// Accounts, each with its home data centre, accelerators of a guaranteed cell, and cells.
+    pub(crate) accounts: Vec<(&'static str, &'static str, u32, u32)>,
+}
+
+impl Default for PoolOptions {
+    fn default() -> Self {
+        Self {
+            centres: vec![("trent", 2)],
+            workers: 4,
+            upstreams: 2,
+            accounts: vec![("parks", "trent", 0, 0)],
+        }
+    }
+}
+
+/// An entry daemon in a process of its own.
+pub(crate) struct EntryProcess {
+    pub(crate) name: String,
+    pub(crate) centre: &'static str,
+    pub(crate) http: SocketAddr,
+    settings: PathBuf,
+    child: Option<Child>,
+}
+
+impl EntryProcess {
+    /// Starts the process, for the first time or as a replacement with nothing kept.
+    pub(crate) fn start(&mut self) {
+        let log = fs::File::create(self.settings.with_extension(format!("{}.log", rand_suffix()))).unwrap();
+        let child = Command::new(env!("CARGO_BIN_EXE_arbutuspick"))
+            .args(["entry", "--settings"])
+            .arg(&self.settings)
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .stderr(log)
+            .spawn()
+            .expect("the daemon starts");
+        self.child = Some(child);
+    }
+
+    /// Kills the process at once.
+    pub(crate) fn kill(&mut self) {
+        if let Some(mut child) = self.child.take() {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+
+    /// Stops the process from running, as a paused VM does.
+    pub(crate) fn freeze(&self) {
+        self.signal("-STOP");
+    }
+
+    /// Lets a frozen process run on.
+    pub(crate) fn thaw(&self) {
+        self.signal("-CONT");
+    }
+
+    /// Asks for a planned stop.
+    pub(crate) fn terminate(&self) {
+        self.signal("-TERM");
+    }
+
+    /// Waits for the end of a planned stop and returns the exit code.
+    pub(crate) async fn exit_code(&mut self) -> i32 {
+        let mut child = self.child.take().expect("the daemon runs");
+        wait_until("the daemon exits", async || child.try_wait().unwrap())
+            .await
+            .code()
+            .unwrap_or(-1)
+    }
+
+    fn signal(&self, signal: &str) {
+        let child = self.child.as_ref().expect("the daemon runs");
+        let status = Command::new("kill")
+            .args([signal, &child.id().to_string()])
+            .status()
+            .unwrap();
+        assert!(status.success());
+    }
+}
+
+impl Drop for EntryProcess {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+/// Stand-ins and entry daemons.
+pub(crate) struct TestPool {
+    pub(crate) platform: PlatformStandin,
+    pub(crate) fleets: Vec<WorkerFleet>,
+    pub(crate) upstreams: Vec<UpstreamFleet>,
+    pub(crate) entries: Vec<EntryProcess>,
+    pub(crate) api: ApiClient,
+    directory: PathBuf,
+}
+
+impl TestPool {
+    /// Starts everything, puts the accounts in force and waits until every daemon is ready.
+    pub(crate) async fn start(options: PoolOptions) -> Self {
+        let pool = NEXT_POOL.fetch_add(1, Ordering::Relaxed);
+        let centres: Vec<&'static str> = options.centres.iter().map(|(name, _)| *name).collect();
+        let doors = centres.iter().map(|name| (*name).to_owned()).collect();
+        let platform = PlatformStandin::start(PlatformOptions {
+            doors,
+            ..PlatformOptions::default()
+        })
+        .await
+        .unwrap();
+        let mut fleets = Vec::new();
+        let mut upstreams = Vec::new();
+        for name in &centres {
+            let centre = CentreName::try_from(*name).unwrap();
+            let workers = FleetOptions {
+                platform: Some(platform.address()),
+                ..FleetOptions::new(options.workers, centre.clone())
+            };
+            fleets.push(WorkerFleet::start(&workers).await.unwrap());
+            let service = ServiceName::try_from("booking").unwrap();
+            let fleet = UpstreamFleetOptions::new(options.upstreams, centre, service);
+            upstreams.push(UpstreamFleet::start(&fleet).await.unwrap());
+        }
+        let vms = fleets.iter().flat_map(WorkerFleet::entries);
+        let vms = vms
+            .chain(upstreams.iter().flat_map(UpstreamFleet::entries))
+            .collect();
+        platform.control(&PlatformControl {
+            add_vms: vms,
+            ..PlatformControl::default()
+        });
+        let directory =
+            PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("pool-{}-{pool}", std::process::id()));
+        fs::create_dir_all(&directory).unwrap();
+        let entries = write_settings(&options, pool, &platform, &directory);
+        let mut pool = Self {
+            platform,
+            fleets,
+            upstreams,
+            entries,
+            api: ApiClient::new(),
+            directory,
+        };
+        for entry in &mut pool.entries {
+            entry.start();
+        }
+        pool.wait_ready().await;
+        pool.put_accounts(&options).await;
+        pool
+    }
+
+    /// Waits until every daemon is ready and every data centre has a placement holder with its workers.
+    pub(crate) async fn wait_ready(&self) {
+        for entry in &self.entries {
+            wait_until("the daemon is ready", async || {
+                self.api.is_ready(entry.http).await.then_some(())
+            })
+            .await;
+        }
+        for (centre, fleet) in self.fleets.iter().enumerate() {
+            let joined = async || (self.joined_workers(centre).await >= fleet.workers.len()).then_some(());
+            wait_until("the workers have joined", joined).await;
+        }
+    }
+
+    /// Waits until an entry VM of the data centre holds its placement lease, and returns its index.
+    pub(crate) async fn holder_of(&self, centre: &str) -> usize {
+        wait_until("the data centre has a holder", async || {
+            for (index, entry) in self
+                .entries
+                .iter()
+                .enumerate()
+                .filter(|(_, entry)| entry.centre == centre)
+            {
+                let path = "/v1/operator/workers";
+                let answer = self
+                    .api
+                    .call(entry.http, Method::GET, path, OPERATOR, None, &[])
+                    .await;
+                let body = answer.ok().and_then(|answer| answer.json()).unwrap_or_default();
+                if !body["holder"].is_null() {
+                    return Some(index);
+                }
+            }
+            None
+        })
+        .await
+    }
+
+    async fn joined_workers(&self, centre: usize) -> usize {
+        let name = self.fleet_centre(centre);
+        let mut most = 0;
+        for entry in self.entries.iter().filter(|entry| entry.centre == name) {
+            let answer = self
+                .api
+                .call(
+                    entry.http,
+                    Method::GET,
+                    "/v1/operator/workers",
+                    OPERATOR,
+                    None,
+                    &[],
+                )
+                .await;
+            let Some(body) = answer.ok().and_then(|answer| answer.json()) else {
+                continue;
+            };
+            let workers = body["holder"]["workers"].as_array().cloned().unwrap_or_default();
+            most = most.max(workers.iter().filter(|worker| worker["joined"] == true).count());
+        }
+        most
+    }
+
+    fn fleet_centre(&self, centre: usize) -> &'static str {
+        let mut names: Vec<&'static str> = Vec::new();
+        for entry in &self.entries {
+            if !names.contains(&entry.centre) {
+                names.push(entry.centre);
+            }
+        }
+        names[centre]
+    }
+
+    async fn put_accounts(&self, options: &PoolOptions) {
+        for (account, centre, accelerators, cells) in &options.accounts {
+            let questionnaire = questionnaire(account, centre, *accelerators, *cells);
+            self.accept(&questionnaire).await;
+        }
+    }
+
+    /// Proposes a configuration and accepts it as the owner of the month.
+    pub(crate) async fn accept(&self, questionnaire: &Value) -> Value {
+        let http = self.entries[0].http;
+        let proposed = self
+            .api
+            .call(
+                http,
+                Method::POST,
+                "/v1/operator/questionnaires",
+                OPERATOR,
+                Some(questionnaire),
+                &[],
+            )
+            .await
+            .unwrap();
+        assert!(proposed.status.is_success(), "{proposed:?}");
+        let id = proposed.json().unwrap()["proposal"].as_str().unwrap().to_owned();
+        let path = format!("/v1/operator/proposals/{id}/accept");
+        let accepted = self
+            .api
+            .call(http, Method::POST, &path, OWNER, Some(&json!({})), &[])
+            .await
+            .unwrap();
+        assert!(accepted.status.is_success(), "{accepted:?}");
+        accepted.json().unwrap()
+    }
+
+    /// Returns every task run of every worker.
+    pub(crate) fn task_runs(&self) -> Vec<TaskRun> {
+        let workers = self.fleets.iter().flat_map(|fleet| &fleet.workers);
+        workers.flat_map(|worker| worker.log().runs).collect()
+    }
+
+    /// Returns the runs of a job's members.
+    pub(crate) fn runs_of(&self, job: &str) -> Vec<TaskRun> {
+        self.task_runs()
+            .into_iter()
+            .filter(|run| run.job.to_string() == job)
+            .collect()
+    }
+
+    /// Returns the attempts of a job in which this many members finished.
+    pub(crate) fn finished_attempts(&self, job: &str, tasks: usize) -> usize {
+        let mut counts = std::collections::BTreeMap::new();
+        for run in self.runs_of(job) {
+            if run.how == Some(TaskEnd::Finished) {
+                *counts.entry(run.attempt).or_insert(0_usize) += 1;
+            }
+        }
+        counts.values().filter(|count| **count == tasks).count()
+    }
+}
+
+impl Drop for TestPool {
+    fn drop(&mut self) {
+        for entry in &mut self.entries {
+            entry.kill();
+        }
+        // Logs of a failed test are kept.
+        if !std::thread::panicking() {
+            let _ = fs::remove_dir_all(&self.directory);
+        }
+    }
+}
+
+pub(crate) const OPERATOR: &str = "operator:control-room";
+pub(crate) const OWNER: &str = "owner:north";
+
+/// Returns the answers of a team that asks for cells in a data centre, or for none.
+pub(crate) fn questionnaire(account: &str, centre: &str, accelerators: u32, cells: u32) -> Value {
+    json!({
+        "account": account, "owner": "north", "home_data_centre": centre, "adjacent": cells > 0,
+        "largest_job_accelerators": accelerators, "large_jobs_at_once": cells, "peak_queue": 500,
+        "importance": "normal",
+    })
+}
+
+fn write_settings(
+    options: &PoolOptions,
+    pool: u16,
+    platform: &PlatformStandin,
+    directory: &std::path::Path,
+) -> Vec<EntryProcess> {
+    // Every test process has a loopback address of its own, so that fixed ports cannot collide.
+    let [_, _, high, low] = std::process::id().to_be_bytes();
+    let ip = IpAddr::V4(Ipv4Addr::new(127, 1 + high % 250, low, 1));
+    let base = 20_000 + pool * PORTS_PER_POOL;
+    let mut entries = Vec::new();
+    let mut peers = Vec::new();
+    let mut index = 0;
+    for (centre, count) in &options.centres {
+        for number in 1..=*count {
+            let name = format!("{centre}-{number}");
+            let http = SocketAddr::new(ip, base + 2 * index);
+            let peer = SocketAddr::new(ip, base + 2 * index + 1);
+            index += 1;
+            let settings = directory.join(format!("{name}.yaml"));
+            peers.push(json!({"name": name, "data_centre": centre, "address": peer.to_string()}));
+            entries.push(EntryProcess {
+                name,
+                centre,
+                http,
+                settings,
+                child: None,
+            });
+        }
+    }
+    for (i, entry) in entries.iter().enumerate() {
+        let others: Vec<&Value> = peers
+            .iter()
+            .enumerate()
+            .filter(|(j, _)| *j != i)
+            .map(|(_, peer)| peer)
+            .collect();
+        let settings = json!({
+            "vm": entry.name,
+            "data_centre": entry.centre,
+            "http_listen": entry.http.to_string(),
+            "peer_listen": peers[i]["address"],
+            "platform": platform.doors()[entry.centre].to_string(),
+            "entry_vms": entries.len(),
+            "peers": others,
+            "services": ["booking"],
+            "log_level": "debug",
+            "auth": "off",
+            "owners": ["north", "south"],
+        });
+        // JSON is YAML too.
+        fs::write(&entry.settings, serde_json::to_string_pretty(&settings).unwrap()).unwrap();
+    }
+    entries
+}
+
+fn rand_suffix() -> u128 {
+    std::time::SystemTime::now()
+        .duration_since(std::time::UNIX_EPOCH)
+        .unwrap()
+        .as_micros()
+}
+
+/// Polls until the condition gives a value; fails the test when it does not become true in time.
+pub(crate) async fn wait_until<T, F>(what: &str, mut condition: F) -> T
+where
+    F: AsyncFnMut() -> Option<T>,
+{
+    let deadline = Instant::now() + PATIENCE;
+    let mut ticks = interval(POLL);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        ticks.tick().await;
+        if let Some(value) = condition().await {
+            return value;
+        }
+        assert!(Instant::now() < deadline, "not in time: {what}");
+    }
+}
+
+/// Lets wall time pass while a promise is watched; the caller checks logs afterwards.
+pub(crate) async fn let_pass(time: Duration) {
+    let mut ticks = interval(time);
+    ticks.tick().await;
+    ticks.tick().await;
+}
+
+/// Client of the entry daemons' HTTP API.
+#[derive(Clone)]
+pub(crate) struct ApiClient {
+    client: Client<HttpConnector, Full<Bytes>>,
+}
+
+/// An answer of an entry daemon.
+#[derive(Clone, Debug)]
+pub(crate) struct ApiAnswer {
+    pub(crate) status: StatusCode,
+    pub(crate) headers: HeaderMap,
+    pub(crate) body: Bytes,
+}
+
+impl ApiAnswer {
+    pub(crate) fn json(&self) -> Option<Value> {
+        serde_json::from_slice(&self.body).ok()
+    }
+
+    /// Returns the header that says what became of a request.
+    pub(crate) fn outcome(&self) -> &str {
+        self.headers
+            .get("x-outcome")
+            .and_then(|value| value.to_str().ok())
+            .unwrap_or("")
+    }
+}
+
+impl ApiClient {
+    pub(crate) fn new() -> Self {
+        Self {
+            client: Client::builder(TokioExecutor::new()).build_http(),
+        }
+    }
+
+    pub(crate) async fn call(
+        &self,
+        address: SocketAddr,
+        method: Method,
+        path: &str,
+        token: &str,
+        body: Option<&Value>,
+        headers: &[(&str, &str)],
+    ) -> Result<ApiAnswer, String> {
+        let mut request = Request::builder()
+            .method(method)
+            .uri(format!("http://{address}{path}"))
+            .header("authorization", format!("Bearer {token}"))
+            .header("content-type", "application/json");
+        for (name, value) in headers {
+            request = request.header(*name, *value);
+        }
+        let bytes = body
+            .map(|body| serde_json::to_vec(body).unwrap())
+            .unwrap_or_default();
+        let request = request
+            .body(Full::new(Bytes::from(bytes)))
+            .map_err(|e| e.to_string())?;
+        let exchange = async {
+            let response = self.client.request(request).await.map_err(|e| e.to_string())?;
+            let (parts, body) = response.into_parts();
+            let body = body.collect().await.map_err(|e| e.to_string())?.to_bytes();
+            Ok(ApiAnswer {
+                status: parts.status,
+                headers: parts.headers,
+                body,
+            })
+        };
+        timeout(CALL_TIMEOUT, exchange)
+            .await
+            .unwrap_or_else(|_| Err("timed out".into()))
+    }
+
+    pub(crate) async fn is_ready(&self, address: SocketAddr) -> bool {
+        let answer = self.call(address, Method::GET, "/readyz", "", None, &[]).await;
+        answer.is_ok_and(|answer| answer.status.is_success())
+    }
+
+    /// Submits a job and returns its id.
+    pub(crate) async fn submit(&self, address: SocketAddr, account: &str, job: &Value, key: &str) -> String {
+        let token = format!("account:{account}");
+        let headers = [("idempotency-key", key)];
+        let answer = self
+            .call(address, Method::POST, "/v1/jobs", &token, Some(job), &headers)
+            .await
+            .unwrap();
+        assert_eq!(answer.status, StatusCode::ACCEPTED, "{answer:?}");
+        answer.json().unwrap()["job"].as_str().unwrap().to_owned()
+    }
+
+    /// Returns the status of a job.
+    pub(crate) async fn status(&self, address: SocketAddr, account: &str, job: &str) -> Option<Value> {
+        let token = format!("account:{account}");
+        let answer = self
+            .call(
+                address,
+                Method::GET,
+                &format!("/v1/jobs/{job}"),
+                &token,
+                None,
+                &[],
+            )
+            .await
+            .ok()?;
+        answer.status.is_success().then(|| answer.json()).flatten()
+    }
+
+    /// Waits until a job has a final outcome and returns its status.
+    pub(crate) async fn outcome(&self, address: SocketAddr, account: &str, job: &str) -> Value {
+        wait_until("the job ends", async || {
+            let status = self.status(address, account, job).await?;
+            (!status["outcome"].is_null()).then_some(status)
+        })
+        .await
+    }
+
+    /// Waits until a job is in this state.
+    pub(crate) async fn reach(&self, address: SocketAddr, account: &str, job: &str, state: &str) {
+        wait_until(&format!("the job is {state}"), async || {
+            let status = self.status(address, account, job).await?;
+            (status["state"] == state).then_some(())
+        })
+        .await;
+    }
+
+    /// Sends a request for the booking service.
+    pub(crate) async fn request(
+        &self,
+        address: SocketAddr,
+        account: &str,
+        body: &Value,
+        headers: &[(&str, &str)],
+    ) -> Result<ApiAnswer, String> {
+        let token = format!("account:{account}");
+        self.call(
+            address,
+            Method::POST,
+            "/v1/services/booking/requests",
+            &token,
+            Some(body),
+            headers,
+        )
+        .await
+    }
+}
