Claim a key with the id of its transaction in the entry daemon

The claim of the records crate now carries its transaction id; the daemon makes one id for each claim. The harness waits until the accounts are in force at every entry VM, because one VM refused an account that another had accepted a moment before.

--- a/crates/entry/src/requests/keyed_request.rs
+++ b/crates/entry/src/requests/keyed_request.rs
@@ -68,6 +68,7 @@
         digest: BodyDigest::of(&[b"POST", request.service.as_str().as_bytes(), &request.body]),
         claimant: context.identity.clone(),
         delete_after: now + KEEP_KEY_MS,
+        write_id: WriteId::generate(),
     };
     let keyed = KeyedRequest {
         context: Arc::clone(context),
@@ -156,7 +157,7 @@
                 return Err(NoClaim::End(not_run(RefusalReason::DeadlinePassed)));
             }
             let change = claim
-                .claim(row.as_ref(), WriteId::generate())
+                .claim(row.as_ref())
                 .map_err(|_| NoClaim::End(KeyedEnd::Reused))?;
             let limit = request.deadline.min(now + CLAIM_LIMIT_MS);
             match commit(
--- a/crates/entry/tests/harness/mod.rs
+++ b/crates/entry/tests/harness/mod.rs
@@ -268,6 +268,28 @@
             let questionnaire = questionnaire(account, centre, *accelerators, *cells);
             self.accept(&questionnaire).await;
         }
+        self.wait_revision(options.accounts.len() as u64).await;
+    }
+
+    /// Returns the revision of the configuration that an entry VM has in force.
+    pub(crate) async fn revision_at(&self, entry: usize) -> Option<u64> {
+        let http = self.entries[entry].http;
+        let answer = self
+            .api
+            .call(http, Method::GET, "/v1/pool", OPERATOR, None, &[])
+            .await
+            .ok()?;
+        answer.json()?["config_revision"].as_u64()
+    }
+
+    /// Waits until every entry VM has this revision or a later one in force.
+    pub(crate) async fn wait_revision(&self, revision: u64) {
+        for entry in 0..self.entries.len() {
+            wait_until("the revision is in force", async || {
+                (self.revision_at(entry).await? >= revision).then_some(())
+            })
+            .await;
+        }
     }
 
     /// Proposes a configuration and accepts it as the owner of the month.
