Build the strategy of the stateful test once

A run of 256 cases took 7.7 s on a busy machine. Most of it went into building the strategy of the steps again for every step.

--- a/crates/records/tests/interleavings/action.rs
+++ b/crates/records/tests/interleavings/action.rs
@@ -260,6 +260,24 @@
     .boxed()
 }
 
+fn step() -> BoxedStrategy<Step> {
+    prop_oneof![
+        20 => (action(), delivery()).prop_map(|(action, delivery)| Step::Act(action, delivery)),
+        3 => race().prop_map(|(late, early)| Step::Race(late, early)),
+        10 => (any::<u8>(), delivery()).prop_map(|(pick, delivery)| Step::Continue(pick, delivery)),
+        4 => any::<u16>().prop_map(Step::Duplicate),
+        4 => (500..5_000u64).prop_map(Step::Wait),
+        1 => accept().prop_map(Step::MonthEnd),
+        1 => (0..3u8).prop_map(Step::Restart),
+    ]
+    .boxed()
+}
+
+thread_local! {
+    // Building the strategy for each step took most of the time of a run.
+    static STEPS: BoxedStrategy<Step> = step();
+}
+
 /// Every step is possible in every state, so the reference has no state of its own.
 #[derive(Clone, Debug)]
 pub(crate) struct Steps;
@@ -273,16 +291,7 @@
     }
 
     fn transitions((): &()) -> BoxedStrategy<Step> {
-        prop_oneof![
-            20 => (action(), delivery()).prop_map(|(action, delivery)| Step::Act(action, delivery)),
-            3 => race().prop_map(|(late, early)| Step::Race(late, early)),
-            10 => (any::<u8>(), delivery()).prop_map(|(pick, delivery)| Step::Continue(pick, delivery)),
-            4 => any::<u16>().prop_map(Step::Duplicate),
-            4 => (500..5_000u64).prop_map(Step::Wait),
-            1 => accept().prop_map(Step::MonthEnd),
-            1 => (0..3u8).prop_map(Step::Restart),
-        ]
-        .boxed()
+        STEPS.with(BoxedStrategy::clone)
     }
 
     fn apply((): (), _: &Step) {}
