route: let health checks take probes that no request takes

Cause: only idempotent requests probe, so an upstream whose requests are all non-idempotent would stay ejected for ever.

--- a/crates/route/src/candidate_group.rs
+++ b/crates/route/src/candidate_group.rs
@@ -63,7 +63,10 @@
             probes,
             ..
         } = survey;
-        let probe = probes.into_iter().find_map(|member| claim_probe(member, query));
+        // A retry never probes, so a request loses at most one attempt to a probe.
+        let may_probe = query.kind.is_idempotent() && query.excluded.is_empty();
+        let mut probes = probes.into_iter().filter(|_| may_probe);
+        let probe = probes.find_map(|member| claim_probe(member, query.cap, query.now));
         GroupOffer {
             claim: probe.or_else(|| claim_better(candidates, query, random)),
             any_live: live > 0,
@@ -72,7 +75,10 @@
     }
 
     fn survey(&self, query: GroupQuery<'_>) -> GroupSurvey<'_> {
-        let mut survey = GroupSurvey::default();
+        let mut survey = GroupSurvey {
+            candidates: Vec::with_capacity(self.members.len()),
+            ..GroupSurvey::default()
+        };
         for member in self.members.iter().filter(|member| member.is_live(query.now)) {
             survey.live += 1;
             let excluded = query.excluded.contains(&member.entry.name);
@@ -142,12 +148,12 @@
     }
 }
 
-/// Claims the probe of an ejected upstream for an idempotent request that was not sent before.
-fn claim_probe(member: &Arc<UpstreamState>, query: GroupQuery<'_>) -> Option<SlotClaim> {
-    if !query.kind.is_idempotent() || !query.excluded.is_empty() || !member.ejection.try_probe(query.now) {
+/// Claims the probe of an ejected upstream when it is due and no other probe is under way.
+pub(crate) fn claim_probe(member: &Arc<UpstreamState>, cap: u32, now: ClockTime) -> Option<SlotClaim> {
+    if !member.ejection.try_probe(now) {
         return None;
     }
-    let generation = member.slots.try_take(query.cap);
+    let generation = member.slots.try_take(cap);
     if generation.is_none() {
         member.ejection.end_probe();
     }
--- a/crates/route/src/routing_table.rs
+++ b/crates/route/src/routing_table.rs
@@ -6,13 +6,16 @@
 use arc_swap::ArcSwap;
 use parking_lot::Mutex;
 
-use crate::candidate_group::GroupQuery;
+use crate::candidate_group::{GroupQuery, claim_probe};
 use crate::list_keeper::ListKeeper;
 use crate::random_source::RandomSource;
 use crate::route_snapshot::{RouteSnapshot, SharedSnapshot};
 use crate::routing_options::connection_share;
 use crate::{RequestKind, RouteRefusal, RoutingOptions, SlotPermit, TableState, UpstreamEntry};
 
+/// Time, in milliseconds, for which a due probe waits for an idempotent request.
+const PROBE_WAIT_MS: u64 = 1_000;
+
 /// Upstreams of all services and the choice among them.
 ///
 /// Choosing and finishing take no lock; only changes of the list and of data centres do.
@@ -154,6 +157,21 @@
         })
     }
 
+    /// Takes the probes that no idempotent request took within 1 s; each is for a health check.
+    ///
+    /// Without them an upstream whose requests are all non-idempotent would stay ejected for ever.
+    pub fn overdue_probes(&self, now: ClockTime) -> Vec<SlotPermit> {
+        let snapshot = self.snapshot.load();
+        let overdue = snapshot.by_name.values().filter(|upstream| {
+            let until = upstream.ejection.until();
+            upstream.is_live(now) && until.is_some_and(|until| now >= until + PROBE_WAIT_MS)
+        });
+        overdue
+            .filter_map(|upstream| claim_probe(upstream, self.connection_cap(), now))
+            .map(|claim| SlotPermit::new(claim, Arc::clone(&self.snapshot), now))
+            .collect()
+    }
+
     /// Returns the state of all upstreams.
     pub fn state(&self, now: ClockTime) -> TableState {
         let closed_centres = self.keeper.lock().closed.iter().cloned().collect();
--- a/crates/route/tests/ejection.rs
+++ b/crates/route/tests/ejection.rs
@@ -122,3 +122,17 @@
     probe.finish(AttemptResult::Succeeded, ClockTime(1_001));
     assert_eq!(ejected_until(&table, 0), None);
 }
+
+/// Guards against an upstream that stays ejected because all requests are non-idempotent.
+#[test]
+fn overdue_probe() {
+    let table = table_of(vec![entry(0), entry(1)], 8);
+    fail_first(&table, 2, 0);
+    assert_eq!(table.overdue_probes(ClockTime(1_999)).len(), 0);
+    let mut probes = table.overdue_probes(ClockTime(2_000));
+    assert!(table.overdue_probes(ClockTime(2_000)).is_empty());
+    assert!(!take(&table, 2_000).unwrap().is_probe());
+    let probe = probes.pop().unwrap();
+    probe.finish(AttemptResult::Succeeded, ClockTime(2_001));
+    assert_eq!((ejected_until(&table, 0), probes.len()), (None, 0));
+}
--- a/crates/route/tests/route_model.rs
+++ b/crates/route/tests/route_model.rs
@@ -2,7 +2,7 @@
 
 mod support;
 
-use arbutuspick_route::RequestKind;
+use arbutuspick_route::{AttemptResult, RequestKind};
 use proptest::prelude::*;
 use proptest_state_machine::{ReferenceStateMachine, StateMachineTest, prop_state_machine};
 use support::route_world::{Fate, RouteWorld, UPSTREAMS};
@@ -42,6 +42,9 @@
     LateAnswer {
         pick: usize,
     },
+    Probe {
+        result: AttemptResult,
+    },
     Tick {
         millis: u64,
     },
@@ -81,6 +84,8 @@
             150 => (any::<usize>(), fate).prop_map(|(pick, fate)| Action::Progress { pick, fate }),
             5 => any::<usize>().prop_map(|pick| Action::LateAnswer { pick }),
             15 => prop_oneof![8 => 0..300u64, 2 => 0..4_000u64].prop_map(|millis| Action::Tick { millis }),
+            3 => prop_oneof![Just(AttemptResult::Succeeded), Just(AttemptResult::Lost)]
+                .prop_map(|result| Action::Probe { result }),
             1 => Just(Action::Close),
         ]
         .boxed()
@@ -122,6 +127,7 @@
             Action::Progress { pick, fate } => world.progress(pick, fate),
             Action::LateAnswer { pick } => world.answer_late(pick),
             Action::Tick { millis } => world.tick(millis),
+            Action::Probe { result } => world.probe(result),
             Action::Close => world.queue.close(),
         }
         world
--- a/crates/route/tests/support/mod.rs
+++ b/crates/route/tests/support/mod.rs
@@ -2,6 +2,7 @@
 
 pub(crate) mod route_world;
 pub(crate) mod upstream_oracle;
+mod world_checks;
 
 use arbutuspick_model::{CentreName, ClockTime, ServiceName, UpstreamName};
 use arbutuspick_route::{
--- a/crates/route/tests/support/route_world.rs
+++ b/crates/route/tests/support/route_world.rs
@@ -3,16 +3,16 @@
 use arbutuspick_model::{AccountName, ClockTime, RefusalReason};
 use arbutuspick_route::{
     AttemptResult, FairQueue, PlanEvent, PlanStep, QueueRefusal, QueueTicket, RequestKind, RequestOutcome,
-    RequestPlan, RetryBudget, RouteRefusal, RoutingOptions, RoutingTable, SlotPermit, UpstreamReport,
+    RequestPlan, RetryBudget, RouteRefusal, RoutingOptions, RoutingTable, SlotPermit,
 };
 
-use super::upstream_oracle::{OWN, UpstreamOracle};
+use super::upstream_oracle::UpstreamOracle;
 use super::{centre, service};
 
 pub(crate) const UPSTREAMS: usize = 6;
-const QUEUE_BOUND: usize = 5;
+pub(super) const QUEUE_BOUND: usize = 5;
 /// Retries that are left in the budget at the start, so that runs reach its end.
-const FIRST_RETRIES: usize = 5;
+pub(super) const FIRST_RETRIES: usize = 5;
 
 /// What an upstream or the network does to a request.
 #[derive(Clone, Copy, Debug)]
@@ -25,21 +25,21 @@
 }
 
 /// A slot as the oracle counts it.
-struct HeldSlot {
-    permit: SlotPermit,
-    index: usize,
-    incarnation: u32,
-    halvings: u32,
-    taken_at: u64,
+pub(super) struct HeldSlot {
+    pub(super) permit: SlotPermit,
+    pub(super) index: usize,
+    pub(super) incarnation: u32,
+    pub(super) halvings: u32,
+    pub(super) taken_at: u64,
 }
 
-struct WorldRequest {
-    plan: RequestPlan,
-    account: usize,
-    slot: Option<HeldSlot>,
+pub(super) struct WorldRequest {
+    pub(super) plan: RequestPlan,
+    pub(super) account: usize,
+    pub(super) slot: Option<HeldSlot>,
     /// How often an upstream really ran it.
-    runs: usize,
-    told: Option<RequestOutcome>,
+    pub(super) runs: usize,
+    pub(super) told: Option<RequestOutcome>,
 }
 
 /// A table with its queue and budget, the requests of callers, and what really happened to them.
@@ -48,11 +48,11 @@
     pub(crate) queue: FairQueue<usize>,
     /// Upstreams that fail everything, by bit.
     pub(crate) broken: u8,
-    budget: Arc<RetryBudget>,
-    now: u64,
-    open: [bool; 2],
-    oracles: std::cell::RefCell<Vec<UpstreamOracle>>,
-    requests: Vec<WorldRequest>,
+    pub(super) budget: Arc<RetryBudget>,
+    pub(super) now: u64,
+    pub(super) open: [bool; 2],
+    pub(super) oracles: std::cell::RefCell<Vec<UpstreamOracle>>,
+    pub(super) requests: Vec<WorldRequest>,
 }
 
 fn has_bit(mask: u8, index: usize) -> bool {
@@ -280,6 +280,21 @@
         }
     }
 
+    /// Sends the health checks that stand in for probes.
+    pub(crate) fn probe(&mut self, result: AttemptResult) {
+        let reports = self.table.state(ClockTime(self.now)).upstreams;
+        for permit in self.table.overdue_probes(ClockTime(self.now)) {
+            self.check_permit(RequestKind::Idempotent, &[], &permit, &reports, &[]);
+            let mut oracles = self.oracles.borrow_mut();
+            let oracle = oracles
+                .iter_mut()
+                .find(|oracle| oracle.name() == permit.upstream());
+            let oracle = oracle.unwrap();
+            permit.finish(result, ClockTime(self.now));
+            oracle.record(result, oracle.halvings, true, 0, self.now);
+        }
+    }
+
     /// Lets time pass and the deadlines of requests with it.
     pub(crate) fn tick(&mut self, millis: u64) {
         self.now += millis;
@@ -334,160 +349,4 @@
             }
         }
     }
-
-    fn is_live(&self, index: usize) -> bool {
-        let open = self.open[usize::from(index >= OWN)];
-        self.oracles.borrow()[index].is_live(open, self.now)
-    }
-
-    /// Returns the upstreams that an ordinary request could have been given.
-    fn eligible(&self, tried: &[arbutuspick_model::UpstreamName], reports: &[UpstreamReport]) -> Vec<usize> {
-        let oracles = self.oracles.borrow();
-        let ejected = |index: usize| {
-            let mut same = reports
-                .iter()
-                .filter(|report| report.entry.name == *oracles[index].name());
-            same.any(|report| report.ejected_until.is_some())
-        };
-        let room = |index: usize| {
-            let oracle: &UpstreamOracle = &oracles[index];
-            oracle.in_flight < oracle.limit.min(self.table.connection_cap())
-        };
-        (0..UPSTREAMS)
-            .filter(|index| self.is_live(*index) && !tried.contains(oracles[*index].name()))
-            .filter(|index| !ejected(*index) && room(*index))
-            .collect()
-    }
-
-    fn check_choice(
-        &self,
-        kind: RequestKind,
-        tried: &[arbutuspick_model::UpstreamName],
-        result: Result<&SlotPermit, &RouteRefusal>,
-    ) {
-        let reports = self.table.state(ClockTime(self.now)).upstreams;
-        let [(ejected, own, _), _] = self.count_ejected();
-        assert!(ejected * 2 <= own, "{ejected} of {own} stay ejected");
-        let eligible = self.eligible(tried, &reports);
-        let live = (0..UPSTREAMS).any(|index| self.is_live(index));
-        match result {
-            Err(refusal) => {
-                assert!(eligible.is_empty(), "refused although {eligible:?} have room");
-                assert_eq!(*refusal == RouteRefusal::NoUpstream, !live);
-            }
-            Ok(permit) => self.check_permit(kind, tried, permit, &reports, &eligible),
-        }
-    }
-
-    fn check_permit(
-        &self,
-        kind: RequestKind,
-        tried: &[arbutuspick_model::UpstreamName],
-        permit: &SlotPermit,
-        reports: &[UpstreamReport],
-        eligible: &[usize],
-    ) {
-        let oracles = self.oracles.borrow();
-        let index = oracles
-            .iter()
-            .position(|oracle| oracle.name() == permit.upstream())
-            .unwrap();
-        let oracle = &oracles[index];
-        assert!(
-            self.is_live(index),
-            "{} gets work though it is leaving, silent or out",
-            oracle.name()
-        );
-        assert_eq!(permit.address(), oracle.entry.address);
-        assert!(!tried.contains(oracle.name()), "tried before");
-        let room = oracle.limit.min(self.table.connection_cap());
-        assert!(
-            oracle.in_flight < room,
-            "{} in flight, {room} allowed",
-            oracle.in_flight
-        );
-        let report = reports
-            .iter()
-            .find(|report| report.entry.name == *oracle.name())
-            .unwrap();
-        assert_eq!(permit.is_probe(), report.ejected_until.is_some(), "ejected");
-        if permit.is_probe() {
-            assert!(kind.is_idempotent() && tried.is_empty(), "probe of {kind:?}");
-            let due = report.ejected_until <= Some(ClockTime(self.now));
-            assert!(due, "probe before the end of the ejection");
-            let mut slots = self.requests.iter().filter_map(|request| request.slot.as_ref());
-            let other = |slot: &HeldSlot| slot.incarnation == oracle.incarnation && slot.permit.is_probe();
-            assert!(
-                !slots.any(|slot| slot.index == index && other(slot)),
-                "two probes"
-            );
-        } else if index >= OWN {
-            assert!(
-                eligible.iter().all(|other| *other >= OWN),
-                "own upstreams come first"
-            );
-        }
-    }
-
-    /// Returns the ejected live, the live and all ejected upstreams of the own data centre and of the others.
-    fn count_ejected(&self) -> [(usize, usize, usize); 2] {
-        let mut counts = [(0, 0, 0); 2];
-        for report in self.table.state(ClockTime(self.now)).upstreams {
-            let (out, live, all) = &mut counts[usize::from(report.entry.data_centre != centre("own"))];
-            let ejected = report.ejected_until.is_some();
-            *out += usize::from(ejected && report.live);
-            *live += usize::from(report.live);
-            *all += usize::from(ejected);
-        }
-        counts
-    }
-
-    /// Checks that an ejection left at least half; later losses of others are made good by the next choice.
-    fn check_new_ejection(&self, before: [(usize, usize, usize); 2]) {
-        for ((_, _, old), (out, live, all)) in before.into_iter().zip(self.count_ejected()) {
-            assert!(all <= old || out * 2 <= live, "{out} of {live} are ejected");
-        }
-    }
-
-    pub(crate) fn check_upstreams(&self) {
-        for report in self.table.state(ClockTime(self.now)).upstreams {
-            let mut oracles = self.oracles.borrow_mut();
-            let oracle = oracles
-                .iter_mut()
-                .find(|oracle| *oracle.name() == report.entry.name);
-            oracle.unwrap().check(&report);
-        }
-    }
-
-    pub(crate) fn check_requests(&self) {
-        assert!(self.queue.len() <= QUEUE_BOUND, "the queue is above its bound");
-        let retries: usize = self
-            .requests
-            .iter()
-            .map(|request| request.plan.attempts().len().saturating_sub(1))
-            .sum();
-        assert!(
-            retries <= FIRST_RETRIES + self.requests.len() / 10,
-            "{retries} retries"
-        );
-        for request in &self.requests {
-            assert!(request.plan.attempts().len() <= 3, "more than 2 retries");
-            assert!(
-                request.runs <= 1 || request.plan.kind().is_idempotent(),
-                "ran twice"
-            );
-            assert_eq!(request.plan.outcome(), request.told, "the outcome changed");
-        }
-    }
-
-    pub(crate) fn check_end(&self) {
-        assert!(self.queue.is_empty());
-        assert!(
-            self.requests.iter().all(|request| request.told.is_some()),
-            "a caller waits forever"
-        );
-        for report in self.table.state(ClockTime(self.now)).upstreams {
-            assert_eq!(report.in_flight, 0);
-        }
-    }
 }
