Keep places, holds and quotas across a takeover

Cause: random histories with a new placement holder found accelerators given twice: tasks of one gang on a worker were adopted as one cell that covered the cells of others. Change: each adopted task covers its own cell only; an adopted guaranteed cell is bound only where the other home guarantees still pack; the quota counts only jobs without an attempt, so that a new holder refuses none that was accepted; the number at the end of a worker's name decides its place, and a replacement waits for the place of the lost worker while that still holds something.

--- a/crates/sched/src/adopted_binding.rs
+++ b/crates/sched/src/adopted_binding.rs
@@ -1,9 +1,9 @@
 use std::collections::BTreeMap;
 
-use arbutuspick_model::{AccountName, CellLevel, ClockTime};
+use arbutuspick_model::{AccountName, CellLevel, ClockTime, GangAdjacency};
 
 use crate::PlacementCore;
-use crate::cell_block::{CellBlock, maximal_blocks, set_bits};
+use crate::cell_block::{CellBlock, full_blocks, maximal_blocks, set_bits};
 use crate::job_entry::{BoundPart, JobKey};
 
 /// Finds the guaranteed cells that adopted attempts used under the previous placement holder.
@@ -46,7 +46,7 @@
     ) -> bool {
         let mut parts = Vec::new();
         for (rack, mask) in masks {
-            let blocks = maximal_blocks(*mask);
+            let blocks = self.adopted_blocks(key, *mask);
             for level in CellLevel::ALL.into_iter().rev() {
                 for offset in set_bits(blocks[level as usize]) {
                     let block = CellBlock {
@@ -68,6 +68,22 @@
         true
     }
 
+    /// Cuts what an attempt holds in a rack into the cells that it asked for, if they are known.
+    fn adopted_blocks(&self, key: JobKey, mask: u64) -> [u64; 7] {
+        let spec = &self.jobs[key].spec;
+        let demand = self.demand(spec, true);
+        let cell = demand.and_then(|demand| demand.runs.first().map(|run| run.level));
+        if let Some(level) = cell.filter(|_| spec.shape.adjacency == GangAdjacency::Task) {
+            let starts = full_blocks(mask)[level as usize];
+            if starts.count_ones() * level.accelerators() == mask.count_ones() {
+                let mut blocks = [0; 7];
+                blocks[level as usize] = starts;
+                return blocks;
+            }
+        }
+        maximal_blocks(mask)
+    }
+
     fn bind_block(&mut self, account: &AccountName, block: CellBlock) -> Option<BoundPart> {
         let mask = block.mask();
         let entry = self.ledger.accounts.get(account)?;
@@ -79,6 +95,8 @@
             Some(binding) => binding,
             None => {
                 let bound = self.pool.rack(block.rack).bound;
+                // The guarantees may have changed since the attempt started.
+                let shortfall = self.ledger.home_shortfall(&self.pool);
                 let cell = CellLevel::ALL
                     .into_iter()
                     .filter(|level| *level >= block.level && entry.unbound(*level).is_some())
@@ -87,7 +105,11 @@
                         offset: block.offset & !(level.accelerators() as u8 - 1),
                         level,
                     })
-                    .find(|cell| cell.mask() & bound == 0)?;
+                    .filter(|cell| cell.mask() & bound == 0)
+                    .find(|cell| {
+                        let home = entry.unbound(cell.level) == Some(true);
+                        self.ledger.may_bind(&self.pool, *cell, home, &shortfall)
+                    })?;
                 self.ledger.bind(&mut self.pool, account, cell)?
             }
         };
--- a/crates/sched/src/attempt_hold.rs
+++ b/crates/sched/src/attempt_hold.rs
@@ -167,15 +167,12 @@
     pub(crate) fn hold_adopted(&mut self, worker: &WorkerName, slot: WorkerSlot) {
         for key in self.adopted.remove(worker).unwrap_or_default() {
             let Some(entry) = self.jobs.get(key) else { continue };
-            let demand = self.demand(&entry.spec, false);
-            let (Some(demand), Some(hold)) = (demand, entry.hold()) else {
-                continue;
-            };
+            let Some(hold) = entry.hold() else { continue };
             let here = hold.members.iter().filter(|member| member.worker == *worker);
             let (tasks, mask) = here.fold((0, 0), |(tasks, mask), member| {
-                (tasks + 1, mask | member.accelerators)
+                (tasks + 1, mask | covering_cell(member.accelerators))
             });
-            let load = WorkerLoad::new(slot, self.pool.cover_mask(slot, mask), tasks, &demand);
+            let load = WorkerLoad::new(slot, mask, tasks, entry.spec.shape);
             self.pool.hold(key, &load);
             let accelerators = load.mask.count_ones();
             if let Some(hold) = self.jobs[key].hold_mut() {
@@ -217,3 +214,13 @@
         }
     }
 }
+
+/// Returns the smallest aligned cell around the accelerators of a task, which no other task was given.
+fn covering_cell(mask: u8) -> u8 {
+    let cells = [1u8, 2, 4, 8].into_iter().flat_map(|size| {
+        let cell = u8::MAX >> (8 - size);
+        (0..8).step_by(usize::from(size)).map(move |start| cell << start)
+    });
+    let mut covering = cells.filter(|cell| mask != 0 && mask & !cell == 0);
+    covering.next().unwrap_or(mask)
+}
--- a/crates/sched/src/gang_queue.rs
+++ b/crates/sched/src/gang_queue.rs
@@ -1,6 +1,6 @@
 use std::collections::{BTreeMap, BTreeSet};
 
-use arbutuspick_model::{AccountName, CellLevel, GangAdjacency, JobClass, JobSpec};
+use arbutuspick_model::{AccountName, AttemptNumber, CellLevel, GangAdjacency, JobClass, JobSpec};
 
 use crate::job_entry::{ArrivalRank, JobEntry, JobKey};
 
@@ -85,6 +85,8 @@
     pub(crate) delayed: BTreeMap<ArrivalRank, JobKey>,
     /// Queued, claiming and delayed jobs by account.
     pub(crate) lengths: BTreeMap<AccountName, u32>,
+    /// Those of them that never had an attempt, to which the quota applies.
+    pub(crate) fresh: BTreeMap<AccountName, u32>,
 }
 
 impl GangQueue {
@@ -119,19 +121,24 @@
         }
     }
 
-    pub(crate) fn count(&mut self, account: &AccountName, added: bool) {
-        let length = self.lengths.entry(account.clone()).or_default();
-        *length = if added {
-            *length + 1
-        } else {
-            length.saturating_sub(1)
-        };
-        if *length == 0 {
-            self.lengths.remove(account);
+    /// Counts a job as queued, or no longer.
+    pub(crate) fn count(&mut self, job: &JobEntry, added: bool) {
+        let account = &job.spec.account;
+        change_count(&mut self.lengths, account, added);
+        if job.attempt == AttemptNumber(0) {
+            change_count(&mut self.fresh, account, added);
         }
     }
+}
 
-    pub(crate) fn length(&self, account: &AccountName) -> u32 {
-        self.lengths.get(account).copied().unwrap_or(0)
+fn change_count(counts: &mut BTreeMap<AccountName, u32>, account: &AccountName, added: bool) {
+    let count = counts.entry(account.clone()).or_default();
+    *count = if added {
+        *count + 1
+    } else {
+        count.saturating_sub(1)
+    };
+    if *count == 0 {
+        counts.remove(account);
     }
 }
--- a/crates/sched/src/guaranteed_pass.rs
+++ b/crates/sched/src/guaranteed_pass.rs
@@ -60,7 +60,7 @@
             return;
         };
         self.queue.claiming.remove(&entry.rank());
-        self.queue.count(&spec.account, false);
+        self.queue.count(entry, false);
         for load in &loads {
             self.pool.claim(load, false);
             self.pool.hold(key, load);
--- a/crates/sched/src/job_intake.rs
+++ b/crates/sched/src/job_intake.rs
@@ -25,8 +25,10 @@
             .usages
             .get(&spec.account)
             .map_or(u32::MAX, |usage| usage.max_queued_jobs);
-        // A job that had an attempt was accepted before, so the quota does not apply to it.
-        if attempt == AttemptNumber(0) && self.queue.length(&spec.account) >= limit {
+        let fresh = self.queue.fresh.get(&spec.account).copied().unwrap_or(0);
+        // Jobs that had an attempt are neither refused nor counted: otherwise a new placement holder,
+        // which is told of all jobs again, would refuse some that were accepted.
+        if attempt == AttemptNumber(0) && fresh >= limit {
             let reason = RefusalReason::QuotaExceeded;
             self.actions.push(PlacementAction::Refuse { job, reason });
             return;
@@ -69,7 +71,7 @@
         } else {
             self.queue.insert(entry, key);
         }
-        self.queue.count(&entry.spec.account, true);
+        self.queue.count(entry, true);
     }
 
     /// Puts the jobs whose delay after a failed start has passed back into the queue.
@@ -108,7 +110,7 @@
         self.drop_claim(key);
         let entry = &self.jobs[key];
         self.queue.remove(entry, key);
-        self.queue.count(&entry.spec.account, false);
+        self.queue.count(entry, false);
     }
 
     pub(crate) fn cancel_job(&mut self, job: JobId, now: ClockTime) {
@@ -163,6 +165,7 @@
             }
         };
         self.release_attempt(key, now);
+        self.join_waiting(now);
         if requeued && !self.jobs[key].cancelled {
             self.jobs[key].waiting_since = now;
             self.enqueue(key, now);
--- a/crates/sched/src/placement_core.rs
+++ b/crates/sched/src/placement_core.rs
@@ -1,7 +1,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
 
-use arbutuspick_model::{AccountName, ClockTime, JobId, WorkerName};
+use arbutuspick_model::{AccountName, ClockTime, JobId, RackName, WorkerCapacity, WorkerName};
 use slotmap::SlotMap;
 
 use crate::account_usage::AccountUsage;
@@ -51,6 +51,8 @@
     pub(crate) due_probes: BTreeSet<WorkerSlot>,
     /// Quarantined workers by the time of their next probe.
     pub(crate) quarantine: BTreeSet<(ClockTime, WorkerSlot)>,
+    /// Workers that replace lost ones whose attempts did not end yet.
+    pub(crate) waiting_workers: BTreeMap<WorkerName, (RackName, WorkerCapacity)>,
     /// Adopted attempts with members on workers that did not join yet.
     pub(crate) adopted: BTreeMap<WorkerName, BTreeSet<JobKey>>,
     /// Adopted attempts whose guaranteed cells are not found yet.
@@ -92,6 +94,7 @@
             actions: Vec::new(),
             due_probes: BTreeSet::new(),
             quarantine: BTreeSet::new(),
+            waiting_workers: BTreeMap::new(),
             adopted: BTreeMap::new(),
             rebinding: BTreeSet::new(),
             settled_at: ClockTime(0),
--- a/crates/sched/src/placement_dump.rs
+++ b/crates/sched/src/placement_dump.rs
@@ -72,6 +72,8 @@
     pub members: Vec<MemberPlacement>,
     /// Whether a live attempt uses guaranteed cells.
     pub guaranteed: bool,
+    /// Whether the guaranteed cells of an adopted attempt are not found yet.
+    pub rebinding: bool,
     /// Whether a live attempt is backfill that yields.
     pub yielding: bool,
     /// Why a live attempt was told to stop, and by when.
@@ -160,6 +162,7 @@
             loads,
             members: hold.map_or(Vec::new(), |hold| hold.members.clone()),
             guaranteed: hold.is_some_and(|hold| hold.is_firm() || hold.unbound_guarantee),
+            rebinding: hold.is_some_and(|hold| hold.unbound_guarantee),
             yielding: hold.is_some_and(|hold| hold.yielding),
             ending: hold.and_then(|hold| hold.ending),
         }
--- a/crates/sched/src/pool_state.rs
+++ b/crates/sched/src/pool_state.rs
@@ -94,7 +94,7 @@
             }
             return (slot, false);
         }
-        let slot = self.vacant_slot(rack);
+        let slot = self.vacant_slot(name, rack);
         let entry = WorkerEntry::new(name.clone(), capacity, health);
         let place = &mut self.racks[slot.rack as usize].workers[usize::from(slot.place)];
         if let Some(gone) = place.replace(entry) {
@@ -107,36 +107,53 @@
         (slot, true)
     }
 
-    /// Returns a place that was never used, or else that of a lost worker that holds nothing.
-    fn vacant_slot(&mut self, rack: &RackName) -> WorkerSlot {
+    /// Returns whether the rack is full but for lost workers that still hold something.
+    ///
+    /// A replacement that took a ninth place instead would leave the rack without a whole cell for good.
+    pub(crate) fn awaits_place(&self, worker: &WorkerName, rack: &RackName) -> bool {
+        let mut lost = false;
+        for index in self.rack_groups.get(rack).into_iter().flatten() {
+            for place in &self.racks[*index as usize].workers {
+                let Some(entry) = place.as_ref().filter(|entry| entry.name != *worker) else {
+                    return false;
+                };
+                if entry.is_lost() {
+                    lost = true;
+                    if entry.is_vacant() {
+                        return false;
+                    }
+                }
+            }
+        }
+        lost
+    }
+
+    /// Returns the place for a new worker: one never used, or else that of a lost worker.
+    ///
+    /// The number at the end of the name decides if it can, so that every placement holder comes to the
+    /// same places, whatever order workers report in.
+    fn vacant_slot(&mut self, name: &WorkerName, rack: &RackName) -> WorkerSlot {
+        let preferred = trailing_number(name.as_str()) % 8;
         let groups = self.rack_groups.get(rack).cloned().unwrap_or_default();
-        let unused = |worker: &Option<WorkerEntry>| worker.is_none();
-        let left = |worker: &Option<WorkerEntry>| {
-            worker.as_ref().is_some_and(|worker| {
-                matches!(
-                    worker.health.state(),
-                    crate::worker_health::HealthState::Lost { .. }
-                ) && worker.held.is_empty()
-                    && worker.claimed == HostResources::default()
-                    && worker.reserved == HostResources::default()
+        let find = |wanted: &dyn Fn(usize, Option<&WorkerEntry>) -> bool| {
+            groups.iter().find_map(|rack| {
+                let places = &self.racks[*rack as usize].workers;
+                let place = (0..8).find(|place| wanted(*place, places[*place].as_ref()))?;
+                let (rack, place) = (*rack, place as u8);
+                Some(WorkerSlot { rack, place })
             })
         };
-        for wanted in [&unused as &dyn Fn(&Option<WorkerEntry>) -> bool, &left] {
-            for rack in &groups {
-                let places = &self.racks[*rack as usize].workers;
-                if let Some(place) = places.iter().position(wanted) {
-                    let place = place as u8;
-                    return WorkerSlot { rack: *rack, place };
-                }
-            }
+        let found = find(&|place, worker| place == preferred && worker.is_none())
+            .or_else(|| find(&|_, worker| worker.is_none()))
+            .or_else(|| find(&|_, worker| worker.is_some_and(WorkerEntry::is_vacant)));
+        if let Some(slot) = found {
+            return slot;
         }
         let index = self.racks.len() as u32;
         self.racks.push(RackEntry::new(rack.clone()));
         self.rack_groups.entry(rack.clone()).or_default().push(index);
-        WorkerSlot {
-            rack: index,
-            place: 0,
-        }
+        let place = preferred as u8;
+        WorkerSlot { rack: index, place }
     }
 
     fn count_capacity(&mut self, capacity: Option<WorkerCapacity>, added: bool) {
@@ -224,21 +241,6 @@
         self.refresh(load.slot.rack);
     }
 
-    /// Returns the smallest cell around the accelerators if the rest of it is free, or else only them.
-    pub(crate) fn cover_mask(&self, slot: WorkerSlot, mask: u8) -> u8 {
-        let held = (self.rack(slot.rack).held >> (8 * slot.place)) as u8;
-        [1u32, 2, 4, 8]
-            .into_iter()
-            .flat_map(|size| {
-                (0..8)
-                    .step_by(size as usize)
-                    .map(move |start| (((1u32 << size) - 1) << start) as u8)
-            })
-            .find(|cell| mask != 0 && mask & !cell == 0)
-            .filter(|cell| cell & !mask & held == 0)
-            .unwrap_or(mask)
-    }
-
     pub(crate) fn release(&mut self, job: JobKey, load: &WorkerLoad) {
         let rack = self.rack_mut(load.slot.rack);
         for bit in set_bits(load.rack_mask()) {
@@ -357,6 +359,12 @@
     }
 }
 
+fn trailing_number(name: &str) -> usize {
+    let digits = name.len() - name.trim_end_matches(|c: char| c.is_ascii_digit()).len();
+    // Three digits decide the remainder modulo 8.
+    name[name.len() - digits.min(3)..].parse().unwrap_or(0)
+}
+
 /// Adds up what the loads need on each worker.
 pub(crate) fn resources_by_slot(loads: &[WorkerLoad]) -> BTreeMap<WorkerSlot, HostResources> {
     let mut needs: BTreeMap<WorkerSlot, HostResources> = BTreeMap::new();
--- a/crates/sched/src/process_pick.rs
+++ b/crates/sched/src/process_pick.rs
@@ -20,7 +20,12 @@
                 self.fill_slots(job, demand, area, slots, loads)
             }
             GangAdjacency::Worker => {
-                let whole = WorkerLoad::new(WorkerSlot { rack: 0, place: 0 }, 0, demand.shape.tasks, demand);
+                let whole = WorkerLoad::new(
+                    WorkerSlot { rack: 0, place: 0 },
+                    0,
+                    demand.shape.tasks,
+                    demand.shape,
+                );
                 let slots = self.slots_by_cores(whole.cores);
                 let load = slots
                     .into_iter()
@@ -54,7 +59,7 @@
         for slot in slots {
             let tasks = left.min(self.worker_tasks(slot, demand, area));
             if tasks > 0 {
-                let load = WorkerLoad::new(slot, 0, tasks, demand);
+                let load = WorkerLoad::new(slot, 0, tasks, demand.shape);
                 self.hold(job, &load);
                 loads.push(load);
                 left -= tasks;
--- a/crates/sched/src/reservation_pass.rs
+++ b/crates/sched/src/reservation_pass.rs
@@ -272,7 +272,7 @@
         if shape.adjacency == GangAdjacency::Worker {
             let load = slots
                 .into_iter()
-                .map(|slot| WorkerLoad::new(slot, 0, shape.tasks, demand))
+                .map(|slot| WorkerLoad::new(slot, 0, shape.tasks, demand.shape))
                 .find(|load| self.pool.may_reserve(load))?;
             self.pool.reserve(&load, true);
             loads.push(load);
@@ -292,7 +292,7 @@
         for slot in slots {
             let tasks = left.min(self.pool.reservable_tasks(slot, demand));
             if tasks > 0 {
-                let load = WorkerLoad::new(slot, 0, tasks, demand);
+                let load = WorkerLoad::new(slot, 0, tasks, demand.shape);
                 self.pool.reserve(&load, true);
                 loads.push(load);
                 left -= tasks;
--- a/crates/sched/src/worker_entry.rs
+++ b/crates/sched/src/worker_entry.rs
@@ -4,7 +4,7 @@
 
 use crate::cell_demand::CellDemand;
 use crate::job_entry::JobKey;
-use crate::worker_health::HealthMachine;
+use crate::worker_health::{HealthMachine, HealthState};
 
 /// Cores and memory.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -71,6 +71,16 @@
         }
     }
 
+    pub(crate) fn is_lost(&self) -> bool {
+        matches!(self.health.state(), HealthState::Lost { .. })
+    }
+
+    /// Returns whether it is lost and its place can be given to another worker.
+    pub(crate) fn is_vacant(&self) -> bool {
+        let nothing = HostResources::default();
+        self.is_lost() && self.held.is_empty() && self.claimed == nothing && self.reserved == nothing
+    }
+
     /// Returns the cores and memory that it has.
     pub(crate) fn total(&self) -> HostResources {
         total(self.capacity)
--- a/crates/sched/src/worker_intake.rs
+++ b/crates/sched/src/worker_intake.rs
@@ -14,6 +14,11 @@
         capacity: WorkerCapacity,
         now: ClockTime,
     ) {
+        if self.pool.awaits_place(worker, rack) {
+            self.waiting_workers
+                .insert(worker.clone(), (rack.clone(), capacity));
+            return;
+        }
         let health = WorkerHealth::machine(&self.options);
         let (slot, is_new) = self.pool.join(worker, rack, capacity, health);
         self.change_health(slot, &HealthEvent::Joined);
@@ -23,7 +28,15 @@
         }
     }
 
+    /// Lets workers join whose places have become free.
+    pub(crate) fn join_waiting(&mut self, now: ClockTime) {
+        for (worker, (rack, capacity)) in std::mem::take(&mut self.waiting_workers) {
+            self.join_worker(&worker, &rack, capacity, now);
+        }
+    }
+
     pub(crate) fn lose_worker(&mut self, worker: &WorkerName) {
+        self.waiting_workers.remove(worker);
         if let Some(slot) = self.pool.slot(worker) {
             self.change_health(slot, &HealthEvent::Lost);
         }
--- a/crates/sched/src/worker_load.rs
+++ b/crates/sched/src/worker_load.rs
@@ -1,4 +1,4 @@
-use arbutuspick_model::{CellLevel, WorkerName};
+use arbutuspick_model::{CellLevel, GangShape, WorkerName};
 use serde::Serialize;
 
 use crate::MemberPlacement;
@@ -31,13 +31,13 @@
 }
 
 impl WorkerLoad {
-    pub(crate) fn new(slot: WorkerSlot, mask: u8, tasks: u32, demand: &CellDemand) -> Self {
+    pub(crate) fn new(slot: WorkerSlot, mask: u8, tasks: u32, shape: GangShape) -> Self {
         Self {
             slot,
             mask,
             tasks,
-            cores: demand.shape.cores.saturating_mul(tasks),
-            memory_mib: demand.shape.memory_mib.saturating_mul(u64::from(tasks)),
+            cores: shape.cores.saturating_mul(tasks),
+            memory_mib: shape.memory_mib.saturating_mul(u64::from(tasks)),
         }
     }
 
@@ -60,7 +60,7 @@
                 place,
             };
             let bits = (mask >> (8 * place)) as u8;
-            loads.push(Self::new(slot, bits, here, demand));
+            loads.push(Self::new(slot, bits, here, demand.shape));
         }
         loads
     }
