Show the cost of decisions, memory and encoded sizes against size

Nothing showed how the cores' cost grows towards the target scale. `slopes` measures `decide`, events, the resident set, the routing table and encoded sizes over several decades, with a least-squares fit. Memory is the growth of the resident set, because a counting allocator needs unsafe code.

--- /dev/null
+++ b/crates/bench/src/bin/slopes.rs
@@ -0,0 +1,81 @@
+//! Prints the cost of decisions, memory and encoded sizes against size.
+
+use std::fs;
+use std::process::ExitCode;
+
+use arbutuspick_bench::{
+    due_queue_slopes, encoded_sizes, gang_slopes, memory_slopes, queue_slopes, route_slopes, running_slopes,
+    worker_slopes,
+};
+use getopts::Options;
+
+/// Returns cores and memory of the machine.
+fn machine_class() -> String {
+    let cores = std::thread::available_parallelism().map_or(0, usize::from);
+    let memory = fs::read_to_string("/proc/meminfo").unwrap_or_default();
+    let total = memory.lines().find_map(|line| line.strip_prefix("MemTotal:"));
+    let kib: u64 = total
+        .and_then(|total| total.trim().strip_suffix(" kB")?.trim().parse().ok())
+        .unwrap_or(0);
+    format!("{cores} cores, {} GiB of memory", kib / (1 << 20))
+}
+
+fn print_part(part: &str) {
+    match part {
+        // Measured first in a run of all parts, before freed memory of other parts can be reused.
+        "memory" => memory_slopes().iter().for_each(|series| println!("{series}")),
+        "placement" => {
+            for measure in [
+                worker_slopes,
+                queue_slopes,
+                due_queue_slopes,
+                gang_slopes,
+                running_slopes,
+            ] {
+                measure().iter().for_each(|series| println!("{series}"));
+            }
+        }
+        "route" => {
+            for threads in [1, 4] {
+                println!("{threads} threads:\n\n{}", route_slopes(threads));
+            }
+        }
+        _ => encoded_sizes().iter().for_each(|series| println!("{series}")),
+    }
+}
+
+fn main() -> ExitCode {
+    let parts = ["memory", "placement", "route", "sizes"];
+    let mut options = Options::new();
+    options.optopt(
+        "",
+        "part",
+        "memory, placement, route or sizes (default: all)",
+        "NAME",
+    );
+    options.optflag("h", "help", "show this text");
+    let matches = match options.parse(std::env::args().skip(1)) {
+        Ok(matches) => matches,
+        Err(fault) => {
+            eprintln!("slopes: {fault}");
+            return ExitCode::from(2);
+        }
+    };
+    if matches.opt_present("help") {
+        print!("{}", options.usage("Usage: slopes [options]"));
+        return ExitCode::SUCCESS;
+    }
+    let chosen = matches.opt_str("part");
+    if let Some(part) = chosen.as_deref().filter(|part| !parts.contains(part)) {
+        eprintln!("slopes: --part {part}: must be memory, placement, route or sizes");
+        return ExitCode::from(2);
+    }
+    println!("Machine: {}\n", machine_class());
+    for part in parts {
+        if chosen.as_deref().is_none_or(|chosen| chosen == part) {
+            println!("## {part}\n");
+            print_part(part);
+        }
+    }
+    ExitCode::SUCCESS
+}
--- a/crates/bench/src/placement_audit.rs
+++ b/crates/bench/src/placement_audit.rs
@@ -7,22 +7,33 @@
 use crate::host_pool::{FreeHost, HostPool};
 
 /// What the workers of one data centre really hold, independent of the policy that places.
+///
+/// ```
+/// use arbutuspick_bench::{DeploymentPlan, PlacementAudit};
+/// use arbutuspick_model::{AttemptNumber, GangShape, JobId};
+/// use arbutuspick_sched::GangPlacement;
+/// let mut audit = PlacementAudit::new(&DeploymentPlan::midlands(), 0);
+/// let (job, attempt) = (JobId::generate(), AttemptNumber(1));
+/// let placement = GangPlacement { job, attempt, members: Vec::new(), guaranteed: false };
+/// assert!(audit.place(&GangShape::default(), &placement).is_err()); // Placed in part.
+/// ```
 #[derive(Clone, Debug, Default)]
-pub(crate) struct PlacementAudit {
+pub struct PlacementAudit {
     pub(crate) pool: HostPool,
     held: BTreeMap<JobId, (GangShape, Vec<MemberPlacement>)>,
 }
 
 impl PlacementAudit {
-    pub(crate) fn new(plan: &DeploymentPlan, centre: usize) -> Self {
-        let workers = plan.workers(centre);
+    /// Creates the idle workers of a data centre.
+    pub fn new(plan: &DeploymentPlan, centre: usize) -> Self {
         let mut racks = Vec::new();
         let mut hosts = Vec::new();
-        for (worker, rack) in workers {
-            let index = racks.iter().position(|known| *known == rack).unwrap_or_else(|| {
+        for (worker, rack) in plan.workers(centre) {
+            let known = racks.iter().position(|known| *known == rack);
+            let index = known.unwrap_or(racks.len());
+            if known.is_none() {
                 racks.push(rack);
-                racks.len() - 1
-            });
+            }
             hosts.push(FreeHost::new(worker, index, plan.capacity));
         }
         let pool = HostPool { hosts };
@@ -31,7 +42,7 @@
     }
 
     /// Holds the placement, or says which rule it breaks.
-    pub(crate) fn place(&mut self, shape: &GangShape, placement: &GangPlacement) -> Result<(), String> {
+    pub fn place(&mut self, shape: &GangShape, placement: &GangPlacement) -> Result<(), String> {
         let GangPlacement { job, members, .. } = placement;
         if members.len() != shape.tasks as usize {
             let (placed, tasks) = (members.len(), shape.tasks);
@@ -104,7 +115,7 @@
     }
 
     /// Frees what a job holds.
-    pub(crate) fn release(&mut self, job: JobId) {
+    pub fn release(&mut self, job: JobId) {
         let Some((shape, members)) = self.held.remove(&job) else {
             return;
         };
--- a/crates/bench/src/run_outcome.rs
+++ b/crates/bench/src/run_outcome.rs
@@ -28,7 +28,7 @@
     pub completion_sum_ms: u64,
     /// Jobs that ran.
     pub ran: u64,
-    /// Jobs that were refused, cancelled, ended as unknown, and did not end before the run was given up.
+    /// Jobs that were refused.
     pub refused: u64,
     /// Jobs that the caller cancelled before they ended.
     pub cancelled: u64,
