Tell lost jobs from unrecorded submissions in the driver

In trials with faults, submissions whose answer was lost in an outage were followed until the end of the run although they were never recorded, and counted as unfinished. An accepted job that is not known any more would have looked the same.

A job that no entry VM knows for 10 s ends as unknown; it breaks a promise when its submission was accepted. The report lists unfinished jobs with their last state, and the starts in the data centre that is taken out. Workers with more than 8 accelerators are refused.

--- a/crates/standins/src/bin/standin.rs
+++ b/crates/standins/src/bin/standin.rs
@@ -6,7 +6,7 @@
 use std::process::ExitCode;
 use std::str::FromStr;
 
-use arbutuspick_model::{CentreName, FieldError, ServiceName, WorkerCapacity};
+use arbutuspick_model::{CentreName, FieldError, ServiceName, WORKER_ACCELERATORS, WorkerCapacity};
 use arbutuspick_platform::VmEntry;
 use arbutuspick_standins::{
     ControlClient, FleetOptions, PlatformControl, PlatformOptions, PlatformSettings, PlatformStandin,
@@ -153,6 +153,10 @@
         cores: number(matches, "cores", default.cores)?,
         memory_mib: number(matches, "memory-mib", default.memory_mib)?,
     };
+    if options.capacity.accelerators > WORKER_ACCELERATORS {
+        let accelerators = options.capacity.accelerators;
+        return Err(FieldError::new("accelerators", accelerators, "must be at most 8").into());
+    }
     let fleet = WorkerFleet::start(&options).await?;
     announce(options.platform, fleet.entries()).await?;
     until_stopped().await
--- a/crates/standins/src/drive/drive_report.rs
+++ b/crates/standins/src/drive/drive_report.rs
@@ -9,6 +9,8 @@
 use super::request_call::RequestReport;
 use super::run_logs::RunLogs;
 
+/// Most unfinished jobs that are listed.
+const MAX_LISTED: usize = 10;
 /// Longest time told apart from longer ones; runs end after 90 s.
 const LONGEST_MS: u64 = 200_000;
 
@@ -107,6 +109,10 @@
         for (account, counts) in requests {
             writeln!(f, "  {account:<20} requests {counts}")?;
         }
+        let unfinished = self.jobs.iter().filter(|job| job.said == SaidOutcome::Unfinished);
+        for job in unfinished.take(MAX_LISTED) {
+            writeln!(f, "  unfinished job {}: {}", job.label, job.reason)?;
+        }
         Ok(())
     }
 
@@ -156,6 +162,31 @@
         Ok(())
     }
 
+    /// A promise about starts says little when nothing was started in the data centre.
+    fn write_starts(
+        &self,
+        f: &mut fmt::Formatter<'_>,
+        outage: &OutageReport,
+        from: u64,
+        until: u64,
+    ) -> fmt::Result {
+        let here = self
+            .logs
+            .runs()
+            .filter(|(centre, _)| **centre == outage.data_centre);
+        let starts: Vec<u64> = here.map(|(_, run)| run.started_at).collect();
+        let before = starts.iter().filter(|at| **at < from).count();
+        let after = starts.iter().filter(|at| **at >= until).count();
+        let during = starts.iter().filter(|at| (from..until).contains(*at));
+        let latest = during.clone().max().map_or(0, |at| at - from);
+        writeln!(
+            f,
+            "  tasks started in it: {before} before the order was recorded, {} after it (last after {latest} ms), \
+             {after} after its return was ordered",
+            during.count()
+        )
+    }
+
     fn write_outage(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let Some(outage) = &self.outage else {
             return Ok(());
@@ -167,6 +198,7 @@
         let (Some(from), Some(until)) = (outage.out_recorded_at, outage.in_sent_at) else {
             return Ok(());
         };
+        self.write_starts(f, outage, from, until)?;
         let during = |at: u64| (from..until).contains(&at);
         let jobs = self
             .jobs
--- a/crates/standins/src/drive/job_call.rs
+++ b/crates/standins/src/drive/job_call.rs
@@ -14,6 +14,8 @@
 const CALL_MS: u64 = 10_000;
 const WAIT_MS: u64 = 5_000;
 const RETRY: Duration = Duration::from_millis(200);
+/// Time after which a job that no VM knows is given up; only an unresolved submission can be late.
+const MISSING_MS: u64 = 10_000;
 const MAX_SUBMISSIONS: usize = 5;
 
 /// What callers were told of a job or request.
@@ -59,6 +61,10 @@
     pub reason: String,
     /// Attempt that ran.
     pub attempt: u32,
+    /// Whether its submission was accepted.
+    pub accepted: bool,
+    /// Whether no entry VM knew it afterwards.
+    pub missing: bool,
     /// Whether the result was right.
     pub result: ResultCheck,
     /// First submission, in milliseconds since the Unix epoch.
@@ -87,6 +93,8 @@
             said: SaidOutcome::Unfinished,
             reason: String::new(),
             attempt: 0,
+            accepted: false,
+            missing: false,
             result: ResultCheck::NotChecked,
             submitted_at: self.wall.now_ms(),
             ended_at: 0,
@@ -157,16 +165,17 @@
         let path = format!("/v1/jobs/{id}/wait?timeout_ms={WAIT_MS}");
         let call = EntryCall::new(Method::GET, &path, &self.job.token);
         report.said = SaidOutcome::Unfinished;
+        let missing_until = self.entries.clock.now() + MISSING_MS;
         while self.entries.clock.now() < self.deadline {
-            if let Ok(answer) = self.call(&call).await
-                && answer.status.is_success()
-            {
-                let body = json_body(&answer);
-                if let Some(said) = final_state(&body) {
-                    report.said = said;
-                    report.reason = reason(&body);
-                    report.attempt = body["attempt"].as_u64().unwrap_or_default() as u32;
-                    report.ended_at = self.wall.now_ms();
+            if let Ok(answer) = self.call(&call).await {
+                let missing = answer.status == StatusCode::NOT_FOUND;
+                if missing && self.entries.clock.now() >= missing_until {
+                    report.said = SaidOutcome::Unknown;
+                    report.reason = "the job is not recorded".into();
+                    report.missing = true;
+                    return;
+                }
+                if answer.status.is_success() && self.read_state(&answer, report) {
                     return;
                 }
             }
@@ -174,6 +183,25 @@
         }
     }
 
+    /// Takes over the state of the job and returns whether it is final.
+    fn read_state(&self, answer: &UpstreamAnswer, report: &mut JobReport) -> bool {
+        let body = json_body(answer);
+        let attempt = &body["attempt"];
+        let Some(said) = final_state(&body) else {
+            // Kept when the job is still unfinished at the deadline.
+            report.reason = format!("{}, attempt {attempt} in {}", body["state"], body["data_centre"]);
+            return false;
+        };
+        report.said = said;
+        report.reason = reason(&body);
+        report.attempt = attempt
+            .as_u64()
+            .and_then(|n| u32::try_from(n).ok())
+            .unwrap_or_default();
+        report.ended_at = self.wall.now_ms();
+        true
+    }
+
     async fn check_result(&self, id: &str) -> ResultCheck {
         let call = EntryCall::new(Method::GET, &format!("/v1/jobs/{id}/result"), &self.job.token);
         while self.entries.clock.now() < self.deadline {
@@ -220,6 +248,7 @@
         _ => Some(SaidOutcome::Unknown),
     };
     let Some(said) = said else {
+        report.accepted = answer.status.is_success();
         return id;
     };
     report.said = said;
--- a/crates/standins/src/drive/promise_check.rs
+++ b/crates/standins/src/drive/promise_check.rs
@@ -69,6 +69,9 @@
             job.attempt
         ));
     }
+    if job.accepted && job.missing {
+        broken.push(format!("job {label}: was accepted, but no entry VM knows it"));
+    }
     if let ResultCheck::Wrong(message) = &job.result {
         broken.push(format!("job {label}: {message}"));
     }
--- a/crates/standins/tests/promises.rs
+++ b/crates/standins/tests/promises.rs
@@ -20,6 +20,8 @@
         said: SaidOutcome::Ran,
         reason: String::new(),
         attempt: 1,
+        accepted: true,
+        missing: false,
         result: ResultCheck::Whole,
         submitted_at: 0,
         ended_at: 0,
@@ -64,6 +66,10 @@
 #[parameterized(
     whole = { |_, _| {} },
     unknown = { |job, runs| { job.said = SaidOutcome::Unknown; runs.pop(); } },
+    unrecorded = { |job, runs| {
+        (job.said, job.missing, job.accepted) = (SaidOutcome::Unknown, true, false);
+        runs.clear();
+    } },
     not_run = { |job, runs| { job.said = SaidOutcome::NotRun; runs.clear(); } },
     resumed = { |job, runs| {
         runs.iter_mut().for_each(|run| run.how = Some(TaskEnd::Stopped));
@@ -90,6 +96,7 @@
     twice = { |_, runs| { let id = runs[0].job; runs.push(run(id, 2, 0)); } },
     key_twice = { |job, runs| { runs.push(run(JobId::generate(), 1, 0)); job.idempotent = true; } },
     ran_after_all = { |job, _| job.said = SaidOutcome::NotRun },
+    lost_job = { |job, runs| { (job.said, job.missing) = (SaidOutcome::Unknown, true); runs.clear(); } },
     wrong_result = { |job, _| job.result = ResultCheck::Wrong("cut".into()) },
 )]
 fn broken_by_jobs(change: JobChange) {
--- a/crates/standins/tests/report.rs
+++ b/crates/standins/tests/report.rs
@@ -13,6 +13,8 @@
         said,
         reason: "cancelled".into(),
         attempt: 1,
+        accepted: true,
+        missing: false,
         result: ResultCheck::Whole,
         submitted_at: 1_000,
         ended_at: 1_000 + millis,
@@ -71,3 +73,9 @@
     assert!(text.contains("2 NotRun cancelled"), "{text}");
     assert!(text.contains("2 sent      0 ran     2 not run"), "{text}");
 }
+
+#[test]
+fn unfinished_jobs() {
+    let text = report(vec![job(1, SaidOutcome::Unfinished, 1)]);
+    assert!(text.contains("unfinished job job: cancelled"), "{text}");
+}
