--- a/demo/run.sh
+++ b/demo/run.sh
@@ -64,9 +64,18 @@
 done
 for entry in "${entries[@]}"; do wait_for "$entry" curl -sf "http://${entry#*=}/readyz"; done
 
-echo "== put the configuration of four client accounts in force"
 first=${entries[0]#*=}
 operator="authorization: Bearer sample-$deployment-operator-control-room"
+workers_joined() {
+  local joined=0 entry
+  for entry in "${entries[@]}"; do
+    joined=$((joined + $(curl -sf -H "$operator" "http://${entry#*=}/v1/operator/workers" | grep -o '"joined":true' | wc -l)))
+  done
+  [ "$joined" -ge 50 ]
+}
+wait_for "workers joined" workers_joined
+
+echo "== put the configuration of four client accounts in force"
 # The owner who holds the month accepts what the questionnaires generate.
 owner=$(curl -sf -H "$operator" "http://$first/v1/operator/turn" | sed -E 's/.*"owner":"([^"]*)".*/\1/')
 for questionnaire in examples/"$deployment"/questionnaire-*.yaml; do
@@ -74,9 +83,9 @@
     { value = $2; if (value !~ /^([0-9]+|true|false)$/) value = "\"" value "\"";
       printf "%s\"%s\": %s", (NR > 1 ? ", " : "{"), $1, value }
     END { print "}" }' "$questionnaire")
-  proposal=$(curl -sf -H "$operator" -H 'content-type: application/json' -d "$json" \
-    "http://$first/v1/operator/questionnaires" | sed -E 's/.*"id":"([^"]*)".*/\1/')
-  curl -sf -X POST -H "authorization: Bearer sample-$deployment-owner-$owner" \
+  proposal=$(curl -sS --fail-with-body -H "$operator" -H 'content-type: application/json' -d "$json" \
+    "http://$first/v1/operator/questionnaires" | sed -E 's/.*"proposal":"([^"]*)".*/\1/')
+  curl -sS --fail-with-body -X POST -H "authorization: Bearer sample-$deployment-owner-$owner" \
     "http://$first/v1/operator/proposals/$proposal/accept" >/dev/null
 done
 in_force() {
@@ -86,15 +95,6 @@
   done
 }
 wait_for "configuration in force" in_force
-workers_joined() {
-  local joined=0 entry
-  for entry in "${entries[@]}"; do
-    joined=$((joined + $(curl -sf -H "$operator" "http://${entry#*=}/v1/operator/workers" | grep -o '"joined":true' | wc -l)))
-  done
-  [ "$joined" -ge 50 ]
-}
-wait_for "workers joined" workers_joined
-
 echo "== workload"
 arguments=()
 for entry in "${entries[@]}"; do arguments+=(--entry "$entry"); done
