Take up notices in batches and confirm long attempts only

Up to 32 notices are now taken up in one transaction, and the row says that an attempt runs only after 2 s. Attempts that run are ticked once a second, not twenty times.

--- a/crates/holder/src/gang_attempt.rs
+++ b/crates/holder/src/gang_attempt.rs
@@ -565,6 +565,11 @@
         Some(lease_until)
     }
 
+    /// Returns whether every member runs.
+    pub fn is_running(&self) -> bool {
+        matches!(self.0.state(), State::Running {})
+    }
+
     /// Returns whether the attempt is over.
     pub fn is_ended(&self) -> bool {
         matches!(self.0.state(), State::Ended {})
--- a/crates/holder/src/holder_event.rs
+++ b/crates/holder/src/holder_event.rs
@@ -1,6 +1,6 @@
 use arbutuspick_model::{AttemptNumber, JobId, WorkerName};
 use arbutuspick_platform::{CallError, VmList, WorkerAnswer};
-use arbutuspick_records::{CentreRecord, JobNotice, JobRecord, Versioned};
+use arbutuspick_records::{CentreRecord, Versioned};
 use tokio::sync::oneshot;
 
 use crate::holder_view::HolderDump;
@@ -22,6 +22,13 @@
     Release,
 }
 
+/// A notice that was taken up, or could not be.
+#[derive(Clone, Debug)]
+pub(crate) struct TakenNotice {
+    pub(crate) noticed: NoticedJob,
+    pub(crate) done: bool,
+}
+
 /// A result of input or output that the holder waits for.
 #[derive(Debug)]
 pub(crate) enum HolderEvent {
@@ -36,16 +43,12 @@
     Written {
         job: JobId,
         after: AfterWrite,
-        end: WriteEnd,
+        end: Box<WriteEnd>,
     },
     /// The notices of the data centre were read.
     Inbox(Result<Vec<NoticedJob>, CallError>),
-    /// A notice was taken up, or could not be.
-    TakenUp {
-        notice: JobNotice,
-        row: Versioned<JobRecord>,
-        done: bool,
-    },
+    /// Notices were taken up, or could not be.
+    TakenUp(Vec<TakenNotice>),
     /// The row of operators' orders was read.
     Centre(Result<Option<Versioned<CentreRecord>>, CallError>),
     /// The list of workers was read.
--- a/crates/holder/src/holder_jobs.rs
+++ b/crates/holder/src/holder_jobs.rs
@@ -6,13 +6,20 @@
 use arbutuspick_sched::{AttemptEnd, GangPlacement, PlacementAction, PlacementEvent};
 
 use crate::gang_attempt::{GANG_LEASE_MS, HOLD_MS};
-use crate::holder_event::WorkerCall;
+use crate::holder_event::{TakenNotice, WorkerCall};
 use crate::job_entry::{AfterWrite, JobEntry, LiveAttempt, placed_members};
 use crate::job_reader::NoticedJob;
 use crate::job_write::{AttemptStart, JobWrite, WriteEnd};
 use crate::placement_holder::PlacementHolder;
 use crate::{AttemptRules, AttemptVerdict, GangCommand, GangEvent, GangMachine};
 
+/// Most notices that are taken up in one transaction.
+const TAKE_UP_BATCH: usize = 32;
+/// Age of a running attempt at which its row says so; shorter attempts save the write.
+const CONFIRM_AFTER_MS: u64 = 2_000;
+/// Time between ticks of an attempt that runs.
+const RUNNING_TICK_MS: u64 = 1_000;
+
 /// Jobs and attempts: taking up, decisions, commands and writes.
 impl PlacementHolder {
     /// Adds a job whose row was read, in whatever state it is.
@@ -65,11 +72,7 @@
         let job = entry.row.record.job;
         let placement = entry.recorded_placement();
         let machine = GangMachine::adopt(&placement, rules(&entry.row.record), now);
-        entry.live = Some(LiveAttempt {
-            placement: placement.clone(),
-            machine,
-            began_at: now,
-        });
+        entry.live = Some(LiveAttempt::new(placement.clone(), machine, now));
         let (spec, queued_at) = (entry.spec.clone(), entry.queued_at);
         self.settle_residents(&placement);
         let cancelled = entry.row.record.cancel_requested;
@@ -97,22 +100,23 @@
         }
     }
 
-    /// Takes up the notices of the inbox, each in a transaction of its own.
+    /// Takes up the notices of the inbox, several in a transaction.
     pub(crate) fn take_up(&mut self, notices: Vec<NoticedJob>) {
-        for NoticedJob { notice, row } in notices {
-            let job = row.record.job;
-            match row.take_up(&notice, &self.guard, Self::new_write_id()) {
-                Ok(transaction) => {
-                    if self.taking_up.insert(job) {
-                        self.request_take_up(notice, row, transaction);
-                    }
-                }
-                Err(error) => log::error!("[holder] Notice for job {job} was not taken up: {error}."),
+        let mut fresh = Vec::with_capacity(notices.len());
+        for noticed in notices {
+            if self.taking_up.insert(noticed.row.record.job) {
+                fresh.push(noticed);
             }
         }
+        for batch in fresh.chunks(TAKE_UP_BATCH) {
+            self.request_take_up(batch.to_vec());
+        }
     }
 
-    pub(crate) fn handle_taken_up(&mut self, notice: JobNotice, row: Versioned<JobRecord>, done: bool) {
+    pub(crate) fn handle_taken_up(&mut self, taken: TakenNotice) {
+        let TakenNotice { noticed, done } = taken;
+        let NoticedJob { notice, row } = noticed;
+        let notice = notice.record.notice;
         let now = self.now();
         let job = row.record.job;
         self.taking_up.remove(&job);
@@ -183,11 +187,7 @@
         };
         let mut machine = GangMachine::begin(&placement, rules(&entry.row.record), now);
         let commands = machine.handle(&GangEvent::Ticked, now);
-        entry.live = Some(LiveAttempt {
-            placement: placement.clone(),
-            machine,
-            began_at: now,
-        });
+        entry.live = Some(LiveAttempt::new(placement.clone(), machine, now));
         self.settle_residents(&placement);
         self.execute(job, commands, now);
     }
@@ -218,16 +218,26 @@
 
     /// Lets time pass for every attempt that waits for something.
     pub(crate) fn tick_attempts(&mut self, now: ClockTime) {
-        let waiting: Vec<(JobId, AttemptNumber)> = self
-            .jobs
-            .iter()
-            .filter_map(|(job, entry)| entry.live.as_ref().map(|live| (*job, live)))
-            .filter(|(_, live)| !live.machine.is_ended())
-            .map(|(job, live)| (job, live.placement.attempt))
-            .collect();
-        for (job, attempt) in waiting {
+        let mut due = Vec::new();
+        let mut confirmed = Vec::new();
+        for (job, entry) in &mut self.jobs {
+            let Some(live) = entry.live.as_mut().filter(|live| now >= live.tick_at) else {
+                continue;
+            };
+            if live.machine.is_running() {
+                live.tick_at = now + RUNNING_TICK_MS;
+            }
+            if live.confirm_at.take_if(|at| now >= *at).is_some() {
+                confirmed.push(*job);
+            }
+            due.push((*job, live.placement.attempt));
+        }
+        for (job, attempt) in due {
             self.feed_at(job, attempt, &GangEvent::Ticked, now);
         }
+        for job in confirmed {
+            self.write(job, JobWrite::Confirm, AfterWrite::Nothing);
+        }
     }
 
     /// Gives an event to an attempt, if it is the job's live one.
@@ -271,7 +281,9 @@
                 GangCommand::ReportRunning => {
                     self.core
                         .handle(PlacementEvent::AttemptRunning { job, attempt }, now);
-                    self.write(job, JobWrite::Confirm, AfterWrite::Nothing);
+                    if let Some(live) = self.jobs.get_mut(&job).and_then(|entry| entry.live.as_mut()) {
+                        live.confirm_at = Some(now + CONFIRM_AFTER_MS);
+                    }
                 }
                 GangCommand::Conclude(verdict) => self.conclude(job, attempt, verdict, now),
             }
--- a/crates/holder/src/holder_requests.rs
+++ b/crates/holder/src/holder_requests.rs
@@ -1,16 +1,17 @@
 use std::future::Future;
 use std::sync::Arc;
 
-use arbutuspick_model::{AttemptNumber, JobId, WorkerName, WriteId};
+use arbutuspick_model::{AttemptNumber, ClockTime, JobId, WorkerName, WriteId};
 use arbutuspick_platform::{
     AttemptRequest, CallError, CallPriority, CommitEnd, EpochRequest, LeaseExtension, PrepareRequest,
     RenewRequest, StartRequest, VmRole, WorkerAnswer, WorkerClient, commit_transaction,
 };
-use arbutuspick_records::{InboxRecord, JobRecord, TableTransaction, Versioned};
+use arbutuspick_records::{HolderGuard, JobRecord, TableTransaction, Versioned};
 
-use crate::holder_event::{HolderEvent, WorkerCall};
+use crate::HolderLinks;
+use crate::holder_event::{HolderEvent, TakenNotice, WorkerCall};
 use crate::job_entry::AfterWrite;
-use crate::job_reader::{read_centre, read_inbox};
+use crate::job_reader::{NoticedJob, read_centre, read_inbox};
 use crate::job_write::{JobWrite, write_job};
 use crate::placement_holder::PlacementHolder;
 use crate::worker_session::CALL_TIMEOUT;
@@ -50,22 +51,24 @@
         self.spawn(async move { HolderEvent::Inbox(read_inbox(&table, &centre).await) });
     }
 
-    pub(crate) fn request_take_up(
-        &mut self,
-        notice: Versioned<InboxRecord>,
-        row: Versioned<JobRecord>,
-        transaction: TableTransaction,
-    ) {
+    /// Takes notices up in one transaction, or one by one when that has a conflict.
+    pub(crate) fn request_take_up(&mut self, notices: Vec<NoticedJob>) {
         let links = self.links.clone();
+        let guard = self.guard.clone();
         self.spawn(async move {
             let deadline = links.clock.now() + TAKE_UP_LIMIT_MS;
-            let end = commit_transaction(&links.table, &transaction, deadline, CallPriority::Essential).await;
-            let done = matches!(end, CommitEnd::Committed { .. });
-            HolderEvent::TakenUp {
-                notice: notice.record.notice,
-                row,
-                done,
+            if take_up_all(&links, &guard, &notices, deadline).await {
+                let taken = notices
+                    .into_iter()
+                    .map(|noticed| TakenNotice { noticed, done: true });
+                return HolderEvent::TakenUp(taken.collect());
+            }
+            let mut taken = Vec::with_capacity(notices.len());
+            for noticed in notices {
+                let done = take_up_all(&links, &guard, std::slice::from_ref(&noticed), deadline).await;
+                taken.push(TakenNotice { noticed, done });
             }
+            HolderEvent::TakenUp(taken)
         });
     }
 
@@ -79,7 +82,7 @@
         let links = self.links.clone();
         let guard = self.guard.clone();
         self.spawn(async move {
-            let end = write_job(&links, &guard, row, write).await;
+            let end = Box::new(write_job(&links, &guard, row, write).await);
             HolderEvent::Written { job, after, end }
         });
     }
@@ -149,12 +152,7 @@
     }
 
     /// Sends a start, unless the permit or the placement lease has ended when the task runs.
-    pub(crate) fn call_start(
-        &mut self,
-        worker: &WorkerName,
-        request: StartRequest,
-        send_before: arbutuspick_model::ClockTime,
-    ) {
+    pub(crate) fn call_start(&mut self, worker: &WorkerName, request: StartRequest, send_before: ClockTime) {
         let attempt = Some((request.job, request.attempt));
         let clock = self.links.clock;
         let validity = self.lease_validity();
@@ -216,3 +214,27 @@
         arbutuspick_records::ObjectKey::Checkpoint(job, attempt).into()
     }
 }
+
+async fn take_up_all(
+    links: &HolderLinks,
+    guard: &HolderGuard,
+    notices: &[NoticedJob],
+    deadline: ClockTime,
+) -> bool {
+    let write_id = WriteId::generate();
+    let mut transaction = TableTransaction::new(write_id);
+    for NoticedJob { notice, row } in notices {
+        match row.take_up(notice, guard, write_id) {
+            Ok(part) => transaction = transaction.merge(part),
+            Err(error) => {
+                log::error!(
+                    "[holder] Notice for job {} was not taken up: {error}.",
+                    row.record.job
+                );
+                return false;
+            }
+        }
+    }
+    let end = commit_transaction(&links.table, &transaction, deadline, CallPriority::Essential).await;
+    matches!(end, CommitEnd::Committed { .. })
+}
--- a/crates/holder/src/job_entry.rs
+++ b/crates/holder/src/job_entry.rs
@@ -27,6 +27,22 @@
     pub(crate) placement: GangPlacement,
     pub(crate) machine: GangMachine,
     pub(crate) began_at: ClockTime,
+    /// When time has to pass for the machine again.
+    pub(crate) tick_at: ClockTime,
+    /// When the row has to say that the attempt runs, once it does.
+    pub(crate) confirm_at: Option<ClockTime>,
+}
+
+impl LiveAttempt {
+    pub(crate) fn new(placement: GangPlacement, machine: GangMachine, now: ClockTime) -> Self {
+        Self {
+            placement,
+            machine,
+            began_at: now,
+            tick_at: now,
+            confirm_at: None,
+        }
+    }
 }
 
 /// A job of this data centre.
--- a/crates/holder/src/placement_holder.rs
+++ b/crates/holder/src/placement_holder.rs
@@ -262,7 +262,7 @@
             } => {
                 self.handle_worker(&worker, call, attempt, answer);
             }
-            HolderEvent::Written { job, after, end } => self.handle_written(job, after, end),
+            HolderEvent::Written { job, after, end } => self.handle_written(job, after, *end),
             HolderEvent::Inbox(result) => {
                 self.inbox_in_flight = false;
                 match result {
@@ -270,7 +270,11 @@
                     Err(error) => log::debug!("[holder] Inbox was not read: {error}."),
                 }
             }
-            HolderEvent::TakenUp { notice, row, done } => self.handle_taken_up(notice, row, done),
+            HolderEvent::TakenUp(taken) => {
+                for notice in taken {
+                    self.handle_taken_up(notice);
+                }
+            }
             HolderEvent::Centre(Ok(order)) => self.apply_centre(order),
             HolderEvent::Centre(Err(error)) => log::debug!("[holder] Order was not read: {error}."),
             HolderEvent::Workers(Ok(list)) => self.apply_workers(&list),
--- a/crates/records/src/table.rs
+++ b/crates/records/src/table.rs
@@ -94,6 +94,18 @@
         self
     }
 
+    /// Adds the conditions and writes of another transaction, whose id is given up.
+    #[must_use]
+    pub fn merge(mut self, other: Self) -> Self {
+        for check in other.checks {
+            if !self.checks.contains(&check) {
+                self.checks.push(check);
+            }
+        }
+        self.writes.extend(other.writes);
+        self
+    }
+
     /// Adds a row to create or replace.
     #[must_use]
     pub fn put<K, V>(mut self, key: K, value: V) -> Self
