Keep the task cells with what a job claims or reserves

Cause: a job that waited for its cells computed the accelerators of its members when it started, from the workers known then. After a worker with other cores per accelerator joined, they could lie outside the claimed cells. Change: the size of a task's cell is kept with each load. Shapes without tasks or with more than 8 accelerators are refused. The random histories have a worker with 4 accelerators and one with processors only.

--- a/crates/sched/src/attempt_hold.rs
+++ b/crates/sched/src/attempt_hold.rs
@@ -3,7 +3,6 @@
 
 use arbutuspick_model::{ClockTime, JobId, JobSpec, WorkerName};
 
-use crate::cell_demand::CellDemand;
 use crate::job_entry::{AttemptHold, BoundPart, JobKey, JobPhase};
 use crate::worker_load::{WorkerLoad, WorkerSlot};
 use crate::{AccountShare, GangPlacement, PlacementAction, PlacementCore, PreemptReason};
@@ -14,16 +13,16 @@
     pub(crate) fn start_attempt(
         &mut self,
         key: JobKey,
-        demand: &CellDemand,
         loads: Vec<WorkerLoad>,
         parts: Vec<BoundPart>,
         yielding: bool,
         now: ClockTime,
     ) {
+        let shape = self.jobs[key].spec.shape;
         let mut members = Vec::new();
         for load in &loads {
             if let Some(worker) = self.pool.worker(load.slot) {
-                members.extend(load.members(&worker.name, demand));
+                members.extend(load.members(&worker.name, shape));
             }
         }
         let entry = &mut self.jobs[key];
@@ -168,11 +167,15 @@
         for key in self.adopted.remove(worker).unwrap_or_default() {
             let Some(entry) = self.jobs.get(key) else { continue };
             let Some(hold) = entry.hold() else { continue };
+            let task_cell = match entry.spec.shape.accelerators {
+                0 => 0,
+                accelerators => accelerators.next_power_of_two(),
+            };
             let here = hold.members.iter().filter(|member| member.worker == *worker);
             let (tasks, mask) = here.fold((0, 0), |(tasks, mask), member| {
                 (tasks + 1, mask | covering_cell(member.accelerators))
             });
-            let load = WorkerLoad::new(slot, mask, tasks, entry.spec.shape);
+            let load = WorkerLoad::new(slot, mask, tasks, task_cell, entry.spec.shape);
             self.pool.hold(key, &load);
             let accelerators = load.mask.count_ones();
             if let Some(hold) = self.jobs[key].hold_mut() {
--- a/crates/sched/src/borrowed_pass.rs
+++ b/crates/sched/src/borrowed_pass.rs
@@ -92,7 +92,7 @@
         if !yielding {
             self.count_overtakes(key);
         }
-        self.start_attempt(key, &demand, loads, Vec::new(), yielding, now);
+        self.start_attempt(key, loads, Vec::new(), yielding, now);
         true
     }
 
--- a/crates/sched/src/cell_demand.rs
+++ b/crates/sched/src/cell_demand.rs
@@ -1,6 +1,6 @@
 use std::collections::BTreeSet;
 
-use arbutuspick_model::{CellLevel, GangAdjacency, GangShape, WorkerCapacity};
+use arbutuspick_model::{CellLevel, GangAdjacency, GangShape, WORKER_ACCELERATORS, WorkerCapacity};
 
 use crate::CellCounts;
 use crate::worker_load::WorkerSlot;
@@ -31,6 +31,9 @@
     /// it cannot use up what other guaranteed cells of the same worker need. The same holds for gangs
     /// within racks, whose tasks share workers.
     pub(crate) fn new(shape: GangShape, worker: WorkerCapacity, guaranteed: bool) -> Option<Self> {
+        if shape.tasks == 0 || shape.accelerators > WORKER_ACCELERATORS {
+            return None;
+        }
         if shape.accelerators == 0 {
             return Some(Self {
                 shape,
--- a/crates/sched/src/guaranteed_pass.rs
+++ b/crates/sched/src/guaranteed_pass.rs
@@ -54,7 +54,6 @@
 
     fn start_claimed(&mut self, key: JobKey, now: ClockTime) {
         let entry = &mut self.jobs[key];
-        let spec = entry.spec.clone();
         let queued = JobPhase::Queued { reservation: None };
         let JobPhase::Claiming { loads, parts } = std::mem::replace(&mut entry.phase, queued) else {
             return;
@@ -65,9 +64,7 @@
             self.pool.claim(load, false);
             self.pool.hold(key, load);
         }
-        if let Some(demand) = self.demand(&spec, true) {
-            self.start_attempt(key, &demand, loads, parts, false, now);
-        }
+        self.start_attempt(key, loads, parts, false, now);
     }
 
     /// Gives queued jobs the unused guaranteed cells of their accounts.
--- a/crates/sched/src/pool_state.rs
+++ b/crates/sched/src/pool_state.rs
@@ -90,6 +90,7 @@
                 if let Some(worker) = self.worker_mut(slot) {
                     worker.resize(capacity);
                 }
+                self.list_cores(slot);
                 self.refresh(slot.rack);
             }
             return (slot, false);
--- a/crates/sched/src/process_pick.rs
+++ b/crates/sched/src/process_pick.rs
@@ -24,6 +24,7 @@
                     WorkerSlot { rack: 0, place: 0 },
                     0,
                     demand.shape.tasks,
+                    0,
                     demand.shape,
                 );
                 let slots = self.slots_by_cores(whole.cores);
@@ -59,7 +60,7 @@
         for slot in slots {
             let tasks = left.min(self.worker_tasks(slot, demand, area));
             if tasks > 0 {
-                let load = WorkerLoad::new(slot, 0, tasks, demand.shape);
+                let load = WorkerLoad::new(slot, 0, tasks, 0, demand.shape);
                 self.hold(job, &load);
                 loads.push(load);
                 left -= tasks;
--- a/crates/sched/src/reservation_pass.rs
+++ b/crates/sched/src/reservation_pass.rs
@@ -77,15 +77,12 @@
     }
 
     fn start_reserved(&mut self, key: JobKey, loads: Vec<WorkerLoad>, now: ClockTime) {
-        let Some(demand) = self.borrowed_demand(key) else {
-            return;
-        };
         self.dequeue(key);
         for load in &loads {
             self.pool.hold(key, load);
         }
         self.count_overtakes(key);
-        self.start_attempt(key, &demand, loads, Vec::new(), false, now);
+        self.start_attempt(key, loads, Vec::new(), false, now);
     }
 
     /// Returns the backfill to stop when nothing else keeps the reservation from starting.
@@ -272,7 +269,7 @@
         if shape.adjacency == GangAdjacency::Worker {
             let load = slots
                 .into_iter()
-                .map(|slot| WorkerLoad::new(slot, 0, shape.tasks, demand.shape))
+                .map(|slot| WorkerLoad::new(slot, 0, shape.tasks, 0, shape))
                 .find(|load| self.pool.may_reserve(load))?;
             self.pool.reserve(&load, true);
             loads.push(load);
@@ -292,7 +289,7 @@
         for slot in slots {
             let tasks = left.min(self.pool.reservable_tasks(slot, demand));
             if tasks > 0 {
-                let load = WorkerLoad::new(slot, 0, tasks, demand.shape);
+                let load = WorkerLoad::new(slot, 0, tasks, 0, shape);
                 self.pool.reserve(&load, true);
                 loads.push(load);
                 left -= tasks;
--- a/crates/sched/src/worker_load.rs
+++ b/crates/sched/src/worker_load.rs
@@ -24,6 +24,8 @@
     pub mask: u8,
     /// Tasks.
     pub tasks: u32,
+    /// Accelerators set aside for one task; 0 for work on processors only.
+    pub task_cell: u32,
     /// Cores of all tasks.
     pub cores: u32,
     /// Memory of all tasks in MiB.
@@ -31,11 +33,12 @@
 }
 
 impl WorkerLoad {
-    pub(crate) fn new(slot: WorkerSlot, mask: u8, tasks: u32, shape: GangShape) -> Self {
+    pub(crate) fn new(slot: WorkerSlot, mask: u8, tasks: u32, task_cell: u32, shape: GangShape) -> Self {
         Self {
             slot,
             mask,
             tasks,
+            task_cell,
             cores: shape.cores.saturating_mul(tasks),
             memory_mib: shape.memory_mib.saturating_mul(u64::from(tasks)),
         }
@@ -60,7 +63,7 @@
                 place,
             };
             let bits = (mask >> (8 * place)) as u8;
-            loads.push(Self::new(slot, bits, here, demand.shape));
+            loads.push(Self::new(slot, bits, here, demand.task_cell, demand.shape));
         }
         loads
     }
@@ -78,8 +81,8 @@
     }
 
     /// Returns the members on this worker, each with its own accelerators.
-    pub(crate) fn members(&self, worker: &WorkerName, demand: &CellDemand) -> Vec<MemberPlacement> {
-        let own = ((1u16 << demand.shape.accelerators) - 1) as u8;
+    pub(crate) fn members(&self, worker: &WorkerName, shape: GangShape) -> Vec<MemberPlacement> {
+        let own = ((1u16 << shape.accelerators) - 1) as u8;
         let first = if self.mask == 0 {
             0
         } else {
@@ -91,7 +94,7 @@
                 accelerators: if own == 0 {
                     0
                 } else {
-                    own << (first + task * demand.task_cell)
+                    own << (first + task * self.task_cell)
                 },
             })
             .collect()
--- a/crates/sched/tests/placement_invariants.rs
+++ b/crates/sched/tests/placement_invariants.rs
@@ -261,7 +261,13 @@
 
     fn join(&mut self, index: usize) {
         let (worker, rack) = worker_names().swap_remove(index);
-        let capacity = WorkerCapacity::default();
+        let mut capacity = WorkerCapacity::default();
+        // One worker has half of the accelerators, another only processors.
+        match worker.as_str() {
+            "r1-w2" => capacity.accelerators = 4,
+            "r2-w0" => capacity.accelerators = 0,
+            _ => {}
+        }
         let entry = OracleWorker {
             rack: rack.clone(),
             capacity,
