Give free reserved cells to the earliest job of the same shape

Cause: of two blocked jobs with the same shape, the later one started first when its reserved cells became free first. Change: reservations of the same shape are swapped before they are used.

--- a/crates/sched/src/reservation_pass.rs
+++ b/crates/sched/src/reservation_pass.rs
@@ -1,4 +1,4 @@
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use arbutuspick_model::{CellLevel, ClockTime, GangAdjacency};
 
@@ -22,6 +22,7 @@
             }
         }
         self.make_reservations(now);
+        self.swap_ready();
         for (key, _) in self.reserved_loads() {
             // A start may have made another job due, which then took over cells of this one.
             let JobPhase::Queued {
@@ -48,6 +49,31 @@
         }
     }
 
+    /// Gives cells that became free first to the earliest arrival that reserved cells of the same shape.
+    fn swap_ready(&mut self) {
+        let mut ready: BTreeMap<ShapeKey, VecDeque<JobKey>> = BTreeMap::new();
+        let reserved = self.reserved_loads();
+        for (key, loads) in &reserved {
+            if self.pool.are_unclaimed(loads) {
+                ready
+                    .entry(ShapeKey::new(&self.jobs[*key].spec))
+                    .or_default()
+                    .push_back(*key);
+            }
+        }
+        for (key, _) in reserved {
+            let Some(other) = ready
+                .get_mut(&ShapeKey::new(&self.jobs[key].spec))
+                .and_then(VecDeque::pop_front)
+            else {
+                continue;
+            };
+            if let Some([job, other]) = self.jobs.get_disjoint_mut([key, other]) {
+                std::mem::swap(&mut job.phase, &mut other.phase);
+            }
+        }
+    }
+
     /// Returns the reservations in order of arrival.
     fn reserved_loads(&self) -> Vec<(JobKey, Vec<WorkerLoad>)> {
         let reserved = self.queue.reserved.values();
--- a/crates/sched/src/worker_intake.rs
+++ b/crates/sched/src/worker_intake.rs
@@ -138,6 +138,20 @@
         self.release_racks();
     }
 
+    /// Returns whether no worker is held back any more by a paced return.
+    ///
+    /// ```
+    /// use arbutuspick_sched::{PlacementCore, PlacementOptions};
+    /// assert!(PlacementCore::new(PlacementOptions::default()).has_returned());
+    /// ```
+    pub fn has_returned(&self) -> bool {
+        match self.phase.state() {
+            PhaseState::Inside { .. } => true,
+            PhaseState::Returning { quarters, .. } => *quarters == ALL_QUARTERS && self.due_probes.is_empty(),
+            _ => false,
+        }
+    }
+
     /// Lets whole racks take work until the released quarters of the workers are covered.
     pub(crate) fn release_racks(&mut self) {
         let quarters = match self.phase.state() {
