Reach the quota in the random histories

Cause: a planted fault, a quota that counts jobs with earlier attempts, went unnoticed because 40 queued jobs of an account were rare. Change: the quota of the test accounts is 12.

--- a/crates/sched/tests/placement_invariants.rs
+++ b/crates/sched/tests/placement_invariants.rs
@@ -164,7 +164,7 @@
         .map(|(name, home)| AccountShare {
             account: account(name),
             weight: 1 + name.len() as u32,
-            max_queued_jobs: 40,
+            max_queued_jobs: 12,
             home,
             displaced: displaced.clone(),
         })
