--- a/crates/sched/src/guaranteed_pass.rs
+++ b/crates/sched/src/guaranteed_pass.rs
@@ -7,7 +7,7 @@
 use crate::queue_cursor::QueueCursor;
 use crate::reclaim_pick::{ReclaimBinding, ReclaimChoice, ReclaimPick};
 use crate::worker_load::WorkerLoad;
-use crate::{PlacementCore, PreemptReason};
+use crate::{CellCounts, PlacementCore, PreemptReason, pack_guarantees};
 
 /// Guaranteed jobs: choice of cells, reclaim from borrowers, and start when the cells are free.
 impl PlacementCore {
@@ -54,7 +54,6 @@
 
     fn start_claimed(&mut self, key: JobKey, now: ClockTime) {
         let entry = &mut self.jobs[key];
-        let spec = entry.spec.clone();
         let queued = JobPhase::Queued { reservation: None };
         let JobPhase::Claiming { loads, parts } = std::mem::replace(&mut entry.phase, queued) else {
             return;
@@ -65,9 +64,7 @@
             self.pool.claim(load, false);
             self.pool.hold(key, load);
         }
-        if let Some(demand) = self.demand(&spec, true) {
-            self.start_attempt(key, &demand, loads, parts, false, now);
-        }
+        self.start_attempt(key, loads, parts, false, now);
     }
 
     /// Gives queued jobs the unused guaranteed cells of their accounts.
@@ -80,6 +77,10 @@
             .cloned()
             .collect();
         for account in accounts {
+            let mut unused = self.ledger.unused_cells(&self.pool, &account);
+            if unused.is_empty() {
+                continue;
+            }
             let mut cursor = QueueCursor::new(&self.queue.accounts[&account]);
             while let Some(queue) = self.queue.accounts.get(&account) {
                 let Some((key, group)) = cursor.pop(queue) else {
@@ -88,23 +89,30 @@
                 if !self.has_budget() {
                     return;
                 }
-                if self.claim_guaranteed(key, &account, now)
-                    && let Some(queue) = self.queue.accounts.get(&account)
-                {
-                    cursor.push(queue, group);
+                if self.claim_guaranteed(key, &account, unused, now) {
+                    unused = self.ledger.unused_cells(&self.pool, &account);
+                    if let Some(queue) = self.queue.accounts.get(&account) {
+                        cursor.push(queue, group);
+                    }
                 }
             }
         }
     }
 
-    fn claim_guaranteed(&mut self, key: JobKey, account: &AccountName, now: ClockTime) -> bool {
+    fn claim_guaranteed(
+        &mut self,
+        key: JobKey,
+        account: &AccountName,
+        unused: CellCounts,
+        now: ClockTime,
+    ) -> bool {
         let spec = self.jobs[key].spec.clone();
         let demand = self.demand(&spec, true);
         let Some(mut demand) = demand.filter(|demand| !demand.runs.is_empty()) else {
             return false;
         };
         demand.avoided = self.jobs[key].avoided.clone();
-        if !self.ledger.has_unused(&self.pool, account, demand.counts()) {
+        if !pack_guarantees(unused, demand.counts()).is_empty() {
             return false;
         }
         let mut loads = Vec::new();
--- a/crates/sched/src/reservation_pass.rs
+++ b/crates/sched/src/reservation_pass.rs
@@ -1,4 +1,4 @@
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use arbutuspick_model::{CellLevel, ClockTime, GangAdjacency};
 
@@ -22,6 +22,7 @@
             }
         }
         self.make_reservations(now);
+        self.swap_ready();
         for (key, _) in self.reserved_loads() {
             // A start may have made another job due, which then took over cells of this one.
             let JobPhase::Queued {
@@ -48,6 +49,31 @@
         }
     }
 
+    /// Gives cells that became free first to the earliest arrival that reserved cells of the same shape.
+    fn swap_ready(&mut self) {
+        let mut ready: BTreeMap<ShapeKey, VecDeque<JobKey>> = BTreeMap::new();
+        let reserved = self.reserved_loads();
+        for (key, loads) in &reserved {
+            if self.pool.are_unclaimed(loads) {
+                ready
+                    .entry(ShapeKey::new(&self.jobs[*key].spec))
+                    .or_default()
+                    .push_back(*key);
+            }
+        }
+        for (key, _) in reserved {
+            let Some(other) = ready
+                .get_mut(&ShapeKey::new(&self.jobs[key].spec))
+                .and_then(VecDeque::pop_front)
+            else {
+                continue;
+            };
+            if let Some([job, other]) = self.jobs.get_disjoint_mut([key, other]) {
+                std::mem::swap(&mut job.phase, &mut other.phase);
+            }
+        }
+    }
+
     /// Returns the reservations in order of arrival.
     fn reserved_loads(&self) -> Vec<(JobKey, Vec<WorkerLoad>)> {
         let reserved = self.queue.reserved.values();
@@ -77,15 +103,12 @@
     }
 
     fn start_reserved(&mut self, key: JobKey, loads: Vec<WorkerLoad>, now: ClockTime) {
-        let Some(demand) = self.borrowed_demand(key) else {
-            return;
-        };
         self.dequeue(key);
         for load in &loads {
             self.pool.hold(key, load);
         }
         self.count_overtakes(key);
-        self.start_attempt(key, &demand, loads, Vec::new(), false, now);
+        self.start_attempt(key, loads, Vec::new(), false, now);
     }
 
     /// Returns the backfill to stop when nothing else keeps the reservation from starting.
@@ -272,7 +295,7 @@
         if shape.adjacency == GangAdjacency::Worker {
             let load = slots
                 .into_iter()
-                .map(|slot| WorkerLoad::new(slot, 0, shape.tasks, demand.shape))
+                .map(|slot| WorkerLoad::new(slot, 0, shape.tasks, 0, shape))
                 .find(|load| self.pool.may_reserve(load))?;
             self.pool.reserve(&load, true);
             loads.push(load);
@@ -292,7 +315,7 @@
         for slot in slots {
             let tasks = left.min(self.pool.reservable_tasks(slot, demand));
             if tasks > 0 {
-                let load = WorkerLoad::new(slot, 0, tasks, demand.shape);
+                let load = WorkerLoad::new(slot, 0, tasks, 0, shape);
                 self.pool.reserve(&load, true);
                 loads.push(load);
                 left -= tasks;
