Test that a keyed request runs at most once

Cause: at most one run for each key was tested in one process only, not with entry VMs that are processes of their own.

--- a/crates/entry/tests/harness/mod.rs
+++ b/crates/entry/tests/harness/mod.rs
@@ -11,8 +11,8 @@
 
 use arbutuspick_model::{CentreName, ServiceName};
 use arbutuspick_standins::{
-    FleetOptions, PlatformControl, PlatformOptions, PlatformStandin, TaskEnd, TaskRun, UpstreamFleet,
-    UpstreamFleetOptions, WorkerFleet,
+    FleetOptions, PlatformControl, PlatformOptions, PlatformStandin, TaskEnd, TaskRun, UpstreamControl,
+    UpstreamFleet, UpstreamFleetOptions, WorkerFleet,
 };
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
@@ -601,3 +601,39 @@
         .await
     }
 }
+
+/// Body of a request that the upstream stand-ins log under this id and run for this time.
+pub(crate) fn work(id: &str, work_ms: u64) -> Value {
+    json!({"id": id, "work_ms": work_ms})
+}
+
+impl TestPool {
+    /// Returns how often a request ran, counted at all upstreams.
+    pub(crate) fn request_runs(&self, id: &str) -> u64 {
+        let upstreams = self.upstreams.iter().flat_map(|fleet| &fleet.upstreams);
+        let runs = upstreams.map(|upstream| upstream.log().ran.get(id).map_or(0, |runs| runs.count));
+        runs.sum()
+    }
+
+    /// Changes the faults of every upstream.
+    pub(crate) fn control_upstreams(&self, control: &UpstreamControl) {
+        for upstream in self.upstreams.iter().flat_map(|fleet| &fleet.upstreams) {
+            upstream.control(control);
+        }
+    }
+
+    /// Waits until an entry VM routes requests to upstreams.
+    pub(crate) async fn wait_routing(&self, entry: usize, account: &str) {
+        let http = self.entries[entry].http;
+        let headers = [("x-idempotent", "true"), ("x-deadline-ms", "1000")];
+        wait_until("the entry VM routes requests", async || {
+            let answer = self
+                .api
+                .request(http, account, &work("first", 0), &headers)
+                .await
+                .ok()?;
+            (answer.outcome() == "ran").then_some(())
+        })
+        .await;
+    }
+}
