Stop lending the cells of a reservation that is about to start

When a reservation waited only for backfill that yields, the backfill was told to stop and new backfill started on the cells that it left: two jobs alternated more than 12,000 times in a traced run and the reservation never started.

--- a/crates/sched/src/pool_state.rs
+++ b/crates/sched/src/pool_state.rs
@@ -196,10 +196,11 @@
         let entry = &self.racks[rack as usize];
         let (known, up) = (entry.known(), entry.up());
         let free = up & !entry.held & !entry.claimed;
+        let closing = entry.closing;
         let (open, claimable) = (free & !entry.reserved, up & !entry.bound);
         self.known.set(rack, known);
         self.alive.set(rack, up);
-        self.lendable.set(rack, free);
+        self.lendable.set(rack, free & !closing);
         self.open.set(rack, open);
         self.claimable.set(rack, claimable);
     }
@@ -280,6 +281,23 @@
         self.refresh(load.slot.rack);
     }
 
+    /// Stops lending the accelerators of a reservation to backfill.
+    pub(crate) fn close(&mut self, loads: &[WorkerLoad]) {
+        for load in loads {
+            self.rack_mut(load.slot.rack).closing |= load.rack_mask();
+            self.refresh(load.slot.rack);
+        }
+    }
+
+    /// Lends reserved accelerators again.
+    pub(crate) fn reopen(&mut self) {
+        for rack in 0..self.racks.len() as u32 {
+            if std::mem::take(&mut self.rack_mut(rack).closing) != 0 {
+                self.refresh(rack);
+            }
+        }
+    }
+
     /// Marks accelerators as part of a guaranteed cell in use, or not.
     pub(crate) fn bind(&mut self, block: CellBlock, bound: bool) {
         let rack = self.rack_mut(block.rack);
--- a/crates/sched/src/rack_entry.rs
+++ b/crates/sched/src/rack_entry.rs
@@ -14,6 +14,8 @@
     pub(crate) claimed: u64,
     /// Accelerators that reservations wait for.
     pub(crate) reserved: u64,
+    /// Reserved accelerators that are not lent to backfill, because the reservation is about to start.
+    pub(crate) closing: u64,
     /// Accelerators of guaranteed cells in use.
     pub(crate) bound: u64,
     /// Whether a returning data centre uses the rack already.
@@ -29,6 +31,7 @@
             held: 0,
             claimed: 0,
             reserved: 0,
+            closing: 0,
             bound: 0,
             released: true,
         }
--- a/crates/sched/src/reservation_pass.rs
+++ b/crates/sched/src/reservation_pass.rs
@@ -23,6 +23,7 @@
         }
         self.make_reservations(now);
         self.swap_ready();
+        self.pool.reopen();
         for (key, _) in self.reserved_loads() {
             // A start may have made another job due, which then took over cells of this one.
             let JobPhase::Queued {
@@ -41,6 +42,9 @@
                     self.make_reservations(now);
                 }
             } else if let Some(yielding) = self.yielding_blockers(&loads) {
+                // Otherwise new backfill would start on the cells that the stopped backfill left, and the
+                // reservation would never be free: two jobs alternated 12,000 times in a measured run.
+                self.pool.close(&loads);
                 for job in yielding {
                     let stop_before = now + self.options.grace_ms;
                     self.preempt(job, PreemptReason::Reservation, stop_before, now);
