--- a/crates/entry/tests/harness/mod.rs
+++ b/crates/entry/tests/harness/mod.rs
@@ -601,3 +601,123 @@
         .await
     }
 }
+
+/// Returns the milliseconds since the Unix epoch, which the stand-ins' logs and platform time count as well.
+pub(crate) fn wall_ms() -> u64 {
+    let since_epoch = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
+    u64::try_from(since_epoch.unwrap().as_millis()).unwrap()
+}
+
+impl TestPool {
+    /// Sends an operator's order (`out` or `in`) for a data centre through an entry VM.
+    pub(crate) async fn order(
+        &self,
+        entry: usize,
+        operator: &str,
+        centre: &str,
+        kind: &str,
+        based_on: u64,
+    ) -> ApiAnswer {
+        let body = match kind {
+            "out" => json!({"based_on": based_on, "drain_ms": 60_000}),
+            _ => json!({"based_on": based_on}),
+        };
+        let path = format!("/v1/operator/data-centres/{centre}/{kind}");
+        let token = format!("operator:{operator}");
+        let http = self.entries[entry].http;
+        let answer = self.api.call(http, Method::POST, &path, &token, Some(&body), &[]);
+        answer.await.unwrap()
+    }
+
+    /// Returns the order in force for a data centre, as an entry VM shows it.
+    pub(crate) async fn shown_order(&self, entry: usize, centre: &str) -> Option<Value> {
+        let path = format!("/v1/operator/data-centres/{centre}");
+        let http = self.entries[entry].http;
+        let answer = self.api.call(http, Method::GET, &path, OPERATOR, None, &[]);
+        let answer = answer.await.ok()?;
+        answer.status.is_success().then(|| answer.json()).flatten()
+    }
+
+    /// Returns every task run of a data centre.
+    pub(crate) fn centre_runs(&self, centre: &str) -> Vec<TaskRun> {
+        let index = (0..self.fleets.len()).find(|index| self.fleet_centre(*index) == centre);
+        let workers = &self.fleets[index.expect("the pool has the data centre")].workers;
+        workers.iter().flat_map(|worker| worker.log().runs).collect()
+    }
+}
+
+/// Jobs that are submitted while a test goes on.
+pub(crate) struct JobLoad {
+    submitted: std::sync::Arc<std::sync::Mutex<Vec<String>>>,
+    stopped: std::sync::Arc<std::sync::atomic::AtomicBool>,
+    task: tokio::task::JoinHandle<()>,
+}
+
+impl JobLoad {
+    /// Submits a burst of jobs and then one every interval, through the entry VMs in turn, at most `limit`.
+    ///
+    /// A submission that an entry VM refuses or does not answer is left out.
+    pub(crate) fn start(
+        api: &ApiClient,
+        entries: Vec<SocketAddr>,
+        job: Value,
+        burst: usize,
+        every: Duration,
+        limit: usize,
+    ) -> Self {
+        let api = api.clone();
+        let submitted = std::sync::Arc::<std::sync::Mutex<Vec<String>>>::default();
+        let stopped = std::sync::Arc::new(std::sync::atomic::AtomicBool::new(false));
+        let (accepted, stop) = (submitted.clone(), stopped.clone());
+        let prefix = format!("load-{}", rand_suffix());
+        let task = tokio::spawn(async move {
+            let mut ticks = interval(every);
+            ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+            for number in 0..limit {
+                if stop.load(Ordering::Relaxed) {
+                    break;
+                }
+                if number >= burst {
+                    ticks.tick().await;
+                }
+                let key = format!("{prefix}-{number}");
+                let headers = [("idempotency-key", key.as_str())];
+                let entry = entries[number % entries.len()];
+                let call = api.call(
+                    entry,
+                    Method::POST,
+                    "/v1/jobs",
+                    "account:parks",
+                    Some(&job),
+                    &headers,
+                );
+                // A frozen entry VM must not hold up the others.
+                let answer = timeout(Duration::from_secs(2), call).await;
+                if let Ok(Ok(answer)) = answer
+                    && answer.status == StatusCode::ACCEPTED
+                {
+                    let id = answer.json().unwrap()["job"].as_str().unwrap().to_owned();
+                    accepted.lock().unwrap().push(id);
+                }
+            }
+        });
+        Self {
+            submitted,
+            stopped,
+            task,
+        }
+    }
+
+    /// Returns the number of jobs that were accepted so far.
+    pub(crate) fn accepted(&self) -> usize {
+        self.submitted.lock().unwrap().len()
+    }
+
+    /// Stops submitting and returns the accepted jobs.
+    pub(crate) async fn finish(self) -> Vec<String> {
+        self.stopped.store(true, Ordering::Relaxed);
+        self.task.await.unwrap();
+        let submitted = self.submitted.lock().unwrap();
+        submitted.clone()
+    }
+}
