Test that a second attempt waits for a silent member's lease

The lease of a gang is renewed while it runs, but no test let a worker fall silent after the first 15 s of a gang.

silent_member_outlived hangs a member's worker after 15.5 s and checks that the next attempt does not start before the silent member has ended.

Cause: GangMachine::extend_lease sends LeaseExtended, which no state handles, so lease_until stays at the start plus 15 s (crates/holder/src/gang_attempt.rs).

--- a/crates/entry/tests/gang_whole.rs
+++ b/crates/entry/tests/gang_whole.rs
@@ -293,3 +293,26 @@
     check_report(&pool, &status, 3).await;
     assert_started_once(&pool, &job);
 }
+
+/// Guards against a second attempt that runs together with the first one: the worker of a gang that has run
+/// for longer than a lease falls silent, and its member runs on until the end of the last renewed lease.
+#[tokio::test(flavor = "multi_thread")]
+async fn silent_member_outlived() {
+    let pool = start_pool(1, 4).await;
+    let http = pool.entries[0].http;
+    let job = gang(2, 60_000, true);
+    let job = pool.api.submit(http, "parks", &job, "key-1").await;
+    pool.api.reach(http, "parks", &job, "running").await;
+    let_pass(Duration::from_millis(GANG_LEASE_MS + 500)).await;
+    worker_of(&pool, &job).control(&WorkerControl {
+        hang: Some(true),
+        ..WorkerControl::default()
+    });
+    wait_until("the gang runs again whole", async || {
+        let runs = pool.runs_of(&job);
+        let first = runs.iter().map(|run| run.attempt).min()?;
+        (runs.iter().filter(|run| run.attempt > first).count() == 2).then_some(())
+    })
+    .await;
+    assert_one_at_a_time(&pool, &job);
+}
