--- a/crates/holder/src/gang_attempt.rs
+++ b/crates/holder/src/gang_attempt.rs
@@ -103,11 +103,19 @@
     }
 
     fn record_report(&mut self, event: &GangEvent, now: ClockTime) {
-        let GangEvent::PartReported { worker, status } = event else {
-            return;
-        };
-        if let Some(part) = self.part_mut(worker) {
-            part.record_status(status, now);
+        let committed = self.window.is_some();
+        match event {
+            GangEvent::PartReported { worker, status } => {
+                if let Some(part) = self.part_mut(worker) {
+                    part.record_status(status, now);
+                }
+            }
+            GangEvent::PartMissing { worker, asked_at } => {
+                if let Some(part) = self.part_mut(worker) {
+                    part.record_missing(*asked_at, committed);
+                }
+            }
+            _ => {}
         }
     }
 
@@ -230,7 +238,8 @@
             }
         } else {
             let reason = match planned {
-                Some(_) => DoubtReason::CentreLeft,
+                Some(PreemptReason::CentreLeaving) => DoubtReason::CentreLeft,
+                Some(_) => DoubtReason::Preempted,
                 None => DoubtReason::WorkerLost,
             };
             AttemptVerdict::Unknown {
@@ -364,6 +373,10 @@
     /// Sends start to every worker until all have confirmed or the permit ends.
     #[state]
     fn starting(&mut self, context: &mut GangContext, event: &GangEvent) -> Outcome<State> {
+        if let GangEvent::LeaseExtended { lease_until } = event {
+            self.lease_until = self.lease_until.max(*lease_until);
+            return Handled;
+        }
         self.record_report(event, context.now);
         if let GangEvent::PartRefused { worker, refusal } = event {
             if *refusal == WorkerRefusal::UnknownAttempt {
@@ -409,6 +422,10 @@
     /// Every member runs; the holder renews the lease while none is lost.
     #[state]
     fn running(&mut self, context: &mut GangContext, event: &GangEvent) -> Outcome<State> {
+        if let GangEvent::LeaseExtended { lease_until } = event {
+            self.lease_until = self.lease_until.max(*lease_until);
+            return Handled;
+        }
         self.record_report(event, context.now);
         if let GangEvent::StopOrdered { reason, stop_before } = event {
             self.order_stop(Some(*reason), *stop_before);
--- a/crates/holder/src/holder_jobs.rs
+++ b/crates/holder/src/holder_jobs.rs
@@ -200,19 +200,7 @@
                 log::info!("[holder] Job {job} moves to {target}.");
                 self.write(job, JobWrite::Move(target), AfterWrite::Leave);
             }
-            _ => {
-                let attempt = entry.row.record.attempt;
-                let (spec, queued_at) = (entry.spec.clone(), entry.queued_at);
-                self.core.handle(
-                    PlacementEvent::JobQueued {
-                        job,
-                        spec,
-                        attempt,
-                        queued_at,
-                    },
-                    now,
-                );
-            }
+            _ => self.rejoin(job, now),
         }
     }
 
@@ -502,6 +490,8 @@
                     self.end_attempt(job, attempt, end, now);
                 }
             }
+            AfterWrite::Rejoin if !ended => self.rejoin(job, now),
+            AfterWrite::Rejoin => {}
             AfterWrite::Nothing if ended => self.release_live(job),
             AfterWrite::Nothing => {}
         }
@@ -520,10 +510,50 @@
                     self.end_attempt(job, attempt, end, now);
                 }
             }
-            AfterWrite::Leave | AfterWrite::Nothing => {}
+            AfterWrite::Leave => self.keep_released(job, now),
+            AfterWrite::Rejoin | AfterWrite::Nothing => {}
         }
     }
 
+    /// Takes a released job back whose move was refused.
+    fn keep_released(&mut self, job: JobId, now: ClockTime) {
+        let Some(entry) = self.jobs.get(&job) else { return };
+        let JobRecord {
+            state,
+            attempt,
+            data_centre,
+            ..
+        } = &entry.row.record;
+        if *data_centre != self.options.data_centre {
+            self.jobs.remove(&job);
+        } else if *state == JobState::Queued {
+            self.rejoin(job, now);
+        } else if *state == JobState::Starting && *attempt <= entry.unsent_attempt {
+            // The start transaction of an attempt that was given up took effect late.
+            let write = JobWrite::Requeue {
+                reason: RequeueReason::Unstarted,
+                checkpoint: None,
+            };
+            self.write(job, write, AfterWrite::Rejoin);
+        }
+    }
+
+    /// Queues a job in the placement core again.
+    fn rejoin(&mut self, job: JobId, now: ClockTime) {
+        let Some(entry) = self.jobs.get(&job) else { return };
+        let attempt = entry.row.record.attempt;
+        let (spec, queued_at) = (entry.spec.clone(), entry.queued_at);
+        self.core.handle(
+            PlacementEvent::JobQueued {
+                job,
+                spec,
+                attempt,
+                queued_at,
+            },
+            now,
+        );
+    }
+
     /// Queues a job again whose row says that an attempt started of which no start was ever sent.
     ///
     /// The start transaction of that attempt was unresolved and took effect later.
--- a/crates/holder/src/holder_requests.rs
+++ b/crates/holder/src/holder_requests.rs
@@ -6,7 +6,7 @@
     AttemptRequest, CallError, CallPriority, CommitEnd, EpochRequest, LeaseExtension, PrepareRequest,
     RenewRequest, StartRequest, VmRole, WorkerAnswer, WorkerClient, commit_transaction,
 };
-use arbutuspick_records::{HolderGuard, JobRecord, TableTransaction, Versioned};
+use arbutuspick_records::{HolderGuard, JobRecord, RowKey, TableTransaction, Versioned};
 
 use crate::HolderLinks;
 use crate::holder_event::{HolderEvent, TakenNotice, WorkerCall};
@@ -16,8 +16,11 @@
 use crate::placement_holder::PlacementHolder;
 use crate::worker_session::CALL_TIMEOUT;
 
-/// Time in which taking up a notice has to be decided; an undecided one is read again later.
-const TAKE_UP_LIMIT_MS: u64 = 3_000;
+/// Time in which taking up notices has to be decided. It is long, because a take-up that is given up
+/// undecided may still take effect, and then no holder knows the job until the next takeover.
+const TAKE_UP_LIMIT_MS: u64 = 600_000;
+/// Time in which the progress of an order has to be recorded; it is tried again later.
+const PROGRESS_LIMIT_MS: u64 = 3_000;
 
 /// Input and output: every call runs in a task that reports its result as an event.
 impl PlacementHolder {
@@ -92,7 +95,7 @@
         let links = self.links.clone();
         let centre = self.options.data_centre.clone();
         self.spawn(async move {
-            let deadline = links.clock.now() + TAKE_UP_LIMIT_MS;
+            let deadline = links.clock.now() + PROGRESS_LIMIT_MS;
             let end = commit_transaction(&links.table, &transaction, deadline, CallPriority::Essential).await;
             log::info!("[holder] Progress of the order for {centre} recorded: {end:?}.");
             HolderEvent::Centre(read_centre(&links.table, &centre).await)
@@ -236,5 +239,19 @@
         }
     }
     let end = commit_transaction(&links.table, &transaction, deadline, CallPriority::Essential).await;
-    matches!(end, CommitEnd::Committed { .. })
+    match end {
+        CommitEnd::Committed { .. } => true,
+        CommitEnd::Conflict { .. } | CommitEnd::NotSent => false,
+        CommitEnd::Overwritten | CommitEnd::Unresolved => is_placed(links, guard, notices).await,
+    }
+}
+
+/// Returns whether the index has the jobs, so that an undecided take-up took effect.
+async fn is_placed(links: &HolderLinks, guard: &HolderGuard, notices: &[NoticedJob]) -> bool {
+    let keys: Vec<Arc<str>> = notices
+        .iter()
+        .map(|noticed| RowKey::Placed(guard.data_centre.clone(), noticed.row.record.job).into())
+        .collect();
+    let answer = links.table.read(&keys, CallPriority::Essential).await;
+    answer.is_ok_and(|answer| !answer.body.rows.is_empty())
 }
--- a/crates/holder/src/job_entry.rs
+++ b/crates/holder/src/job_entry.rs
@@ -19,6 +19,8 @@
     Report(AttemptEnd),
     /// The job left this data centre.
     Leave,
+    /// The placement core, which had given the job up, gets it back.
+    Rejoin,
 }
 
 /// An attempt that holds accelerators.
--- a/crates/model/src/outcome.rs
+++ b/crates/model/src/outcome.rs
@@ -42,6 +42,8 @@
     ClaimedElsewhere,
     /// It was cancelled after it had started.
     CancelledRunning,
+    /// It was stopped for guaranteed or reserved work and could not be checkpointed.
+    Preempted,
     /// It was stopped when its data centre was taken out.
     CentreLeft,
     /// The use of the idempotency key could not be looked up; this call ran nothing, an earlier one may have.
--- a/crates/platform/src/table_commit.rs
+++ b/crates/platform/src/table_commit.rs
@@ -9,8 +9,6 @@
 
 /// Pause between calls while the outcome of a transaction is not known.
 const REPEAT_PAUSE_MS: u64 = 100;
-/// Most calls for one transaction.
-const MAX_CALLS: u32 = 32;
 
 /// What became of a transaction.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -49,7 +47,7 @@
     let clock = ProcessClock::new();
     let sent_at = clock.now();
     let mut answered_at = PlatformTime::default();
-    let mut progress = CommitProgress::new(transaction, deadline, MAX_CALLS);
+    let mut progress = CommitProgress::new(transaction, deadline, u32::MAX);
     loop {
         let answer = match progress.step(clock.now()) {
             CommitStep::Send => table.transact(transaction, priority).await.map(|answer| {
