Let gang leases outlast the last start

The random-fault test of a gang never ran longer than a lease, so it missed that leases were not extended. It then found that a start sent last carries a lease that ends up to 1.5 s after the holder counted the lease as ended ("concluded while a member runs"); the holder now counts from the last possible start.

--- a/crates/holder/src/gang_attempt.rs
+++ b/crates/holder/src/gang_attempt.rs
@@ -353,7 +353,8 @@
                     start_before,
                     confirm_before: start_before,
                 });
-                self.lease_until = context.now + GANG_LEASE_MS;
+                // A start that is sent last carries a lease that ends last.
+                self.lease_until = send_before + GANG_LEASE_MS;
                 self.call_all_now();
                 Transition(State::starting())
             }
