Send late events about live jobs more often

Cause: with 64 cases, the planted fault 'events of earlier attempts accepted' went unnoticed, because late events rarely met a live job. Change: late events prefer jobs with a live attempt.

--- a/crates/sched/tests/placement_invariants.rs
+++ b/crates/sched/tests/placement_invariants.rs
@@ -81,7 +81,7 @@
         4 => Just(Step::StopPreempted),
         8 => (index(), 0..5usize).prop_map(|(job, end)| Step::End(job, end)),
         2 => index().prop_map(Step::Run),
-        1 => (index(), 0..5usize).prop_map(|(job, kind)| Step::Stale(job, kind)),
+        2 => (index(), 0..5usize).prop_map(|(job, kind)| Step::Stale(job, kind)),
         1 => (0..5usize).prop_map(Step::Accounts),
         1 => (0..6usize).prop_map(Step::Centre),
         1 => Just(Step::Restart),
@@ -463,7 +463,20 @@
         if self.past.is_empty() {
             return;
         }
-        let (job, attempt) = *index.get(&self.past);
+        let is_live = |job: &JobId| {
+            self.oracle
+                .jobs
+                .get(job)
+                .is_some_and(|entry| entry.live.is_some())
+        };
+        let live: Vec<_> = self
+            .past
+            .iter()
+            .copied()
+            .filter(|(job, _)| is_live(job))
+            .collect();
+        let past = if live.is_empty() { &self.past } else { &live };
+        let (job, attempt) = *index.get(past);
         let failed_workers = vec![worker_names()[0].0.clone()];
         let spec = Arc::new(JobSpec::new(account(ACCOUNTS[0])));
         let queued_at = self.now;
