--- a/crates/route/tests/support/mod.rs
+++ b/crates/route/tests/support/mod.rs
@@ -1,4 +1,4 @@
-#![allow(dead_code)] // Each test file uses a part of these helpers.
+#![allow(dead_code)] // Each test file uses a part of this module.
 
 pub(crate) mod route_world;
 pub(crate) mod upstream_oracle;
