Run the scheduler on the users' platform through an adapter

Cause: the product could not be run on the platform at all.

Ruled out: a holder for each data centre, because gangs and guarantees span data centres on both sites.

Before: every job answered 404.

--- a/crates/platform/src/client_options.rs
+++ b/crates/clients/src/client_options.rs
@@ -4,7 +4,7 @@
 /// Settings of a client of the platform.
 ///
 /// ```
-/// use arbutuspick_platform::ClientOptions;
+/// use arbutuspick_clients::ClientOptions;
 /// let options = ClientOptions::new("127.0.0.1:7000".parse().unwrap()).with_writes_per_s(50);
 /// assert_eq!(options.max_in_flight, 32);
 /// ```
--- a/crates/platform/src/http_caller.rs
+++ b/crates/clients/src/http_caller.rs
@@ -22,10 +22,13 @@
 
 /// A whole answer.
 #[derive(Debug)]
-pub(crate) struct WholeAnswer {
-    pub(crate) status: StatusCode,
-    pub(crate) headers: HeaderMap,
-    pub(crate) body: Bytes,
+pub struct WholeAnswer {
+    /// Status of the answer.
+    pub status: StatusCode,
+    /// Headers of the answer.
+    pub headers: HeaderMap,
+    /// Body of the answer.
+    pub body: Bytes,
 }
 
 /// A connection that carries one request at a time; closed when dropped.
@@ -44,14 +47,15 @@
 
 /// Sends requests to one address over kept connections.
 #[derive(Clone, Debug)]
-pub(crate) struct HttpCaller {
+pub struct HttpCaller {
     address: SocketAddr,
     max_body_bytes: usize,
     idle: Arc<Mutex<Vec<OpenConnection>>>,
 }
 
 impl HttpCaller {
-    pub(crate) fn new(address: SocketAddr, max_body_bytes: usize) -> Self {
+    /// Returns a caller of one address that accepts answers up to a size.
+    pub fn new(address: SocketAddr, max_body_bytes: usize) -> Self {
         Self {
             address,
             max_body_bytes,
@@ -59,14 +63,15 @@
         }
     }
 
-    pub(crate) fn address(&self) -> SocketAddr {
+    /// Returns the address that is called.
+    pub fn address(&self) -> SocketAddr {
         self.address
     }
 
     /// Sends the request and returns the whole answer, whatever its status.
     ///
     /// When the deadline passes or the future is dropped, the connection is closed.
-    pub(crate) async fn call(
+    pub async fn call(
         &self,
         mut request: Request<Full<Bytes>>,
         deadline: Instant,
@@ -93,7 +98,11 @@
                     request = *unsent;
                 }
                 Err(SendFailure::Unsent(_, message)) => return Err(CallError::not_sent(message)),
-                Err(SendFailure::Unclear(message)) => return Err(CallError::ambiguous(message)),
+                Err(SendFailure::Unclear(message)) => {
+                    // Connections that went silent do so together, so none of the idle ones is trusted.
+                    self.lock_idle().clear();
+                    return Err(CallError::ambiguous(message));
+                }
             }
         }
     }
--- a/crates/platform/src/lib.rs
+++ b/crates/clients/src/lib.rs
@@ -1,4 +1,4 @@
-//! JSON types and HTTP clients of the platform's services, workers and upstreams.
+//! JSON types and HTTP clients of the table, the object store, the list of VMs, workers and upstreams.
 //!
 //! The table answers `POST /v1/table/transact` ([`TableTransaction`](arbutuspick_records::TableTransaction)),
 //! `POST /v1/table/read` and `POST /v1/table/scan` with a [`TableAnswer`](arbutuspick_records::TableAnswer);
@@ -29,6 +29,7 @@
 pub use call_error::CallError;
 pub use call_priority::CallPriority;
 pub use client_options::ClientOptions;
+pub use http_caller::{HttpCaller, WholeAnswer};
 pub use object_client::ObjectClient;
 pub use process_clock::ProcessClock;
 pub use table_client::TableClient;
--- a/crates/platform/src/object_client.rs
+++ b/crates/clients/src/object_client.rs
@@ -9,8 +9,8 @@
 /// Client of the object store. Clones share connections and limits.
 ///
 /// ```no_run
-/// # async fn example() -> Result<(), arbutuspick_platform::CallError> {
-/// use arbutuspick_platform::{CallPriority, ClientOptions, ObjectClient};
+/// # async fn example() -> Result<(), arbutuspick_clients::CallError> {
+/// use arbutuspick_clients::{CallPriority, ClientOptions, ObjectClient};
 /// let client = ObjectClient::new(ClientOptions::new("127.0.0.1:7000".parse().unwrap()));
 /// client.put("result/1", "done".into(), CallPriority::Essential).await?;
 /// # Ok(())
--- a/crates/platform/src/process_clock.rs
+++ b/crates/clients/src/process_clock.rs
@@ -13,7 +13,7 @@
 /// Monotonic clock of the process; follows tokio's paused time in tests.
 ///
 /// ```
-/// use arbutuspick_platform::ProcessClock;
+/// use arbutuspick_clients::ProcessClock;
 /// let clock = ProcessClock::new();
 /// let earlier = clock.now();
 /// assert!(clock.now() >= earlier);
--- a/crates/platform/src/table_client.rs
+++ b/crates/clients/src/table_client.rs
@@ -19,8 +19,8 @@
 /// Client of the transactional table. Clones share connections, limits and the time estimate.
 ///
 /// ```no_run
-/// # async fn example() -> Result<(), arbutuspick_platform::CallError> {
-/// use arbutuspick_platform::{CallPriority, ClientOptions, TableClient};
+/// # async fn example() -> Result<(), arbutuspick_clients::CallError> {
+/// use arbutuspick_clients::{CallPriority, ClientOptions, TableClient};
 /// let client = TableClient::new(ClientOptions::new("127.0.0.1:7000".parse().unwrap()));
 /// let answer = client.read(&["turn".into()], CallPriority::StatusRead).await?;
 /// println!("{} rows at {}", answer.body.rows.len(), answer.time);
--- a/crates/platform/src/upstream_client.rs
+++ b/crates/clients/src/upstream_client.rs
@@ -43,8 +43,8 @@
 /// Client of one upstream; each connection carries one request at a time.
 ///
 /// ```no_run
-/// # async fn example() -> Result<(), arbutuspick_platform::CallError> {
-/// use arbutuspick_platform::{ProcessClock, UpstreamClient, UpstreamRequest};
+/// # async fn example() -> Result<(), arbutuspick_clients::CallError> {
+/// use arbutuspick_clients::{ProcessClock, UpstreamClient, UpstreamRequest};
 /// let client = UpstreamClient::new("127.0.0.1:7200".parse().unwrap(), 9);
 /// let request = UpstreamRequest {
 ///     method: hyper::Method::POST,
--- a/crates/platform/src/vm_client.rs
+++ b/crates/clients/src/vm_client.rs
@@ -10,8 +10,8 @@
 /// Client of the list of VMs.
 ///
 /// ```no_run
-/// # async fn example() -> Result<(), arbutuspick_platform::CallError> {
-/// use arbutuspick_platform::{ClientOptions, VmClient, VmRole};
+/// # async fn example() -> Result<(), arbutuspick_clients::CallError> {
+/// use arbutuspick_clients::{ClientOptions, VmClient, VmRole};
 /// let client = VmClient::new(ClientOptions::new("127.0.0.1:7000".parse().unwrap()));
 /// let list = client.list(VmRole::Upstream, None).await?;
 /// println!("{} upstreams", list.vms.len());
--- a/crates/platform/src/worker_client.rs
+++ b/crates/clients/src/worker_client.rs
@@ -30,10 +30,10 @@
 /// Client of one worker. Clones share connections.
 ///
 /// ```no_run
-/// # async fn example() -> Result<(), arbutuspick_platform::CallError> {
+/// # async fn example() -> Result<(), arbutuspick_clients::CallError> {
 /// use std::time::Duration;
 /// use arbutuspick_model::LeaseEpoch;
-/// use arbutuspick_platform::{EpochRequest, WorkerClient};
+/// use arbutuspick_clients::{EpochRequest, WorkerClient};
 /// let client = WorkerClient::new("127.0.0.1:7100".parse().unwrap());
 /// let request = EpochRequest { epoch: LeaseEpoch(1) };
 /// let answer = client.epoch(&request, Duration::from_millis(500)).await?;
--- a/crates/platform/tests/back_off.rs
+++ b/crates/clients/tests/back_off.rs
@@ -6,7 +6,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
-use arbutuspick_platform::{CallError, CallPriority, ClientOptions, TableClient};
+use arbutuspick_clients::{CallError, CallPriority, ClientOptions, TableClient};
 use futures::future::join_all;
 use support::{FakeServer, HeldTime, Script, empty_page};
 use tokio::time::advance;
--- a/crates/platform/tests/platform_time.rs
+++ b/crates/clients/tests/platform_time.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use arbutuspick_model::PlatformTime;
-use arbutuspick_platform::{CallPriority, ClientOptions, TableClient};
+use arbutuspick_clients::{CallPriority, ClientOptions, TableClient};
 use support::{FakeServer, HeldTime, Script, empty_page};
 use tokio::time::advance;
 
--- a/crates/platform/tests/shedding.rs
+++ b/crates/clients/tests/shedding.rs
@@ -4,7 +4,7 @@
 
 use std::time::Duration;
 
-use arbutuspick_platform::{CallError, CallPriority, ClientOptions, TableClient};
+use arbutuspick_clients::{CallError, CallPriority, ClientOptions, TableClient};
 use support::{FakeServer, HeldTime, Script, empty_page};
 use tokio::time::advance;
 
--- a/crates/platform/tests/upstream_calls.rs
+++ b/crates/clients/tests/upstream_calls.rs
@@ -4,7 +4,7 @@
 
 use std::sync::atomic::Ordering;
 
-use arbutuspick_platform::{CallError, ProcessClock, UpstreamClient, UpstreamRequest};
+use arbutuspick_clients::{CallError, ProcessClock, UpstreamClient, UpstreamRequest};
 use bytes::Bytes;
 use hyper::{HeaderMap, Method};
 use support::{FakeServer, Script, answer};
--- a/crates/platform/tests/worker_calls.rs
+++ b/crates/clients/tests/worker_calls.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use arbutuspick_model::{LeaseEpoch, WorkerTime};
-use arbutuspick_platform::{CallError, EpochRequest, RefusalBody, WorkerClient, WorkerRefusal, WorkerStatus};
+use arbutuspick_clients::{CallError, EpochRequest, RefusalBody, WorkerClient, WorkerRefusal, WorkerStatus};
 use support::{FakeServer, Script, answer};
 
 const TIMEOUT: Duration = Duration::from_secs(5);
--- a/crates/entry/src/config/guarantee_check.rs
+++ b/crates/entry/src/config/guarantee_check.rs
@@ -3,7 +3,7 @@
 use arbutuspick_model::{
     AccountName, CellGuarantee, CentreName, FieldError, PoolConfig, RackName, WORKER_ACCELERATORS,
 };
-use arbutuspick_platform::VmEntry;
+use arbutuspick_clients::VmEntry;
 use arbutuspick_sched::check_guarantees;
 use serde::Serialize;
 
--- a/crates/entry/src/jobs/job_submit.rs
+++ b/crates/entry/src/jobs/job_submit.rs
@@ -4,7 +4,7 @@
     AccountName, CallerKey, CentreName, DoubtReason, JobId, JobSpec, RefusalReason, WriteId,
 };
 use arbutuspick_peer::{InboxNotice, PeerMessage};
-use arbutuspick_platform::CallPriority;
+use arbutuspick_clients::CallPriority;
 use arbutuspick_records::{
     BodyDigest, CommitResolution, JobRecord, JobSubmission, KeyRecord, PlannedChange, RowKey, Versioned,
     judge_submission,
--- a/crates/entry/src/requests/keyed_request.rs
+++ b/crates/entry/src/requests/keyed_request.rs
@@ -3,7 +3,7 @@
 
 use arbutuspick_model::{CallerKey, ClockTime, DoubtReason, RefusalReason, WriteId};
 use arbutuspick_peer::{ClaimQuery, PeerMessage};
-use arbutuspick_platform::{CallError, CallPriority, UpstreamAnswer};
+use arbutuspick_clients::{CallError, CallPriority, UpstreamAnswer};
 use arbutuspick_records::{
     BodyDigest, ClaimOutcome, ClaimVerdict, CommitResolution, KeyRecord, PlannedChange, RequestClaim,
     Versioned, VmIdentity, judge_claim,
--- a/crates/entry/src/requests/upstream_clients.rs
+++ b/crates/entry/src/requests/upstream_clients.rs
@@ -2,7 +2,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use arbutuspick_platform::UpstreamClient;
+use arbutuspick_clients::UpstreamClient;
 use arc_swap::ArcSwap;
 
 /// Clients of the upstreams by address; looking one up takes no lock.
--- a/crates/entry/src/requests/upstream_exchange.rs
+++ b/crates/entry/src/requests/upstream_exchange.rs
@@ -1,4 +1,4 @@
-use arbutuspick_platform::{CallError, UpstreamAnswer};
+use arbutuspick_clients::{CallError, UpstreamAnswer};
 use arbutuspick_route::AttemptResult;
 use axum::http::{HeaderMap, StatusCode};
 
--- a/crates/entry/src/watch/health_check.rs
+++ b/crates/entry/src/watch/health_check.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use arbutuspick_model::UpstreamName;
-use arbutuspick_platform::{UpstreamClient, UpstreamRequest};
+use arbutuspick_clients::{UpstreamClient, UpstreamRequest};
 use axum::http::{HeaderMap, Method};
 use bytes::Bytes;
 use tokio::time::{MissedTickBehavior, interval};
--- a/crates/entry/src/watch/list_poll.rs
+++ b/crates/entry/src/watch/list_poll.rs
@@ -3,7 +3,7 @@
 
 use arbutuspick_model::{UpstreamName, VmName};
 use arbutuspick_peer::PeerAddress;
-use arbutuspick_platform::{CallError, VmEntry, VmRole};
+use arbutuspick_clients::{CallError, VmEntry, VmRole};
 use arbutuspick_route::UpstreamEntry;
 use tokio::time::{MissedTickBehavior, interval};
 
--- a/crates/entry/tests/leaving_upstreams.rs
+++ b/crates/entry/tests/leaving_upstreams.rs
@@ -8,7 +8,7 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::Duration;
 
-use arbutuspick_platform::VmRole;
+use arbutuspick_clients::VmRole;
 use arbutuspick_standins::{PlatformControl, UpstreamControl, VmKey};
 use harness::{ApiClient, PoolOptions, TestPool, let_pass, wait_until, work};
 use tokio::task::JoinSet;
--- a/crates/entry/tests/support/fake_upstream.rs
+++ b/crates/entry/tests/support/fake_upstream.rs
@@ -2,7 +2,7 @@
 use std::sync::{Arc, Mutex};
 
 use arbutuspick_model::{CentreName, ServiceName};
-use arbutuspick_platform::{VmEntry, VmRole};
+use arbutuspick_clients::{VmEntry, VmRole};
 use axum::Router;
 use axum::extract::State;
 use axum::http::{HeaderMap, StatusCode};
--- a/crates/entry/tests/whole_answers.rs
+++ b/crates/entry/tests/whole_answers.rs
@@ -6,7 +6,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 
-use arbutuspick_platform::VmEntry;
+use arbutuspick_clients::VmEntry;
 use arbutuspick_standins::{PlatformControl, UpstreamControl};
 use futures::future::join_all;
 use harness::{ApiAnswer, PoolOptions, TestPool, wait_until, work};
--- a/crates/holder/src/holder_requests.rs
+++ b/crates/holder/src/holder_requests.rs
@@ -2,7 +2,7 @@
 use std::sync::Arc;
 
 use arbutuspick_model::{AttemptNumber, ClockTime, JobId, WorkerName, WriteId};
-use arbutuspick_platform::{
+use arbutuspick_clients::{
     AttemptRequest, CallError, CallPriority, CommitEnd, EpochRequest, LeaseExtension, PrepareRequest,
     RenewRequest, StartRequest, VmRole, WorkerAnswer, WorkerClient, commit_transaction,
 };
--- a/crates/holder/src/holder_workers.rs
+++ b/crates/holder/src/holder_workers.rs
@@ -1,7 +1,7 @@
 use std::collections::BTreeSet;
 
 use arbutuspick_model::{AttemptNumber, ClockTime, JobId, WorkerName};
-use arbutuspick_platform::{
+use arbutuspick_clients::{
     CallError, LeaseExtension, PartState, PartStatus, VmList, WorkerAnswer, WorkerRefusal,
 };
 use arbutuspick_sched::PlacementEvent;
--- a/crates/holder/src/placement_holder.rs
+++ b/crates/holder/src/placement_holder.rs
@@ -178,7 +178,7 @@
         }
     }
 
-    async fn read_state(&mut self) -> Result<(), arbutuspick_platform::CallError> {
+    async fn read_state(&mut self) -> Result<(), arbutuspick_clients::CallError> {
         let centre = self.options.data_centre.clone();
         let order = read_centre(&self.links.table, &centre).await?;
         let rows = read_placed(&self.links.table, &centre).await?;
--- a/crates/holder/tests/whole_path.rs
+++ b/crates/holder/tests/whole_path.rs
@@ -10,7 +10,7 @@
     AccountName, CentreName, FinalOutcome, GangShape, JobId, JobSpec, PlatformTime, PoolConfig, VmName,
     WriteId,
 };
-use arbutuspick_platform::{
+use arbutuspick_clients::{
     CallPriority, ClientOptions, CommitEnd, ObjectClient, ProcessClock, TableClient, VmClient,
     commit_transaction,
 };
--- /dev/null
+++ b/crates/pool/src/lib.rs
@@ -0,0 +1,37 @@
+//! Scheduling decisions for one pool of workers that client accounts share.
+//!
+//! [`PoolCore`] holds the jobs, the workers and what runs where. It takes what happened as method calls with
+//! the time as an argument, and returns orders to workers and job records to store. It does no input or
+//! output, so the same code runs in the daemon and in tests.
+//!
+//! An order may be sent only after the records that were taken with it are stored.
+
+mod core_options;
+mod job_body;
+mod job_record;
+mod job_run;
+mod listing_apply;
+mod placement_pass;
+mod pool_core;
+mod pool_order;
+mod pool_policy;
+mod progress_check;
+mod resource_amount;
+mod room_search;
+mod task_name;
+mod unit_order;
+mod victim_choice;
+mod worker_health;
+mod worker_listing;
+mod worker_view;
+
+pub use core_options::CoreOptions;
+pub use job_body::{BodyError, JobBody, StepBody};
+pub use job_record::{JobRecord, JobStage, OccurrenceRecord, TaskRecord};
+pub use pool_core::{CoreSummary, PoolCore, RecordChange};
+pub use pool_order::{PoolOrder, StartOrder, StopOrder, StopReason};
+pub use pool_policy::{AccountRule, PoolPolicy, QueueRule};
+pub use resource_amount::ResourceAmount;
+pub use task_name::TaskName;
+pub use worker_listing::{EndKind, RunEnd, RunStatus, StartAnswer, WorkerListing};
+pub use worker_view::{WorkerKey, WorkerReport};
--- a/crates/standins/src/checkpoint_store.rs
+++ b/crates/standins/src/checkpoint_store.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use arbutuspick_platform::{CallPriority, ClientOptions, ObjectClient};
+use arbutuspick_clients::{CallPriority, ClientOptions, ObjectClient};
 use bytes::Bytes;
 use parking_lot::Mutex;
 
--- a/crates/standins/src/drive/run_logs.rs
+++ b/crates/standins/src/drive/run_logs.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use arbutuspick_model::CentreName;
-use arbutuspick_platform::{ClientOptions, VmClient, VmEntry, VmRole};
+use arbutuspick_clients::{ClientOptions, VmClient, VmEntry, VmRole};
 use futures::future::join_all;
 
 use crate::control_client::ControlClient;
--- a/crates/standins/src/platform_control.rs
+++ b/crates/standins/src/platform_control.rs
@@ -1,6 +1,6 @@
 use std::collections::BTreeSet;
 
-use arbutuspick_platform::{VmEntry, VmRole};
+use arbutuspick_clients::{VmEntry, VmRole};
 use serde::{Deserialize, Serialize};
 
 /// Name of a VM in a control call.
--- a/crates/standins/src/platform_standin.rs
+++ b/crates/standins/src/platform_standin.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use arbutuspick_model::PlatformTime;
-use arbutuspick_platform::{VmEntry, VmList};
+use arbutuspick_clients::{VmEntry, VmList};
 use arbutuspick_records::{ReadQuery, ScanQuery, TableAnswer, TableRow, TableTransaction};
 use bytes::Bytes;
 use hyper::{Method, Response, StatusCode};
--- a/crates/standins/src/upstream_standin.rs
+++ b/crates/standins/src/upstream_standin.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use arbutuspick_model::{CentreName, ServiceName, UpstreamName};
-use arbutuspick_platform::{VmEntry, VmRole};
+use arbutuspick_clients::{VmEntry, VmRole};
 use bytes::Bytes;
 use hyper::header::HeaderValue;
 use hyper::{Method, Response, StatusCode};
--- a/crates/standins/src/vm_directory.rs
+++ b/crates/standins/src/vm_directory.rs
@@ -1,6 +1,6 @@
 use std::collections::VecDeque;
 
-use arbutuspick_platform::{VmEntry, VmRole};
+use arbutuspick_clients::{VmEntry, VmRole};
 
 /// The list of VMs as it was at earlier times.
 #[derive(Debug)]
--- a/crates/standins/src/worker_core.rs
+++ b/crates/standins/src/worker_core.rs
@@ -2,7 +2,7 @@
 use std::sync::Arc;
 
 use arbutuspick_model::{AttemptNumber, JobId, LeaseEpoch, WorkerCapacity, WorkerTime};
-use arbutuspick_platform::{
+use arbutuspick_clients::{
     AttemptRequest, PartState, PartStatus, PrepareRequest, RefusalBody, RenewRequest, StartRequest,
     WorkerRefusal, WorkerStatus,
 };
--- a/crates/standins/src/worker_fleet.rs
+++ b/crates/standins/src/worker_fleet.rs
@@ -2,7 +2,7 @@
 use std::net::SocketAddr;
 
 use arbutuspick_model::{CentreName, FieldError, RackName, WorkerCapacity, WorkerName};
-use arbutuspick_platform::VmEntry;
+use arbutuspick_clients::VmEntry;
 
 use crate::checkpoint_store::CheckpointStore;
 use crate::worker_standin::{WorkerOptions, WorkerStandin};
--- a/crates/standins/src/worker_standin.rs
+++ b/crates/standins/src/worker_standin.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use arbutuspick_model::{CentreName, RackName, WorkerCapacity, WorkerName, WorkerTime};
-use arbutuspick_platform::{
+use arbutuspick_clients::{
     AttemptRequest, EpochRequest, PrepareRequest, RefusalBody, VmEntry, VmRole, WorkerRefusal, WorkerStatus,
 };
 use hyper::{Method, StatusCode};
--- a/crates/standins/tests/capacity.rs
+++ b/crates/standins/tests/capacity.rs
@@ -3,7 +3,7 @@
 mod support;
 
 use arbutuspick_model::JobId;
-use arbutuspick_platform::{MemberPart, PrepareRequest, WorkerRefusal};
+use arbutuspick_clients::{MemberPart, PrepareRequest, WorkerRefusal};
 use support::WorkerCase;
 use yare::parameterized;
 
--- a/crates/standins/tests/checkpoints.rs
+++ b/crates/standins/tests/checkpoints.rs
@@ -3,7 +3,7 @@
 mod support;
 
 use arbutuspick_model::AttemptNumber;
-use arbutuspick_platform::{CallError, PartState};
+use arbutuspick_clients::{CallError, PartState};
 use arbutuspick_standins::{PlatformControl, PlatformOptions, PlatformStandin};
 use support::{TIMEOUT, WorkerCase, advance, finished, worker_options};
 
--- a/crates/standins/tests/fencing.rs
+++ b/crates/standins/tests/fencing.rs
@@ -3,7 +3,7 @@
 mod support;
 
 use arbutuspick_model::{LeaseEpoch, WorkerTime};
-use arbutuspick_platform::{PartState, WorkerRefusal};
+use arbutuspick_clients::{PartState, WorkerRefusal};
 use support::{WorkerCase, advance, finished, only_state};
 
 #[tokio::test]
--- a/crates/standins/tests/leases.rs
+++ b/crates/standins/tests/leases.rs
@@ -2,7 +2,7 @@
 
 mod support;
 
-use arbutuspick_platform::{LeaseExtension, PartState, RenewRequest, WorkerRefusal};
+use arbutuspick_clients::{LeaseExtension, PartState, RenewRequest, WorkerRefusal};
 use arbutuspick_standins::TaskEnd;
 use support::{TIMEOUT, WorkerCase, advance, finished};
 
--- a/crates/standins/tests/naive_entry/mod.rs
+++ b/crates/standins/tests/naive_entry/mod.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use arbutuspick_model::{AttemptNumber, JobId, LeaseEpoch, WorkerTime};
-use arbutuspick_platform::{
+use arbutuspick_clients::{
     AttemptRequest, EpochRequest, MemberPart, MemberResult, PartState, PrepareRequest, ProcessClock,
     RenewRequest, StartRequest, UpstreamClient, UpstreamRequest, WorkerClient,
 };
--- a/crates/standins/tests/platform_calls.rs
+++ b/crates/standins/tests/platform_calls.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use arbutuspick_model::{CentreName, WriteId};
-use arbutuspick_platform::{
+use arbutuspick_clients::{
     CallError, CallPriority, ClientOptions, ObjectClient, TableClient, VmClient, VmEntry, VmRole,
 };
 use arbutuspick_records::{CommitResult, RowVersion, ScanQuery, TableTransaction};
--- a/crates/standins/tests/support/mod.rs
+++ b/crates/standins/tests/support/mod.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use arbutuspick_model::{AttemptNumber, CentreName, JobId, LeaseEpoch, RackName, WorkerName, WorkerTime};
-use arbutuspick_platform::{
+use arbutuspick_clients::{
     AttemptRequest, EpochRequest, MemberPart, PartState, PrepareRequest, RenewRequest, StartRequest,
     WorkerClient, WorkerRefusal, WorkerStatus,
 };
@@ -179,7 +179,7 @@
 
 pub(crate) fn finished(output: &str) -> PartState {
     let output: Arc<str> = output.into();
-    let result = |index| arbutuspick_platform::MemberResult {
+    let result = |index| arbutuspick_clients::MemberResult {
         index,
         output: Arc::clone(&output),
     };
--- a/crates/standins/tests/upstreams.rs
+++ b/crates/standins/tests/upstreams.rs
@@ -5,7 +5,7 @@
 use std::net::SocketAddr;
 
 use arbutuspick_model::{CentreName, ServiceName, UpstreamName};
-use arbutuspick_platform::{CallError, ProcessClock, UpstreamAnswer, UpstreamClient, UpstreamRequest};
+use arbutuspick_clients::{CallError, ProcessClock, UpstreamAnswer, UpstreamClient, UpstreamRequest};
 use arbutuspick_standins::{
     ControlClient, RequestLog, UpstreamControl, UpstreamFaults, UpstreamOptions, UpstreamResult,
     UpstreamStandin,
--- a/crates/standins/tests/worker_faults.rs
+++ b/crates/standins/tests/worker_faults.rs
@@ -3,7 +3,7 @@
 mod support;
 
 use arbutuspick_model::LeaseEpoch;
-use arbutuspick_platform::{CallError, PartState, WorkerRefusal};
+use arbutuspick_clients::{CallError, PartState, WorkerRefusal};
 use arbutuspick_standins::{TaskEnd, WorkerControl};
 use support::{WorkerCase, advance, only_state};
 
