--- a/crates/dispatch/src/holder_run.rs
+++ b/crates/dispatch/src/holder_run.rs
@@ -1,9 +1,9 @@
-use std::collections::{HashMap, HashSet};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::sync::Arc;
 use std::time::Duration;
 
 use arbutuspick_model::ClockTime;
-use arbutuspick_pool::{JobBody, JobRecord, PoolCore, PoolOrder, RecordChange, WorkerKey, WorkerReport};
+use arbutuspick_pool::{JobBody, JobRecord, PoolCore, PoolOrder, RecordChange, StopReason, WorkerKey, WorkerReport};
 use prost::Message;
 use tokio::sync::mpsc::{UnboundedReceiver, unbounded_channel};
 use tokio::task::JoinSet;
@@ -253,7 +253,14 @@
             }
             match JobBody::decode(value) {
                 Ok(body) if fresh => {
-                    log::info!("[job] id={} queue={} stage=taken up version={}", row.key, body.queue, row.version);
+                    log::info!(
+                        "[job] id={} queue={} account={} stage=taken up version={} shape={}",
+                        row.key,
+                        body.queue,
+                        body.account,
+                        row.version,
+                        body.shape()
+                    );
                     let record = record.cloned().unwrap_or_else(|| first_record(&body));
                     self.core.add_job(&row.key, body, &record, now, wall, self.lost_bound);
                 }
@@ -365,11 +372,13 @@
                 session.state().set(end, active);
             }
         }
+        let mut stops: BTreeMap<(Arc<str>, StopReason), usize> = BTreeMap::new();
         for order in orders {
             let worker = match &order {
                 PoolOrder::Start(start) => start.worker,
                 PoolOrder::Stop(stop) => {
-                    log::info!("[stop] task={} run={} reason={:?}", stop.task, stop.run, stop.reason);
+                    log::debug!("[stop] task={} run={} reason={:?}", stop.task, stop.run, stop.reason);
+                    *stops.entry((stop.task.job.clone(), stop.reason)).or_default() += 1;
                     stop.worker
                 }
             };
@@ -377,6 +386,9 @@
                 session.send(order);
             }
         }
+        for ((job, reason), tasks) in stops {
+            log::info!("[stop] job={job} tasks={tasks} reason={reason:?}");
+        }
         Ok(())
     }
 
--- a/crates/pool/src/job_body.rs
+++ b/crates/pool/src/job_body.rs
@@ -155,6 +155,31 @@
         ends.into_iter().max().unwrap_or(0)
     }
 
+    /// Describes the steps in one line: tasks, what each needs, its estimate and how it may be placed.
+    pub fn shape(&self) -> String {
+        let steps = self.steps.iter().map(|step| {
+            let mut text = format!(
+                "{}x{}c/{}MB/{}a/{}ms",
+                step.count, step.millicores, step.memory_mb, step.accelerators, step.estimate_ms
+            );
+            let flags = [
+                (step.gang, "gang"),
+                (step.same_rack, "same_rack"),
+                (step.checkpoints, "checkpoints"),
+                (step.endless, "endless"),
+                (!step.data_rack.is_empty(), "data_rack"),
+                (!step.required_label.is_empty(), "label"),
+                (step.spread_limit > 0, "spread"),
+            ];
+            for (_, name) in flags.iter().filter(|(set, _)| *set) {
+                text.push('+');
+                text.push_str(name);
+            }
+            text
+        });
+        steps.collect::<Vec<_>>().join(",")
+    }
+
     /// Returns whether any step runs until the job is cancelled.
     pub fn is_endless(&self) -> bool {
         self.steps.iter().any(|step| step.endless)
--- a/crates/pool/src/job_run.rs
+++ b/crates/pool/src/job_run.rs
@@ -73,6 +73,8 @@
     pub(crate) tasks: Vec<TaskRun>,
     /// Since when the step could run.
     pub(crate) ready_at: Option<ClockTime>,
+    /// How long finished runs took from start to end, in milliseconds, and where; the first few.
+    pub(crate) finished_ms: Vec<(WorkerKey, u64)>,
 }
 
 impl StepRun {
@@ -93,6 +95,7 @@
         let steps = body.steps.iter().map(|step| StepRun {
             tasks: vec![TaskRun::default(); step.count as usize],
             ready_at: None,
+            finished_ms: Vec::new(),
         });
         Self {
             due_at,
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -18,6 +18,7 @@
 mod progress_check;
 mod resource_amount;
 mod room_search;
+mod run_rates;
 mod task_name;
 mod unit_order;
 mod victim_choice;
--- a/crates/pool/src/listing_apply.rs
+++ b/crates/pool/src/listing_apply.rs
@@ -10,6 +10,9 @@
 use crate::{EndKind, JobStage, ResourceAmount, RunEnd, RunStatus, StartAnswer, StopReason, TaskName, WorkerKey};
 use crate::WorkerListing;
 
+/// Most run times that are kept for a step.
+const KEPT_TIMES: usize = 16;
+
 impl PoolCore {
     /// Applies a listing of this life of the worker.
     pub fn apply_listing(&mut self, worker: WorkerKey, listing: &WorkerListing, now: ClockTime) {
@@ -165,7 +168,8 @@
         if !end.checkpoint.is_empty() {
             task.checkpoint = end.checkpoint.clone();
         }
-        log::info!("[run] task={name} run={} ended={:?}", end.run, end.kind);
+        let level = if end.kind == EndKind::Done { log::Level::Debug } else { log::Level::Info };
+        log::log!(level, "[run] task={name} run={} ended={:?}", end.run, end.kind);
         match end.kind {
             EndKind::Done => self.finish_task(key, name, now),
             EndKind::Failed => self.fail_task(key, name, worker, now),
@@ -196,6 +200,14 @@
             }
         } else {
             let task = &mut step.tasks[name.index as usize];
+            let resumed = !task.checkpoint.is_empty();
+            if let Some(place) = task.place
+                && !resumed
+                && !place.remote
+                && step.finished_ms.len() < KEPT_TIMES
+            {
+                step.finished_ms.push((place.worker, now.millis_since(place.since)));
+            }
             task.place = None;
             task.done = !endless;
         }
--- a/crates/pool/src/placement_pass.rs
+++ b/crates/pool/src/placement_pass.rs
@@ -204,9 +204,12 @@
         }
         let tasks = std::mem::take(&mut unit.tasks);
         let run = self.next_gang_run(unit);
+        let mut placed = Vec::with_capacity(tasks.len());
         for (task, place) in tasks.into_iter().zip(places) {
             self.start_task(unit, task, run, rows[*place].worker, claim.remote, now);
+            placed.push((task, rows[*place].worker));
         }
+        self.log_placed(unit, &placed, claim.remote, now);
     }
 
     fn serve_task_claim(
@@ -218,6 +221,7 @@
         now: ClockTime,
     ) {
         claim.workers.clear();
+        let mut placed = Vec::with_capacity(places.len());
         for place in places {
             let Some(task) = unit.tasks.first().copied() else { break };
             let ready = rows[*place].free.covers(&unit.need.amount);
@@ -225,10 +229,12 @@
             unit.tasks.remove(0);
             if ready {
                 self.start_task(unit, task, None, rows[*place].worker, claim.remote, now);
+                placed.push((task, rows[*place].worker));
             } else {
                 claim.workers.push(rows[*place].worker);
             }
         }
+        self.log_placed(unit, &placed, claim.remote, now);
         if !claim.workers.is_empty() {
             self.claims.push(claim);
         }
@@ -241,23 +247,51 @@
                 return unit.tasks.len();
             };
             let run = self.next_gang_run(unit);
+            let mut placed = Vec::with_capacity(unit.tasks.len());
             for (task, row) in unit.tasks.iter().zip(&choice.rows) {
                 rows[*row].free -= unit.need.amount;
                 self.start_task(unit, *task, run, rows[*row].worker, choice.remote, now);
+                placed.push((*task, rows[*row].worker));
             }
+            self.log_placed(unit, &placed, choice.remote, now);
             return 0;
         }
         let mut counts = self.step_counts(unit);
-        for (done, task) in unit.tasks.iter().enumerate() {
+        let mut placed = Vec::with_capacity(unit.tasks.len());
+        let mut any_remote = false;
+        for task in &unit.tasks {
             let avoid = self.avoided_worker(unit, *task);
             let Some((row, remote)) = choose_row(unit, rows, &counts, avoid, pool_busy) else {
-                return unit.tasks.len() - done;
+                break;
             };
             rows[row].free -= unit.need.amount;
             *counts.entry(rows[row].worker).or_default() += 1;
             self.start_task(unit, *task, None, rows[row].worker, remote, now);
+            placed.push((*task, rows[row].worker));
+            any_remote |= remote;
         }
-        0
+        self.log_placed(unit, &placed, any_remote, now);
+        unit.tasks.len() - placed.len()
+    }
+
+    /// Logs one line for all tasks of a unit that were placed together.
+    fn log_placed(&self, unit: &WaitingUnit, placed: &[(usize, WorkerKey)], remote: bool, now: ClockTime) {
+        if placed.is_empty() {
+            return;
+        }
+        let job = &self.jobs[unit.key];
+        let places = placed.iter().map(|(task, worker)| format!("{task}@{}", self.workers[*worker].report.id));
+        log::info!(
+            "[place] job={} occurrence={} step={} waited_ms={} slack_ms={} lateness={:?} remote={remote} policy={} tasks={}",
+            job.id,
+            unit.occurrence,
+            unit.step,
+            unit.waited_ms,
+            unit.rank.slack_ms(now),
+            unit.rank.lateness,
+            self.policy.version,
+            places.collect::<Vec<_>>().join(",")
+        );
     }
 
     fn avoided_worker(&self, unit: &WaitingUnit, task: usize) -> Option<WorkerKey> {
@@ -312,14 +346,6 @@
         task.progress = Default::default();
         let (run, checkpoint) = (task.run, task.checkpoint.clone());
         let view = &mut self.workers[worker];
-        log::info!(
-            "[place] task={name} run={run} worker={} centre={} waited_ms={} slack_ms={} remote={remote} policy={}",
-            view.report.id,
-            view.report.centre,
-            unit.waited_ms,
-            unit.rank.slack_ms(now),
-            self.policy.version,
-        );
         view.occupants.insert(
             (name.clone(), run),
             Occupant {
--- a/crates/pool/src/pool_core.rs
+++ b/crates/pool/src/pool_core.rs
@@ -54,6 +54,8 @@
     pub(crate) orders: Vec<PoolOrder>,
     changed: BTreeSet<JobKey>,
     ended: VecDeque<(ClockTime, Arc<str>)>,
+    /// Jobs whose final records are kept; a body that is read late must not start them anew.
+    ended_ids: HashSet<Arc<str>>,
     dropped: Vec<Arc<str>>,
 }
 
@@ -97,7 +99,7 @@
         wall: PlatformTime,
         lost_bound: ClockTime,
     ) {
-        if self.job_index.contains_key(id) || record.stage().is_final() {
+        if self.job_index.contains_key(id) || self.ended_ids.contains(id) || record.stage().is_final() {
             return;
         }
         let rule = self.rule_of(&body);
@@ -377,12 +379,16 @@
 
     /// Notes a final record found in the store, so that it is removed when it is no longer needed.
     pub fn note_ended_job(&mut self, id: &Arc<str>, now: ClockTime) {
-        self.ended.push_back((now + self.options.keep_final_ms, id.clone()));
+        if self.ended_ids.insert(id.clone()) {
+            self.ended.push_back((now + self.options.keep_final_ms, id.clone()));
+        }
     }
 
     fn drop_ended(&mut self, now: ClockTime) {
         while self.ended.front().is_some_and(|(until, _)| *until <= now) {
-            self.dropped.extend(self.ended.pop_front().map(|(_, id)| id));
+            let Some((_, id)) = self.ended.pop_front() else { return };
+            self.ended_ids.remove(&id);
+            self.dropped.push(id);
         }
     }
 
@@ -438,7 +444,7 @@
             self.order_stop(task, run, worker, StopReason::JobEnded, now);
         }
         self.claims.retain(|claim| claim.job != key);
-        self.ended.push_back((now + self.options.keep_final_ms, id));
+        self.note_ended_job(&id, now);
         self.mark_changed(key);
     }
 
@@ -527,7 +533,7 @@
         };
         task.place = None;
         task.progress = Default::default();
-        log::info!("[run] task={name} run={run} state=waiting cause={cause}");
+        log::debug!("[run] task={name} run={run} state=waiting cause={cause}");
         self.mark_changed(key);
         let step = name.step as usize;
         if self.jobs[key].body.steps.get(step).is_some_and(|step| step.gang) {
--- a/crates/pool/src/pool_order.rs
+++ b/crates/pool/src/pool_order.rs
@@ -5,7 +5,7 @@
 use crate::{TaskName, WorkerKey};
 
 /// Why a run is stopped.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum StopReason {
     /// The caller cancelled the job, or it has failed.
     JobEnded,
--- a/crates/pool/src/progress_check.rs
+++ b/crates/pool/src/progress_check.rs
@@ -7,54 +7,25 @@
 
 use crate::job_run::{PlaceStage, TaskRun};
 use crate::pool_core::{JobKey, PoolCore};
+use crate::run_rates::{RunPace, StepRates, WorkerEvidence, implied_total_ms, run_pace};
 use crate::{StepBody, StopReason, TaskName, WorkerKey};
 
 /// A run whose percent has not risen for this long stands still, in milliseconds.
 const STALL_MS: u64 = 2_200;
-/// A run is judged slow only after this long at work, in milliseconds.
-const SLOW_AFTER_MS: u64 = 1_500;
-/// A run is slow when its rate is below this many percent of the expected one; estimates are off by a fifth.
-const SLOW_PERCENT: u64 = 40;
 /// Most times that a task is moved for lack of progress; a task that is slow everywhere is left alone.
 const MAX_SLOW_RESTARTS: u32 = 2;
 /// A gang with an unanswered start is stopped this long before its members stop waiting, in milliseconds.
 const GANG_MARGIN_MS: u64 = 1_500;
 
-/// What the progress of a run says.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum ProgressVerdict {
-    Fine,
-    StandsStill,
-    Slow { remaining_ms: u64 },
-}
-
-/// Judges a run by its reported percent.
-fn judge_progress(task: &TaskRun, expected_ms: u64) -> ProgressVerdict {
+/// Returns whether a run has stopped making progress.
+fn stands_still(task: &TaskRun, expected_ms: u64) -> bool {
     let progress = &task.progress;
-    let Some(began_at) = progress.began_at else {
-        return ProgressVerdict::Fine;
-    };
-    if progress.percent >= 100 || expected_ms == 0 {
-        return ProgressVerdict::Fine;
+    if progress.began_at.is_none() || progress.percent >= 100 {
+        return false;
     }
-    // One percent of a long task may take longer than the limit for standing still.
+    // One percent of a long task may take longer than the limit.
     let still_ms = progress.seen_at.millis_since(progress.rose_at);
-    if still_ms > STALL_MS.max(expected_ms / 8) {
-        return ProgressVerdict::StandsStill;
-    }
-    let worked_ms = progress.seen_at.millis_since(began_at);
-    let gained = u64::from(progress.percent.saturating_sub(progress.first_percent));
-    if worked_ms < SLOW_AFTER_MS || gained == 0 {
-        return ProgressVerdict::Fine;
-    }
-    let expected_gain = worked_ms * 100 / expected_ms;
-    if gained * 100 >= expected_gain * SLOW_PERCENT {
-        return ProgressVerdict::Fine;
-    }
-    let left = u64::from(100 - progress.percent);
-    ProgressVerdict::Slow {
-        remaining_ms: left * worked_ms / gained,
-    }
+    still_ms > STALL_MS.max(expected_ms / 8)
 }
 
 /// A run to stop and why.
@@ -87,32 +58,31 @@
 
     /// Stops runs that stand still, are far too slow, or can resume elsewhere before their worker leaves.
     pub(crate) fn check_progress(&mut self, now: ClockTime) {
+        let evidence = self.worker_evidence();
         let mut moves = Vec::new();
         let mut broken = Vec::new();
         for (key, job) in &self.jobs {
             for (number, occurrence) in &job.occurrences {
                 for (step_number, step) in occurrence.steps.iter().enumerate() {
                     let body = &job.body.steps[step_number];
+                    let rates = StepRates::of(step, self.options.remote_factor);
                     for (index, task) in step.tasks.iter().enumerate() {
                         let Some(place) = task.place else { continue };
-                        let name = || job.task_name(*number, step_number, index);
-                        let waited_ms = now.millis_since(place.since);
-                        match place.stage {
-                            PlaceStage::Unclear if body.gang && waited_ms + GANG_MARGIN_MS > self.options.gang_wait_ms => {
-                                broken.push((key, name()));
-                            }
-                            PlaceStage::Running => {
-                                if let Some(reason) = self.move_reason(body, task, place.remote, now) {
-                                    moves.push(RunMove {
-                                        key,
-                                        name: name(),
-                                        worker: place.worker,
-                                        reason,
-                                    });
-                                }
-                            }
-                            _ => {}
+                        let waits_ms = now.millis_since(place.since) + GANG_MARGIN_MS;
+                        let unclear = place.stage == PlaceStage::Unclear && body.gang;
+                        if unclear && waits_ms > self.options.gang_wait_ms {
+                            broken.push((key, job.task_name(*number, step_number, index)));
+                        }
+                        if place.stage != PlaceStage::Running {
+                            continue;
                         }
+                        let reason = self.move_reason(body, task, &rates, &evidence, now);
+                        moves.extend(reason.map(|reason| RunMove {
+                            key,
+                            name: job.task_name(*number, step_number, index),
+                            worker: place.worker,
+                            reason,
+                        }));
                     }
                 }
             }
@@ -125,45 +95,86 @@
         }
     }
 
+    /// Compares all runs with their siblings and estimates.
+    fn worker_evidence(&self) -> WorkerEvidence {
+        let mut evidence = WorkerEvidence::default();
+        for (key, job) in &self.jobs {
+            for occurrence in job.occurrences.values() {
+                for (step, body) in occurrence.steps.iter().zip(&job.body.steps) {
+                    let rates = StepRates::of(step, self.options.remote_factor);
+                    for task in &step.tasks {
+                        if let Some((worker, pace)) = self.pace_of(body, task, &rates) {
+                            evidence.note(worker, key, pace);
+                        }
+                    }
+                }
+            }
+        }
+        evidence
+    }
+
+    fn pace_of(&self, body: &StepBody, task: &TaskRun, rates: &StepRates) -> Option<(WorkerKey, RunPace)> {
+        let place = task.place?;
+        let factor = if place.remote { self.options.remote_factor.max(1) } else { 1 };
+        let total_ms = implied_total_ms(&task.progress)? / factor;
+        let sibling_ms = rates.sibling_ms(place.worker);
+        Some((place.worker, run_pace(total_ms, sibling_ms, body.estimate_ms)))
+    }
+
     /// Returns why the run should be stopped and placed anew, if it should.
     fn move_reason(
         &self,
         body: &StepBody,
         task: &TaskRun,
-        remote: bool,
+        rates: &StepRates,
+        evidence: &WorkerEvidence,
         now: ClockTime,
     ) -> Option<StopReason> {
-        let view = self.workers.get(task.place?.worker)?;
-        let factor = if remote { self.options.remote_factor } else { 1 };
-        let expected_ms = body.estimate_ms * factor;
+        let place = task.place?;
+        let view = self.workers.get(place.worker)?;
+        let factor = if place.remote { self.options.remote_factor.max(1) } else { 1 };
+        let left_percent = u64::from(100 - task.progress.percent.min(100));
         if let Some(leaves_at) = view.report.leaves_at {
-            let left_ms = expected_ms * u64::from(100 - task.progress.percent.min(100)) / 100;
+            let left_ms = body.estimate_ms * factor * left_percent / 100;
             let saved = body.checkpoints && !task.checkpoint.is_empty();
             return (saved && now + left_ms > leaves_at).then_some(StopReason::WorkerLeaving);
         }
         if body.endless || task.slow_restarts >= MAX_SLOW_RESTARTS {
             return None;
         }
-        match judge_progress(task, expected_ms) {
-            ProgressVerdict::Fine => None,
-            ProgressVerdict::StandsStill => Some(StopReason::NoProgress),
-            ProgressVerdict::Slow { remaining_ms } => {
-                let elsewhere_ms = expected_ms + self.options.stop_ms;
-                // A job that was slow elsewhere too is long by itself.
-                let moved = task.slow_restarts > 0;
-                let sooner = remaining_ms > elsewhere_ms + elsewhere_ms / 4;
-                (sooner && !moved).then_some(StopReason::NoProgress)
-            }
+        if stands_still(task, body.estimate_ms * factor) {
+            return Some(StopReason::NoProgress);
         }
+        let (worker, pace) = self.pace_of(body, task, rates)?;
+        let expected_ms = match pace {
+            RunPace::Expected => return None,
+            RunPace::BehindSiblings { expected_ms } => expected_ms,
+            RunPace::BehindEstimate if evidence.is_slow(worker) => body.estimate_ms,
+            RunPace::BehindEstimate => return None,
+        };
+        let remaining_ms = implied_total_ms(&task.progress)? * left_percent / 100;
+        let elsewhere_ms = expected_ms + self.options.stop_ms;
+        // A task that was moved before is slow by itself.
+        let sooner = remaining_ms > elsewhere_ms + elsewhere_ms / 4;
+        (sooner && task.slow_restarts == 0).then_some(StopReason::NoProgress)
     }
 
     fn move_run(&mut self, run: &RunMove, now: ClockTime) {
         if run.reason == StopReason::NoProgress {
             if let Some(view) = self.workers.get_mut(run.worker) {
                 view.health.note_slow(now);
-                log::warn!("[worker] id={} state=slow task={}", view.report.id, run.name);
             }
             if let Some(task) = self.jobs.get_mut(run.key).and_then(|job| job.task_mut(&run.name)) {
+                let progress = &task.progress;
+                log::warn!(
+                    "[run] task={} run={} state=too slow percent={} first_percent={} still_ms={} worked_ms={}",
+                    run.name,
+                    task.run,
+                    progress.percent,
+                    progress.first_percent,
+                    progress.seen_at.millis_since(progress.rose_at),
+                    progress.began_at.map_or(0, |began| progress.seen_at.millis_since(began)),
+                );
                 task.slow_restarts += 1;
                 task.avoid = Some(run.worker);
             }
--- /dev/null
+++ b/crates/pool/tests/support/mod.rs
@@ -0,0 +1,246 @@
+//! A small pool whose workers do what they are told.
+
+#![allow(dead_code)]
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use arbutuspick_model::{ClockTime, PlatformTime};
+use arbutuspick_pool::{
+    AccountRule, CoreOptions, EndKind, JobBody, JobRecord, PoolCore, PoolOrder, PoolPolicy, QueueRule,
+    RecordChange, ResourceAmount, RunEnd, RunStatus, StartAnswer, StartOrder, StepBody, StopOrder, TaskName,
+    WorkerKey, WorkerListing, WorkerReport,
+};
+
+/// Wall clock at time 0 of the pool, in Unix milliseconds.
+pub const WALL_START_MS: u64 = 1_700_000_000_000;
+
+/// A core with the time and what its workers run.
+pub struct TestPool {
+    pub core: PoolCore,
+    pub now: ClockTime,
+    pub workers: Vec<WorkerKey>,
+    pub runs: HashMap<WorkerKey, Vec<(TaskName, u32)>>,
+    pub ends: HashMap<WorkerKey, u64>,
+    pub starts: Vec<StartOrder>,
+    pub stops: Vec<StopOrder>,
+    pub changes: Vec<RecordChange>,
+}
+
+pub fn queue(name: &str, priority: u32) -> Arc<QueueRule> {
+    Arc::new(QueueRule {
+        name: name.into(),
+        service: "maps".into(),
+        priority,
+        max_attempts: 4,
+        stretch: 3.0,
+        allowance_ms: 1_000,
+    })
+}
+
+pub fn policy(guaranteed: u64) -> PoolPolicy {
+    let mut policy = PoolPolicy {
+        version: 1,
+        ..PoolPolicy::default()
+    };
+    for rule in [queue("urgent", 0), queue("normal", 1), queue("bulk", 2)] {
+        policy.queues.insert(rule.name.clone(), rule);
+    }
+    for name in ["north", "south"] {
+        let rule = AccountRule {
+            name: name.into(),
+            guaranteed_accelerators: guaranteed,
+        };
+        policy.accounts.insert(name.into(), rule);
+    }
+    policy
+}
+
+/// A step of tasks that need one core, 1 GB and `accelerators`, and run for two seconds.
+pub fn step(count: u32, accelerators: u64) -> StepBody {
+    StepBody {
+        count,
+        millicores: 1_000,
+        memory_mb: 1_000,
+        accelerators,
+        estimate_ms: 2_000,
+        ..StepBody::default()
+    }
+}
+
+pub fn body(queue: &str, account: &str, steps: Vec<StepBody>) -> JobBody {
+    JobBody {
+        account: account.into(),
+        queue: queue.into(),
+        service: "maps".into(),
+        spec: "work".into(),
+        steps,
+        accepted_at_ms: WALL_START_MS,
+        max_attempts: 4,
+        stretch: 3.0,
+        ..JobBody::default()
+    }
+}
+
+pub fn report(number: usize, rack: &str, centre: &str) -> WorkerReport {
+    WorkerReport {
+        id: format!("w{number}").into(),
+        born_ms: 1,
+        address: "127.0.0.1:1".into(),
+        service: "maps".into(),
+        centre: centre.into(),
+        labels: vec!["a".into(), rack.into()],
+        capacity: ResourceAmount {
+            millicores: 64_000,
+            memory_mb: 256_000,
+            accelerators: 8,
+        },
+        leaves_at: None,
+    }
+}
+
+impl TestPool {
+    /// Returns a pool of workers with 8 accelerators, four to a rack, alternating between two data centres.
+    pub fn new(workers: usize) -> Self {
+        let mut core = PoolCore::new(CoreOptions::default());
+        core.apply_policy(Arc::new(policy(16)));
+        let now = ClockTime(100_000);
+        let mut keys = Vec::new();
+        for number in 0..workers {
+            let centre = if number / 4 % 2 == 0 { "trent" } else { "severn" };
+            let key = core.report_worker(report(number, &format!("r{}", number / 4), centre), now);
+            core.apply_listing(key, &empty_listing(now), now);
+            keys.push(key);
+        }
+        Self {
+            core,
+            now,
+            workers: keys,
+            runs: HashMap::new(),
+            ends: HashMap::new(),
+            starts: Vec::new(),
+            stops: Vec::new(),
+            changes: Vec::new(),
+        }
+    }
+
+    pub fn wall(&self) -> PlatformTime {
+        PlatformTime(WALL_START_MS + self.now.0 - 100_000)
+    }
+
+    pub fn submit(&mut self, id: &str, mut body: JobBody) {
+        body.accepted_at_ms = self.wall().0;
+        let record = JobRecord::default();
+        let (now, wall) = (self.now, self.wall());
+        self.core.add_job(&id.into(), body, &record, now, wall, now);
+    }
+
+    /// Decides and carries all orders out at once.
+    pub fn step(&mut self) {
+        let orders = self.decide();
+        for order in orders {
+            self.carry_out(order);
+        }
+    }
+
+    /// Decides and returns the orders without carrying them out.
+    pub fn decide(&mut self) -> Vec<PoolOrder> {
+        let (now, wall) = (self.now, self.wall());
+        self.core.decide(now, wall);
+        let orders = self.core.take_orders();
+        self.changes.extend(self.core.take_changes());
+        for order in &orders {
+            match order {
+                PoolOrder::Start(start) => self.starts.push(start.clone()),
+                PoolOrder::Stop(stop) => self.stops.push(stop.clone()),
+            }
+        }
+        orders
+    }
+
+    pub fn carry_out(&mut self, order: PoolOrder) {
+        match order {
+            PoolOrder::Start(start) => {
+                let runs = self.runs.entry(start.worker).or_default();
+                runs.push((start.task.clone(), start.run));
+                let now = self.now;
+                self.core
+                    .apply_start_answer(&start.task, start.run, start.worker, StartAnswer::Started, now);
+            }
+            PoolOrder::Stop(stop) => {
+                let now = self.now;
+                self.core.apply_stop_answer(&stop.task, stop.run, stop.worker, now);
+                self.end(stop.worker, &stop.task, stop.run, EndKind::Stopped);
+            }
+        }
+    }
+
+    /// Lets a run end, as its worker lists it.
+    pub fn end(&mut self, worker: WorkerKey, task: &TaskName, run: u32, kind: EndKind) {
+        let runs = self.runs.entry(worker).or_default();
+        let Some(at) = runs.iter().position(|(name, number)| name == task && *number == run) else {
+            return;
+        };
+        runs.remove(at);
+        let number = self.ends.entry(worker).or_default();
+        *number += 1;
+        let end = RunEnd {
+            number: *number,
+            task: Some(task.clone()),
+            run,
+            kind,
+            checkpoint: "".into(),
+        };
+        let mut listing = self.listing(worker, 0);
+        listing.ended.push(end);
+        let now = self.now;
+        self.core.apply_listing(worker, &listing, now);
+    }
+
+    /// Returns what the worker would list, all runs at the same percent.
+    pub fn listing(&self, worker: WorkerKey, percent: u32) -> WorkerListing {
+        let runs = self.runs.get(&worker).map_or(&[][..], Vec::as_slice);
+        let running = runs.iter().map(|(task, run)| RunStatus {
+            task: Some(task.clone()),
+            run: *run,
+            checkpoint: "".into(),
+            percent,
+        });
+        WorkerListing {
+            asked_at: self.now,
+            running: running.collect(),
+            ended: Vec::new(),
+        }
+    }
+
+    /// Ends all runs of a job as done.
+    pub fn finish(&mut self, job: &str) {
+        let all: Vec<(WorkerKey, TaskName, u32)> = self
+            .runs
+            .iter()
+            .flat_map(|(worker, runs)| runs.iter().map(|(task, run)| (*worker, task.clone(), *run)))
+            .filter(|(_, task, _)| task.job.as_ref() == job)
+            .collect();
+        for (worker, task, run) in all {
+            self.end(worker, &task, run, EndKind::Done);
+        }
+    }
+
+    pub fn pass(&mut self, millis: u64) {
+        self.now = self.now + millis;
+    }
+
+    /// Returns the runs of a job that are present on workers.
+    pub fn running(&self, job: &str) -> usize {
+        let runs = self.runs.values().flatten();
+        runs.filter(|(task, _)| task.job.as_ref() == job).count()
+    }
+}
+
+pub fn empty_listing(now: ClockTime) -> WorkerListing {
+    WorkerListing {
+        asked_at: now,
+        running: Vec::new(),
+        ended: Vec::new(),
+    }
+}
