--- a/crates/pool/src/job_body.rs
+++ b/crates/pool/src/job_body.rs
@@ -105,6 +105,11 @@
 }
 
 impl StepBody {
+    /// Returns the estimated work of one task, in core milliseconds.
+    pub fn task_core_ms(&self) -> u64 {
+        self.amount().core_equivalents().max(1) * self.estimate_ms
+    }
+
     /// Returns what one task takes up on a worker.
     pub fn amount(&self) -> ResourceAmount {
         let part = |value: u64| i64::try_from(value).unwrap_or(i64::MAX / 4);
@@ -141,6 +146,11 @@
         Ok(())
     }
 
+    /// Returns the estimated work of one occurrence, in core milliseconds.
+    pub fn work_core_ms(&self) -> u64 {
+        self.steps.iter().map(|step| u64::from(step.count) * step.task_core_ms()).sum()
+    }
+
     /// Returns the estimated milliseconds of the longest chain of steps.
     pub fn chain_ms(&self) -> u64 {
         let mut ends: Vec<u64> = Vec::with_capacity(self.steps.len());
--- a/crates/pool/src/job_run.rs
+++ b/crates/pool/src/job_run.rs
@@ -126,6 +126,8 @@
     pub(crate) occurrences: BTreeMap<u32, OccurrenceRun>,
     pub(crate) arrived_at: ClockTime,
     pub(crate) chain_ms: u64,
+    /// Estimated work of one occurrence, in core milliseconds.
+    pub(crate) work_core_ms: u64,
 }
 
 impl JobRun {
--- a/crates/pool/src/placement_pass.rs
+++ b/crates/pool/src/placement_pass.rs
@@ -8,6 +8,7 @@
 use crate::job_run::{JobRun, PlaceStage, TaskPlace};
 use crate::pool_core::{JobKey, PoolCore};
 use crate::room_search::{RoomRow, StepCounts, TaskNeed, best_row, gang_rows, rack_fits};
+use crate::run_rates::remaining_run_ms;
 use crate::unit_order::{Lateness, UnitRank, UnitTiming, unit_rank};
 use crate::victim_choice::{VictimPlan, VictimUnit, choose_victims};
 use crate::worker_view::Occupant;
@@ -19,14 +20,20 @@
 const START_SEND_MS: u64 = 2_000;
 /// With less than half of the pool in use, work goes to remote workers after this wait, in milliseconds.
 const REMOTE_IDLE_WAIT_MS: u64 = 1_000;
-/// Runs may be stopped for urgent work that is worth this many times less than what is lost.
-const URGENT_LOSS_FACTOR: u64 = 4;
+/// Work lost by stopping runs for urgent work, at most, in percent of the urgent work.
+const URGENT_LOSS_PERCENT: u64 = 400;
+/// Work lost by stopping runs for ordinary work that must start now, at most, in percent of that work.
+const ORDINARY_LOSS_PERCENT: u64 = 50;
+/// Room that becomes free by itself is waited for at most this long, in milliseconds.
+const LONGEST_WAIT_MS: u64 = 600;
 /// Ordinary work stops others only when it must start within this time, in milliseconds.
 const LAST_CALL_MS: u64 = 700;
 /// Each earlier preemption makes stopping a run this many times dearer.
 const REPEAT_COST_FACTOR: u64 = 2;
 /// A run that saves its progress loses at most this much work, in milliseconds.
 const CHECKPOINT_LOSS_MS: u64 = 1_000;
+/// Cost of waiting for a run that ends soon, in core milliseconds; free room is better.
+const WAIT_COST: u64 = 1;
 /// Most units that are tried in one decision after units that found no room.
 const MAX_BLOCKED_UNITS: usize = 40;
 
@@ -107,6 +114,7 @@
 
     /// Collects the work that could start now.
     fn waiting_units(&mut self, now: ClockTime) -> Vec<WaitingUnit> {
+        let means = self.mean_work();
         let guaranteed = self.jobs_inside_guarantee();
         let mut units = Vec::new();
         for (key, job) in &mut self.jobs {
@@ -114,13 +122,25 @@
             for number in numbers {
                 for step in 0..job.body.steps.len() {
                     let inside = guaranteed.contains(&key);
-                    units.extend(waiting_unit(key, job, number, step, inside, now));
+                    let mean_work = means.get(&job.rule.name).copied().unwrap_or(0);
+                    units.extend(waiting_unit(key, job, number, step, mean_work, inside, now));
                 }
             }
         }
         units
     }
 
+    /// Returns the mean work of the present jobs of each queue, in core milliseconds.
+    fn mean_work(&self) -> HashMap<Arc<str>, u64> {
+        let mut sums: HashMap<Arc<str>, (u64, u64)> = HashMap::new();
+        for job in self.jobs.values() {
+            let (sum, count) = sums.entry(job.rule.name.clone()).or_default();
+            *sum += job.work_core_ms;
+            *count += 1;
+        }
+        sums.into_iter().map(|(queue, (sum, count))| (queue, sum / count.max(1))).collect()
+    }
+
     /// Returns the jobs of priority 0 that fit into what their account is guaranteed, oldest first.
     fn jobs_inside_guarantee(&self) -> std::collections::HashSet<JobKey> {
         let mut urgent: Vec<(ClockTime, JobKey, &JobRun)> = Vec::new();
@@ -368,28 +388,32 @@
     /// Stops runs that come later, if that lets the unit start in time at a fair loss.
     fn make_room(&mut self, unit: &WaitingUnit, left: usize, rows: &mut [RoomRow], pool_busy: bool, now: ClockTime) {
         let urgent = unit.rank.priority == 0;
-        let pressing = unit.rank.lateness == Lateness::OnTime
-            && (urgent || unit.rank.slack_ms(now) < LAST_CALL_MS && unit.rank.priority == 1);
-        if !unit.rank.inside_guarantee() && !pressing {
+        let on_time = unit.rank.lateness == Lateness::OnTime;
+        let may_stop = unit.rank.inside_guarantee()
+            || on_time && (urgent || unit.rank.slack_ms(now) < LAST_CALL_MS && unit.rank.priority == 1);
+        let may_wait = urgent && on_time;
+        if !may_stop && !may_wait {
             return;
         }
-        let (victims, names) = self.victim_units(unit, rows, now);
+        let wait_ms = if on_time { unit.rank.slack_ms(now).min(LONGEST_WAIT_MS) } else { 0 };
+        let (victims, names) = self.victim_units(unit, rows, may_stop, wait_ms, now);
         let Some((plan, remote)) = choose_scope(unit, left, rows, &victims, &self.step_counts(unit), pool_busy) else {
             return;
         };
-        let factor = if urgent { URGENT_LOSS_FACTOR } else { 1 };
-        if !unit.rank.inside_guarantee() && plan.cost > unit.work_core_ms() * factor {
+        let percent = if urgent { URGENT_LOSS_PERCENT } else { ORDINARY_LOSS_PERCENT };
+        if !unit.rank.inside_guarantee() && plan.cost > unit.work_core_ms() * percent / 100 {
             return;
         }
+        let stopped: Vec<usize> = plan.stopped.iter().copied().filter(|number| !victims[*number].ends_soon).collect();
         log::info!(
             "[preempt] job={} step={} tasks={left} stopped={} lost_core_ms={} inside_guarantee={}",
             self.jobs[unit.key].id,
             unit.step,
-            plan.stopped.len(),
+            stopped.len(),
             plan.cost,
             unit.rank.inside_guarantee(),
         );
-        for number in &plan.stopped {
+        for number in &stopped {
             for (key, name) in &names[*number] {
                 if let Some(task) = self.jobs.get_mut(*key).and_then(|job| job.task_mut(name)) {
                     task.preemptions += 1;
@@ -406,7 +430,7 @@
             step: unit.step,
             workers: plan.rows.iter().map(|row| rows[*row].worker).collect(),
             remote,
-            until: now + CLAIM_MS,
+            until: now + CLAIM_MS.max(wait_ms + CLAIM_MS / 2),
         });
     }
 
@@ -415,6 +439,8 @@
         &self,
         unit: &WaitingUnit,
         rows: &[RoomRow],
+        may_stop: bool,
+        wait_ms: u64,
         now: ClockTime,
     ) -> (Vec<VictimUnit>, Vec<Vec<(JobKey, TaskName)>>) {
         let row_of: HashMap<WorkerKey, usize> = rows.iter().enumerate().map(|(n, row)| (row.worker, n)).collect();
@@ -424,17 +450,22 @@
         for (key, job) in &self.jobs {
             let lower = job.rule.priority > unit.rank.priority;
             let borrows = unit.rank.inside_guarantee() && !guaranteed.contains(&key);
-            if !lower && !borrows {
-                continue;
-            }
+            let may_stop = may_stop && (lower || borrows);
             for (number, occurrence) in &job.occurrences {
                 for (step_number, step) in occurrence.steps.iter().enumerate() {
                     let body = &job.body.steps[step_number];
-                    let mut gang = VictimUnit { cost: 0, frees: Vec::new() };
+                    let mut gang = VictimUnit {
+                        cost: 0,
+                        ends_soon: true,
+                        frees: Vec::new(),
+                    };
                     let mut members = Vec::new();
                     for (index, task) in step.tasks.iter().enumerate() {
                         let Some(place) = task.place else { continue };
-                        if place.stage == PlaceStage::Stopping {
+                        let ends_soon = place.stage == PlaceStage::Stopping
+                            || remaining_run_ms(task, now).is_some_and(|left_ms| left_ms <= wait_ms);
+                        if !ends_soon && !may_stop {
+                            gang.ends_soon = false;
                             continue;
                         }
                         let Some(row) = row_of.get(&place.worker) else { continue };
@@ -444,18 +475,23 @@
                         let cost = body.amount().core_equivalents() * (lost_ms + 200) * (1 + repeats * REPEAT_COST_FACTOR);
                         let name = job.task_name(*number, step_number, index);
                         if body.gang {
+                            gang.ends_soon &= ends_soon;
                             gang.cost += cost;
                             gang.frees.push((*row, body.amount()));
                             members.push((key, name));
                         } else {
                             victims.push(VictimUnit {
-                                cost,
+                                cost: if ends_soon { WAIT_COST } else { cost },
+                                ends_soon,
                                 frees: vec![(*row, body.amount())],
                             });
                             names.push(vec![(key, name)]);
                         }
                     }
-                    if !members.is_empty() {
+                    if !members.is_empty() && (gang.ends_soon || may_stop) {
+                        if gang.ends_soon {
+                            gang.cost = WAIT_COST;
+                        }
                         victims.push(gang);
                         names.push(members);
                     }
@@ -472,6 +508,7 @@
     job: &mut JobRun,
     number: u32,
     step: usize,
+    mean_work: u64,
     inside_guarantee: bool,
     now: ClockTime,
 ) -> Option<WaitingUnit> {
@@ -496,12 +533,16 @@
         spread_limit: (body.spread_limit > 0).then_some(body.spread_limit as usize),
     };
     let remaining_ms = remaining_ms(job, step);
+    let remaining_work = remaining_work(job, number);
     let rank = unit_rank(
         now,
         &UnitTiming {
             due_at,
             objective_ms,
             remaining_ms,
+            remaining_work,
+            job_work: job.work_core_ms,
+            mean_work,
             priority: job.rule.priority,
             inside_guarantee,
         },
@@ -527,6 +568,19 @@
     (!text.is_empty()).then(|| text.into())
 }
 
+/// Returns the work that an occurrence still needs, in core milliseconds.
+fn remaining_work(job: &JobRun, number: u32) -> u64 {
+    let Some(occurrence) = job.occurrences.get(&number) else {
+        return 0;
+    };
+    let steps = occurrence.steps.iter().zip(&job.body.steps);
+    let work = steps.map(|(step, body)| {
+        let open = step.tasks.iter().filter(|task| !task.done).count() as u64;
+        open * body.task_core_ms()
+    });
+    work.sum()
+}
+
 /// Returns the estimated milliseconds of a step and of the longest chain that follows it.
 fn remaining_ms(job: &JobRun, step: usize) -> u64 {
     let steps = &job.body.steps;
--- a/crates/pool/src/pool_core.rs
+++ b/crates/pool/src/pool_core.rs
@@ -108,6 +108,7 @@
             id: id.clone(),
             spec: body.spec.as_str().into(),
             chain_ms: body.chain_ms(),
+            work_core_ms: body.work_core_ms(),
             rule,
             stage: record.stage(),
             released: record.released,
--- a/crates/pool/src/run_rates.rs
+++ b/crates/pool/src/run_rates.rs
@@ -5,8 +5,10 @@
 
 use std::collections::{HashMap, HashSet};
 
+use arbutuspick_model::ClockTime;
+
 use crate::WorkerKey;
-use crate::job_run::{RunProgress, StepRun};
+use crate::job_run::{RunProgress, StepRun, TaskRun};
 use crate::pool_core::JobKey;
 
 /// A run is judged only after this long at work, in milliseconds.
@@ -32,6 +34,13 @@
     Some(worked_ms * 100 / u64::from(gained))
 }
 
+/// Returns in how many milliseconds a run should end by its progress; estimates are too far off for this.
+pub(crate) fn remaining_run_ms(task: &TaskRun, now: ClockTime) -> Option<u64> {
+    let total_ms = implied_total_ms(&task.progress)?;
+    let left = u64::from(100 - task.progress.percent.min(100)) * total_ms / 100;
+    Some(left.saturating_sub(now.millis_since(task.progress.seen_at)))
+}
+
 /// Times that the tasks of a step need, each with its worker.
 pub(crate) struct StepRates {
     totals: Vec<(WorkerKey, u64)>,
--- a/crates/pool/src/victim_choice.rs
+++ b/crates/pool/src/victim_choice.rs
@@ -1,18 +1,21 @@
 //! Chooses what is stopped so that work that comes first can start.
 //!
 //! Load pattern: urgent jobs arrive, or an account returns for its guarantee, while all room is lent. The runs
-//! that lose the least work per task gained are stopped; a gang counts whole.
+//! that lose the least work per task gained are stopped; a gang counts whole. Runs that end by themselves in
+//! time are waited for, which loses nothing.
 
 use std::collections::{HashMap, HashSet};
 
 use crate::ResourceAmount;
 use crate::room_search::{RoomRow, StepCounts, TaskNeed, row_fits};
 
-/// A run that may be stopped, with all runs that end with it.
+/// A run that may be stopped, or whose end is near, with all runs that end with it.
 #[derive(Clone, Debug)]
 pub(crate) struct VictimUnit {
     /// Core milliseconds that are lost.
     pub(crate) cost: u64,
+    /// It ends by itself in time.
+    pub(crate) ends_soon: bool,
     /// Rows on which its runs stand, with what each frees.
     pub(crate) frees: Vec<(usize, ResourceAmount)>,
 }
