--- a/crates/dispatch/src/commit_log.rs
+++ b/crates/dispatch/src/commit_log.rs
@@ -14,7 +14,7 @@
 /// Most bytes written by one commit; the store takes up to 1 MB of encoded text.
 const COMMIT_BYTES: usize = 500_000;
 /// A commit without an answer is repeated after this time, in milliseconds.
-const ATTEMPT_MS: u64 = 600;
+const ATTEMPT_MS: u64 = 500;
 /// Pause after a refused commit, in milliseconds.
 const RETRY_MS: u64 = 80;
 
--- a/crates/dispatch/src/holder_run.rs
+++ b/crates/dispatch/src/holder_run.rs
@@ -23,8 +23,8 @@
 const DECISION_GAP_MS: u64 = 25;
 /// Longest time between decisions while nothing happens, in milliseconds.
 const TICK_MS: u64 = 200;
-/// Longest time between commits, in milliseconds; others take the seat after two seconds without one.
-const RENEW_MS: u64 = 450;
+/// Longest time between commits, in milliseconds; others take the seat after a second without one.
+const RENEW_MS: u64 = 250;
 /// Counts of waiting jobs are stored at most this often, in milliseconds.
 const PENDING_MS: u64 = 800;
 /// Longest wait of a call that follows accepted jobs, in milliseconds.
--- a/crates/dispatch/src/seat_authority.rs
+++ b/crates/dispatch/src/seat_authority.rs
@@ -3,7 +3,7 @@
 use arbutuspick_model::ClockTime;
 
 /// How long a confirmed commit lets the holder send orders, in milliseconds; shorter than the wait of others.
-pub(crate) const AUTHORITY_MS: u64 = 1_700;
+pub(crate) const AUTHORITY_MS: u64 = 850;
 /// How long a confirmed commit lets the holder extend leases, in milliseconds.
 ///
 /// A later holder waits this long before it starts anew what runs on workers that it cannot reach.
--- a/crates/dispatch/src/seat_run.rs
+++ b/crates/dispatch/src/seat_run.rs
@@ -16,11 +16,11 @@
 use crate::{BootClock, PolicyBoard, SeatDecision, SeatWatch};
 
 /// Time between looks at the seat, in milliseconds; a free seat is found within it.
-const WATCH_MS: u64 = 500;
+const WATCH_MS: u64 = 200;
 /// Random part of that time, in milliseconds, so that processes do not race for the seat.
-const WATCH_JITTER_MS: u64 = 120;
+const WATCH_JITTER_MS: u64 = 80;
 /// A look at the seat is given up after this time, in milliseconds.
-const READ_MS: u64 = 700;
+const READ_MS: u64 = 500;
 
 /// Settings of the parts that place work.
 #[derive(Clone, Debug)]
