Stop runs only when callers gain more than they lose

The loss is now the users' price of the work thrown away plus what the delayed caller loses; waiting work is ordered by worth for the room it takes.

--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -10,6 +10,7 @@
 mod job_body;
 mod job_record;
 mod job_run;
+mod job_worth;
 mod listing_apply;
 mod placement_pass;
 mod pool_core;
--- a/crates/pool/src/placement_pass.rs
+++ b/crates/pool/src/placement_pass.rs
@@ -5,7 +5,8 @@
 
 use arbutuspick_model::ClockTime;
 
-use crate::job_run::{JobRun, PlaceStage, TaskPlace};
+use crate::job_run::{JobRun, OccurrenceRun, PlaceStage, TaskPlace};
+use crate::job_worth::{JobWorth, waste};
 use crate::pool_core::{JobKey, PoolCore};
 use crate::room_search::{RoomRow, StepCounts, TaskNeed, best_row, gang_rows, rack_fits};
 use crate::run_rates::remaining_run_ms;
@@ -20,19 +21,17 @@
 const START_SEND_MS: u64 = 2_000;
 /// With less than half of the pool in use, work goes to remote workers after this wait, in milliseconds.
 const REMOTE_IDLE_WAIT_MS: u64 = 1_000;
-/// Work lost by stopping runs for urgent work, at most, in percent of the urgent work.
-const URGENT_LOSS_PERCENT: u64 = 400;
-/// Work lost by stopping runs for ordinary work that must start now, at most, in percent of that work.
-const ORDINARY_LOSS_PERCENT: u64 = 50;
 /// Room that becomes free by itself is waited for at most this long, in milliseconds.
 const LONGEST_WAIT_MS: u64 = 600;
-/// Ordinary work stops others only when it must start within this time, in milliseconds.
-const LAST_CALL_MS: u64 = 700;
+/// Work stops others only when it must start within this time, in milliseconds; a stop takes up to 900.
+const LAST_CALL_MS: u64 = 1_600;
 /// Each earlier preemption makes stopping a run this many times dearer.
 const REPEAT_COST_FACTOR: u64 = 2;
 /// A run that saves its progress loses at most this much work, in milliseconds.
 const CHECKPOINT_LOSS_MS: u64 = 1_000;
-/// Cost of waiting for a run that ends soon, in core milliseconds; free room is better.
+/// Time that a stop and a new start cost beside the work that is done again, in milliseconds.
+const RESTART_MS: u64 = 200;
+/// Cost of waiting for a run that ends soon, in worth; free room is better.
 const WAIT_COST: u64 = 1;
 /// Most units that are tried in one decision after units that found no room.
 const MAX_BLOCKED_UNITS: usize = 40;
@@ -58,8 +57,8 @@
     same_rack: bool,
     need: TaskNeed,
     rank: UnitRank,
+    worth: JobWorth,
     waited_ms: u64,
-    estimate_ms: u64,
     /// Longest wait for a near worker that still meets the objective, in milliseconds.
     near_patience_ms: u64,
 }
@@ -76,8 +75,13 @@
         }
     }
 
-    fn work_core_ms(&self) -> u64 {
-        self.need.amount.core_equivalents() * self.estimate_ms * self.tasks.len() as u64
+    /// Returns what is lost if the unit starts after its last time instead of soon.
+    fn gain(&self) -> u64 {
+        let later = match self.rank.lateness {
+            Lateness::OnTime => Lateness::Late,
+            Lateness::Late | Lateness::Overdue => Lateness::Overdue,
+        };
+        self.worth.delay_loss(self.rank.lateness, later)
     }
 }
 
@@ -115,6 +119,7 @@
     /// Collects the work that could start now.
     fn waiting_units(&mut self, now: ClockTime) -> Vec<WaitingUnit> {
         let means = self.mean_work();
+        let typical = self.typical_capacity();
         let guaranteed = self.jobs_inside_guarantee();
         let mut units = Vec::new();
         for (key, job) in &mut self.jobs {
@@ -122,14 +127,26 @@
             for number in numbers {
                 for step in 0..job.body.steps.len() {
                     let inside = guaranteed.contains(&key);
-                    let mean_work = means.get(&job.rule.name).copied().unwrap_or(0);
-                    units.extend(waiting_unit(key, job, number, step, mean_work, inside, now));
+                    let worth = job_worth(job, &means);
+                    units.extend(waiting_unit(key, job, number, step, worth, &typical, inside, now));
                 }
             }
         }
         units
     }
 
+    /// Returns the largest capacity among the workers, to which work is compared.
+    fn typical_capacity(&self) -> ResourceAmount {
+        let mut largest = ResourceAmount::default();
+        for view in self.workers.values() {
+            let capacity = &view.report.capacity;
+            largest.millicores = largest.millicores.max(capacity.millicores);
+            largest.memory_mb = largest.memory_mb.max(capacity.memory_mb);
+            largest.accelerators = largest.accelerators.max(capacity.accelerators);
+        }
+        largest
+    }
+
     /// Returns the mean work of the present jobs of each queue, in core milliseconds.
     fn mean_work(&self) -> HashMap<Arc<str>, u64> {
         let mut sums: HashMap<Arc<str>, (u64, u64)> = HashMap::new();
@@ -390,7 +407,7 @@
         let urgent = unit.rank.priority == 0;
         let on_time = unit.rank.lateness == Lateness::OnTime;
         let may_stop = unit.rank.inside_guarantee()
-            || on_time && (urgent || unit.rank.slack_ms(now) < LAST_CALL_MS && unit.rank.priority == 1);
+            || unit.rank.lateness != Lateness::Overdue && unit.rank.slack_ms(now) < LAST_CALL_MS;
         let may_wait = urgent && on_time;
         if !may_stop && !may_wait {
             return;
@@ -400,17 +417,17 @@
         let Some((plan, remote)) = choose_scope(unit, left, rows, &victims, &self.step_counts(unit), pool_busy) else {
             return;
         };
-        let percent = if urgent { URGENT_LOSS_PERCENT } else { ORDINARY_LOSS_PERCENT };
-        if !unit.rank.inside_guarantee() && plan.cost > unit.work_core_ms() * percent / 100 {
+        if !unit.rank.inside_guarantee() && plan.cost > unit.gain() {
             return;
         }
         let stopped: Vec<usize> = plan.stopped.iter().copied().filter(|number| !victims[*number].ends_soon).collect();
         log::info!(
-            "[preempt] job={} step={} tasks={left} stopped={} lost_core_ms={} inside_guarantee={}",
+            "[preempt] job={} step={} tasks={left} stopped={} loss={} gain={} inside_guarantee={}",
             self.jobs[unit.key].id,
             unit.step,
             stopped.len(),
             plan.cost,
+            unit.gain(),
             unit.rank.inside_guarantee(),
         );
         for number in &stopped {
@@ -447,7 +464,9 @@
         let guaranteed = self.jobs_inside_guarantee();
         let mut victims = Vec::new();
         let mut names = Vec::new();
+        let means = self.mean_work();
         for (key, job) in &self.jobs {
+            let worth = job_worth(job, &means);
             let lower = job.rule.priority > unit.rank.priority;
             let borrows = unit.rank.inside_guarantee() && !guaranteed.contains(&key);
             let may_stop = may_stop && (lower || borrows);
@@ -460,6 +479,8 @@
                         frees: Vec::new(),
                     };
                     let mut members = Vec::new();
+                    let delay_loss = restart_loss(job, occurrence, step_number, &worth, now);
+                    let placed = step.tasks.iter().filter(|task| task.place.is_some()).count() as u64;
                     for (index, task) in step.tasks.iter().enumerate() {
                         let Some(place) = task.place else { continue };
                         let ends_soon = place.stage == PlaceStage::Stopping
@@ -472,7 +493,8 @@
                         let ran_ms = now.millis_since(place.since);
                         let lost_ms = if body.checkpoints { ran_ms.min(CHECKPOINT_LOSS_MS) } else { ran_ms };
                         let repeats = u64::from(task.preemptions);
-                        let cost = body.amount().core_equivalents() * (lost_ms + 200) * (1 + repeats * REPEAT_COST_FACTOR);
+                        let lost = waste(body.amount().core_equivalents() * (lost_ms + RESTART_MS));
+                        let cost = lost * (1 + repeats * REPEAT_COST_FACTOR) + delay_loss / placed.max(1);
                         let name = job.task_name(*number, step_number, index);
                         if body.gang {
                             gang.ends_soon &= ends_soon;
@@ -508,7 +530,8 @@
     job: &mut JobRun,
     number: u32,
     step: usize,
-    mean_work: u64,
+    worth: JobWorth,
+    typical: &ResourceAmount,
     inside_guarantee: bool,
     now: ClockTime,
 ) -> Option<WaitingUnit> {
@@ -524,7 +547,7 @@
         return None;
     }
     let due_at = occurrence.due_at;
-    let (gang, same_rack, estimate_ms) = (body.gang, body.gang && body.same_rack, body.estimate_ms);
+    let (gang, same_rack) = (body.gang, body.gang && body.same_rack);
     let need = TaskNeed {
         amount: body.amount(),
         service: job.rule.service.clone(),
@@ -533,20 +556,13 @@
         spread_limit: (body.spread_limit > 0).then_some(body.spread_limit as usize),
     };
     let remaining_ms = remaining_ms(job, step);
-    let remaining_work = remaining_work(job, number);
-    let rank = unit_rank(
-        now,
-        &UnitTiming {
-            due_at,
-            objective_ms,
-            remaining_ms,
-            remaining_work,
-            job_work: job.work_core_ms,
-            mean_work,
-            priority: job.rule.priority,
-            inside_guarantee,
-        },
-    );
+    let remaining_room = remaining_room(job, number, typical);
+    let timing = UnitTiming {
+        due_at,
+        objective_ms,
+        remaining_ms,
+    };
+    let rank = unit_rank(now, &timing, &worth, remaining_room, inside_guarantee);
     let step_run = &mut job.occurrences.get_mut(&number)?.steps[step];
     let ready_at = *step_run.ready_at.get_or_insert(now);
     Some(WaitingUnit {
@@ -558,8 +574,8 @@
         same_rack,
         need,
         rank,
+        worth,
         waited_ms: now.millis_since(ready_at),
-        estimate_ms,
         near_patience_ms: objective_ms.saturating_sub(job.chain_ms),
     })
 }
@@ -568,17 +584,42 @@
     (!text.is_empty()).then(|| text.into())
 }
 
-/// Returns the work that an occurrence still needs, in core milliseconds.
-fn remaining_work(job: &JobRun, number: u32) -> u64 {
+fn job_worth(job: &JobRun, means: &HashMap<Arc<str>, u64>) -> JobWorth {
+    JobWorth {
+        priority: job.rule.priority,
+        work: job.work_core_ms,
+        mean_work: means.get(&job.rule.name).copied().unwrap_or(0),
+    }
+}
+
+/// Returns what is lost for the caller when a step starts anew instead of going on.
+fn restart_loss(job: &JobRun, occurrence: &OccurrenceRun, step: usize, worth: &JobWorth, now: ClockTime) -> u64 {
+    let body = &job.body.steps[step];
+    let timing = UnitTiming {
+        due_at: occurrence.due_at,
+        objective_ms: job.objective_ms(),
+        remaining_ms: remaining_ms(job, step),
+    };
+    let started = occurrence.steps[step].tasks.iter().filter_map(|task| task.place);
+    let started = started.map(|place| place.since).min().unwrap_or(now);
+    let undisturbed = timing.lateness(started).0;
+    let resumed = if body.checkpoints { started } else { now };
+    let restarted = timing.lateness(resumed + RESTART_MS + body.estimate_ms / 4).0;
+    worth.delay_loss(undisturbed, restarted)
+}
+
+/// Returns the room that an occurrence still takes, in milliseconds of whole workers, times 1,000.
+fn remaining_room(job: &JobRun, number: u32, typical: &ResourceAmount) -> u64 {
     let Some(occurrence) = job.occurrences.get(&number) else {
         return 0;
     };
     let steps = occurrence.steps.iter().zip(&job.body.steps);
-    let work = steps.map(|(step, body)| {
+    let room = steps.map(|(step, body)| {
         let open = step.tasks.iter().filter(|task| !task.done).count() as u64;
-        open * body.task_core_ms()
+        let share = u64::try_from(body.amount().largest_share(typical)).unwrap_or(1).max(1);
+        open * share * body.estimate_ms
     });
-    work.sum()
+    room.sum()
 }
 
 /// Returns the estimated milliseconds of a step and of the longest chain that follows it.
--- a/crates/pool/src/victim_choice.rs
+++ b/crates/pool/src/victim_choice.rs
@@ -12,7 +12,7 @@
 /// A run that may be stopped, or whose end is near, with all runs that end with it.
 #[derive(Clone, Debug)]
 pub(crate) struct VictimUnit {
-    /// Core milliseconds that are lost.
+    /// Worth that is lost.
     pub(crate) cost: u64,
     /// It ends by itself in time.
     pub(crate) ends_soon: bool,
