--- a/crates/pool/src/placement_pass.rs
+++ b/crates/pool/src/placement_pass.rs
@@ -259,7 +259,13 @@
     ) {
         claim.workers.clear();
         let mut placed = Vec::with_capacity(places.len());
+        let mut counts = self.step_counts(unit);
         for place in places {
+            let count = counts.entry(rows[*place].worker).or_default();
+            if unit.need.spread_limit.is_some_and(|limit| *count >= limit) {
+                continue;
+            }
+            *count += 1;
             let Some(task) = unit.tasks.first().copied() else { break };
             let ready = rows[*place].free.covers(&unit.need.amount);
             rows[*place].free -= unit.need.amount;
@@ -336,7 +342,7 @@
         occurrence.steps[unit.step].tasks[task].avoid
     }
 
-    /// Counts the tasks of the step on each worker.
+    /// Counts the tasks of the step on each worker, with those for which room is kept there.
     fn step_counts(&self, unit: &WaitingUnit) -> StepCounts {
         let mut counts = StepCounts::new();
         if unit.need.spread_limit.is_none() {
@@ -347,6 +353,12 @@
         for place in tasks.iter().filter_map(|task| task.place) {
             *counts.entry(place.worker).or_default() += 1;
         }
+        let claims = self.claims.iter().filter(|claim| {
+            claim.job == unit.key && claim.occurrence == unit.occurrence && claim.step == unit.step
+        });
+        for worker in claims.flat_map(|claim| &claim.workers) {
+            *counts.entry(*worker).or_default() += 1;
+        }
         counts
     }
 
--- a/crates/pool/tests/support/mod.rs
+++ b/crates/pool/tests/support/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code)]
 
+pub mod world;
+
 use std::collections::HashMap;
 use std::sync::Arc;
 
