--- a/crates/pool/src/listing_apply.rs
+++ b/crates/pool/src/listing_apply.rs
@@ -54,7 +54,7 @@
         let waits = match self.current_task(&name, run, worker) {
             Some((_, task)) => {
                 let place = task.place.as_ref();
-                place.is_some_and(|place| place.stage == PlaceStage::Unclear && place.since <= asked_at)
+                place.is_some_and(|place| place.stage != PlaceStage::Starting && place.since <= asked_at)
             }
             None => true,
         };
--- a/crates/pool/tests/support/world.rs
+++ b/crates/pool/tests/support/world.rs
@@ -34,6 +34,8 @@
     pub ends: Vec<RunEnd>,
     pub ended_runs: HashMap<TaskName, u32>,
     pub reachable: bool,
+    /// When the holder notices that it is cut off.
+    pub noticed_at: Option<ClockTime>,
     pub lease_until: ClockTime,
     pub next_end: u64,
 }
@@ -62,6 +64,8 @@
 
 /// How long a worker takes to stop a run, in milliseconds.
 const STOP_MS: u64 = 300;
+/// Time until the holder notices that a worker does not answer, in milliseconds.
+const NOTICE_MS: u64 = 700;
 /// How long members of a gang wait for each other, in milliseconds.
 const GANG_WAIT_MS: u64 = 3_000;
 /// Lease that the holder grants, in milliseconds.
@@ -104,6 +108,7 @@
             ends: Vec::new(),
             ended_runs: HashMap::new(),
             reachable: true,
+            noticed_at: None,
             lease_until: self.now,
             next_end: 1,
         });
@@ -134,16 +139,26 @@
 
     pub fn cut(&mut self, pick: usize) {
         let at = pick % self.workers.len();
-        self.workers[at].reachable = false;
-        let key = self.workers[at].key;
-        let bound = self.workers[at].lease_until + 500;
-        self.core.extend_lease_bound(key, bound);
-        self.core.lose_worker(key, self.now);
+        if self.workers[at].reachable {
+            self.workers[at].reachable = false;
+            self.workers[at].noticed_at = Some(self.now + NOTICE_MS);
+        }
+    }
+
+    fn notice_cuts(&mut self) {
+        for worker in &mut self.workers {
+            if worker.noticed_at.is_some_and(|at| at <= self.now) {
+                worker.noticed_at = None;
+                self.core.extend_lease_bound(worker.key, worker.lease_until + 500);
+                self.core.lose_worker(worker.key, self.now);
+            }
+        }
     }
 
     pub fn heal(&mut self) {
         for worker in &mut self.workers {
             worker.reachable = true;
+            worker.noticed_at = None;
         }
     }
 
@@ -174,6 +189,7 @@
         for _ in 0..millis.div_ceil(50) {
             self.now = self.now + 50;
             self.run_late_starts();
+            self.notice_cuts();
             self.end_runs();
             self.list_workers();
             self.decide();
