--- /dev/null
+++ b/crates/dispatch/tests/taken_keys.rs
@@ -0,0 +1,53 @@
+//! Keys and queues of callers.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use arbutuspick_dispatch::{AccessRefusal, FrontPolicy, FrontQueue, SizeLimits};
+use arbutuspick_pool::{PoolPolicy, QueueRule};
+use yare::parameterized;
+
+fn queue(host: &str, prefix: &str, public: bool) -> FrontQueue {
+    FrontQueue {
+        host: host.into(),
+        prefix: prefix.into(),
+        public,
+        rule: Arc::new(QueueRule {
+            name: format!("{host}{prefix}").into(),
+            service: "maps".into(),
+            priority: 1,
+            max_attempts: 1,
+            stretch: 1.0,
+            allowance_ms: 0,
+        }),
+    }
+}
+
+fn policy() -> FrontPolicy {
+    FrontPolicy {
+        pool: Arc::new(PoolPolicy::default()),
+        queues: vec![
+            queue("a.example", "/q/", false),
+            queue("a.example", "/q/deep/", false),
+            queue("b.example", "/open/", true),
+        ],
+        keys: HashMap::from([("secret".into(), "north".into())]),
+        limits: SizeLimits::default(),
+    }
+}
+
+/// Guards against a request that reaches the wrong queue or passes without its key.
+#[parameterized(
+    longest_prefix = { "a.example", "/q/deep/1", Some("secret"), true, Ok("a.example/q/deep/") },
+    host_with_port = { "A.example:80", "/q/1", Some("secret"), true, Ok("a.example/q/") },
+    no_queue = { "a.example", "/none/1", Some("secret"), true, Err(AccessRefusal::NoQueue) },
+    no_key = { "a.example", "/q/1", None, true, Err(AccessRefusal::UnknownKey) },
+    taken_key = { "a.example", "/q/1", Some("old"), true, Err(AccessRefusal::UnknownKey) },
+    stale_view = { "a.example", "/q/1", Some("secret"), false, Err(AccessRefusal::StaleKeys) },
+    stale_queue = { "a.example", "/none/1", Some("secret"), false, Err(AccessRefusal::StaleKeys) },
+    public_queue = { "b.example", "/open/1", None, false, Ok("b.example/open/") },
+)]
+fn access(host: &str, path: &str, key: Option<&str>, fresh: bool, expected: Result<&str, AccessRefusal>) {
+    let found = policy().access(host, path, key, fresh);
+    assert_eq!(found.map(|access| access.rule.name.to_string()), expected.map(str::to_owned));
+}
--- /dev/null
+++ b/crates/dispatch/tests/whole_path.rs
@@ -0,0 +1,67 @@
+//! A job from its submission to its end.
+
+mod support;
+
+use arbutuspick_dispatch::{CancelOutcome, StatusOutcome, SubmitOutcome};
+use support::{FakeFleet, TestProcess, deadline, final_stage, job, pass, store_with};
+
+const ID: &str = "00000000000000aa";
+
+/// Guards against a path that loses a job anywhere between its acceptance and its end.
+#[tokio::test(start_paused = true)]
+async fn job_completes() {
+    let (store, fleet) = (store_with(2), FakeFleet::new(1_000));
+    let process = TestProcess::start(1, &store, &fleet);
+    pass(500).await;
+    let outcome = process.gate.submit(ID, &job(4), deadline(2_000)).await;
+    assert_eq!(outcome, SubmitOutcome::Accepted { repeated: false });
+    assert_eq!(final_stage(&process, ID, 5_000).await, "completed");
+    assert_eq!(fleet.began().len(), 4);
+    pass(500).await;
+    assert!(store.keys("intake").is_empty(), "the body of an ended job is kept");
+}
+
+/// Guards against a repeated request that makes a second job or hides another job with the same id.
+#[tokio::test(start_paused = true)]
+async fn repeated_request() {
+    let (store, fleet) = (store_with(2), FakeFleet::new(1_000));
+    let process = TestProcess::start(1, &store, &fleet);
+    let other = TestProcess::start(2, &store, &fleet);
+    pass(500).await;
+    process.gate.submit(ID, &job(2), deadline(2_000)).await;
+    assert_eq!(final_stage(&process, ID, 5_000).await, "completed");
+    let again = other.gate.submit(ID, &job(2), deadline(2_000)).await;
+    assert_eq!(again, SubmitOutcome::Accepted { repeated: true });
+    let changed = other.gate.submit(ID, &job(3), deadline(2_000)).await;
+    assert_eq!(changed, SubmitOutcome::OtherBody);
+    pass(3_000).await;
+    assert_eq!(fleet.began().len(), 2);
+}
+
+/// Guards against a cancelled job whose tasks run on or start later.
+#[tokio::test(start_paused = true)]
+async fn cancelled_job() {
+    let (store, fleet) = (store_with(1), FakeFleet::new(60_000));
+    let process = TestProcess::start(1, &store, &fleet);
+    pass(500).await;
+    process.gate.submit(ID, &job(12), deadline(2_000)).await;
+    pass(500).await;
+    assert_eq!(fleet.running(), 8);
+    let foreign = process.gate.cancel(ID, Some("south"), deadline(2_000)).await;
+    assert_eq!(foreign, CancelOutcome::Unknown);
+    let own = process.gate.cancel(ID, Some("north"), deadline(2_000)).await;
+    assert_eq!(own, CancelOutcome::Accepted);
+    pass(1_000).await;
+    assert_eq!(fleet.running(), 0);
+    assert_eq!(fleet.began().len(), 8);
+    assert_eq!(final_stage(&process, ID, 1_000).await, "cancelled");
+}
+
+/// Guards against an answer about a job that nobody submitted.
+#[tokio::test(start_paused = true)]
+async fn unknown_job() {
+    let (store, fleet) = (store_with(1), FakeFleet::new(1_000));
+    let process = TestProcess::start(1, &store, &fleet);
+    assert_eq!(process.gate.status(ID, deadline(1_000)).await, StatusOutcome::Unknown);
+    assert_eq!(process.gate.cancel(ID, None, deadline(1_000)).await, CancelOutcome::Unknown);
+}
--- a/crates/pool/tests/support/mod.rs
+++ b/crates/pool/tests/support/mod.rs
@@ -2,7 +2,7 @@
 
 #![allow(dead_code)]
 
-pub mod world;
+pub(crate) mod world;
 
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -15,21 +15,21 @@
 };
 
 /// Wall clock at time 0 of the pool, in Unix milliseconds.
-pub const WALL_START_MS: u64 = 1_700_000_000_000;
+pub(crate) const WALL_START_MS: u64 = 1_700_000_000_000;
 
 /// A core with the time and what its workers run.
-pub struct TestPool {
-    pub core: PoolCore,
-    pub now: ClockTime,
-    pub workers: Vec<WorkerKey>,
-    pub runs: HashMap<WorkerKey, Vec<(TaskName, u32)>>,
-    pub ends: HashMap<WorkerKey, u64>,
-    pub starts: Vec<StartOrder>,
-    pub stops: Vec<StopOrder>,
-    pub changes: Vec<RecordChange>,
+pub(crate) struct TestPool {
+    pub(crate) core: PoolCore,
+    pub(crate) now: ClockTime,
+    pub(crate) workers: Vec<WorkerKey>,
+    pub(crate) runs: HashMap<WorkerKey, Vec<(TaskName, u32)>>,
+    pub(crate) ends: HashMap<WorkerKey, u64>,
+    pub(crate) starts: Vec<StartOrder>,
+    pub(crate) stops: Vec<StopOrder>,
+    pub(crate) changes: Vec<RecordChange>,
 }
 
-pub fn queue(name: &str, priority: u32) -> Arc<QueueRule> {
+pub(crate) fn queue(name: &str, priority: u32) -> Arc<QueueRule> {
     Arc::new(QueueRule {
         name: name.into(),
         service: "maps".into(),
@@ -40,7 +40,7 @@
     })
 }
 
-pub fn policy(guaranteed: u64) -> PoolPolicy {
+pub(crate) fn policy(guaranteed: u64) -> PoolPolicy {
     let mut policy = PoolPolicy {
         version: 1,
         ..PoolPolicy::default()
@@ -59,7 +59,7 @@
 }
 
 /// A step of tasks that need one core, 1 GB and `accelerators`, and run for two seconds.
-pub fn step(count: u32, accelerators: u64) -> StepBody {
+pub(crate) fn step(count: u32, accelerators: u64) -> StepBody {
     StepBody {
         count,
         millicores: 1_000,
@@ -70,7 +70,7 @@
     }
 }
 
-pub fn body(queue: &str, account: &str, steps: Vec<StepBody>) -> JobBody {
+pub(crate) fn body(queue: &str, account: &str, steps: Vec<StepBody>) -> JobBody {
     JobBody {
         account: account.into(),
         queue: queue.into(),
@@ -84,7 +84,7 @@
     }
 }
 
-pub fn report(number: usize, rack: &str, centre: &str) -> WorkerReport {
+pub(crate) fn report(number: usize, rack: &str, centre: &str) -> WorkerReport {
     WorkerReport {
         id: format!("w{number}").into(),
         born_ms: 1,
@@ -103,7 +103,7 @@
 
 impl TestPool {
     /// Returns a pool of workers with 8 accelerators, four to a rack, alternating between two data centres.
-    pub fn new(workers: usize) -> Self {
+    pub(crate) fn new(workers: usize) -> Self {
         let mut core = PoolCore::new(CoreOptions::default());
         core.apply_policy(Arc::new(policy(16)));
         let now = ClockTime(100_000);
@@ -126,11 +126,11 @@
         }
     }
 
-    pub fn wall(&self) -> PlatformTime {
+    pub(crate) fn wall(&self) -> PlatformTime {
         PlatformTime(WALL_START_MS + self.now.0 - 100_000)
     }
 
-    pub fn submit(&mut self, id: &str, mut body: JobBody) {
+    pub(crate) fn submit(&mut self, id: &str, mut body: JobBody) {
         body.accepted_at_ms = self.wall().0;
         let record = JobRecord::default();
         let (now, wall) = (self.now, self.wall());
@@ -138,7 +138,7 @@
     }
 
     /// Decides and carries all orders out at once.
-    pub fn step(&mut self) {
+    pub(crate) fn step(&mut self) {
         let orders = self.decide();
         for order in orders {
             self.carry_out(order);
@@ -146,7 +146,7 @@
     }
 
     /// Decides and returns the orders without carrying them out.
-    pub fn decide(&mut self) -> Vec<PoolOrder> {
+    pub(crate) fn decide(&mut self) -> Vec<PoolOrder> {
         let (now, wall) = (self.now, self.wall());
         self.core.decide(now, wall);
         let orders = self.core.take_orders();
@@ -160,7 +160,7 @@
         orders
     }
 
-    pub fn carry_out(&mut self, order: PoolOrder) {
+    pub(crate) fn carry_out(&mut self, order: PoolOrder) {
         match order {
             PoolOrder::Start(start) => {
                 let runs = self.runs.entry(start.worker).or_default();
@@ -178,7 +178,7 @@
     }
 
     /// Lets a run end, as its worker lists it.
-    pub fn end(&mut self, worker: WorkerKey, task: &TaskName, run: u32, kind: EndKind) {
+    pub(crate) fn end(&mut self, worker: WorkerKey, task: &TaskName, run: u32, kind: EndKind) {
         let runs = self.runs.entry(worker).or_default();
         let Some(at) = runs.iter().position(|(name, number)| name == task && *number == run) else {
             return;
@@ -200,7 +200,7 @@
     }
 
     /// Returns what the worker would list, all runs at the same percent.
-    pub fn listing(&self, worker: WorkerKey, percent: u32) -> WorkerListing {
+    pub(crate) fn listing(&self, worker: WorkerKey, percent: u32) -> WorkerListing {
         let runs = self.runs.get(&worker).map_or(&[][..], Vec::as_slice);
         let running = runs.iter().map(|(task, run)| RunStatus {
             task: Some(task.clone()),
@@ -216,7 +216,7 @@
     }
 
     /// Ends all runs of a job as done.
-    pub fn finish(&mut self, job: &str) {
+    pub(crate) fn finish(&mut self, job: &str) {
         let all: Vec<(WorkerKey, TaskName, u32)> = self
             .runs
             .iter()
@@ -228,18 +228,18 @@
         }
     }
 
-    pub fn pass(&mut self, millis: u64) {
+    pub(crate) fn pass(&mut self, millis: u64) {
         self.now = self.now + millis;
     }
 
     /// Returns the runs of a job that are present on workers.
-    pub fn running(&self, job: &str) -> usize {
+    pub(crate) fn running(&self, job: &str) -> usize {
         let runs = self.runs.values().flatten();
         runs.filter(|(task, _)| task.job.as_ref() == job).count()
     }
 }
 
-pub fn empty_listing(now: ClockTime) -> WorkerListing {
+pub(crate) fn empty_listing(now: ClockTime) -> WorkerListing {
     WorkerListing {
         asked_at: now,
         running: Vec::new(),
--- a/crates/pool/tests/support/world.rs
+++ b/crates/pool/tests/support/world.rs
@@ -13,53 +13,53 @@
 
 /// A run on a worker.
 #[derive(Clone, Debug)]
-pub struct WorldRun {
-    pub task: TaskName,
-    pub run: u32,
+pub(crate) struct WorldRun {
+    pub(crate) task: TaskName,
+    pub(crate) run: u32,
     /// `None` while a gang waits for its members.
-    pub ends_at: Option<ClockTime>,
-    pub began_at: ClockTime,
-    pub gang: bool,
-    pub broken: bool,
-    pub fails: bool,
-    pub stopping_until: Option<ClockTime>,
+    pub(crate) ends_at: Option<ClockTime>,
+    pub(crate) began_at: ClockTime,
+    pub(crate) gang: bool,
+    pub(crate) broken: bool,
+    pub(crate) fails: bool,
+    pub(crate) stopping_until: Option<ClockTime>,
 }
 
 /// One life of a worker.
 #[derive(Debug)]
-pub struct WorldWorker {
-    pub key: WorkerKey,
-    pub report: WorkerReport,
-    pub runs: Vec<WorldRun>,
-    pub ends: Vec<RunEnd>,
-    pub ended_runs: HashMap<TaskName, u32>,
-    pub reachable: bool,
+pub(crate) struct WorldWorker {
+    pub(crate) key: WorkerKey,
+    pub(crate) report: WorkerReport,
+    pub(crate) runs: Vec<WorldRun>,
+    pub(crate) ends: Vec<RunEnd>,
+    pub(crate) ended_runs: HashMap<TaskName, u32>,
+    pub(crate) reachable: bool,
     /// When the holder notices that it is cut off.
-    pub noticed_at: Option<ClockTime>,
-    pub lease_until: ClockTime,
-    pub next_end: u64,
+    pub(crate) noticed_at: Option<ClockTime>,
+    pub(crate) lease_until: ClockTime,
+    pub(crate) next_end: u64,
 }
 
 /// The pool, its core and what callers asked for.
-pub struct World {
-    pub core: PoolCore,
-    pub now: ClockTime,
-    pub workers: Vec<WorldWorker>,
-    pub bodies: BTreeMap<Arc<str>, JobBody>,
-    pub cancelled: HashSet<Arc<str>>,
-    pub ended_jobs: HashSet<Arc<str>>,
+pub(crate) struct World {
+    pub(crate) core: PoolCore,
+    pub(crate) now: ClockTime,
+    pub(crate) workers: Vec<WorldWorker>,
+    pub(crate) bodies: BTreeMap<Arc<str>, JobBody>,
+    pub(crate) cancelled: HashSet<Arc<str>>,
+    pub(crate) ended_jobs: HashSet<Arc<str>>,
     /// Tasks that have ended as done, whether the holder knows or not.
-    pub finished: HashSet<TaskName>,
+    pub(crate) finished: HashSet<TaskName>,
     /// Tasks whose end the holder was told in time; they must not start again.
-    pub done: HashSet<TaskName>,
-    pub failures: HashMap<TaskName, u32>,
-    pub late_starts: Vec<(ClockTime, StartOrder)>,
-    pub closed: HashSet<Arc<str>>,
-    pub stops: usize,
-    pub starts: usize,
+    pub(crate) done: HashSet<TaskName>,
+    pub(crate) failures: HashMap<TaskName, u32>,
+    pub(crate) late_starts: Vec<(ClockTime, StartOrder)>,
+    pub(crate) closed: HashSet<Arc<str>>,
+    pub(crate) stops: usize,
+    pub(crate) starts: usize,
     /// Every this many starts loses its answer.
-    pub lose_start: Option<usize>,
-    pub next_job: u64,
+    pub(crate) lose_start: Option<usize>,
+    pub(crate) next_job: u64,
 }
 
 /// How long a worker takes to stop a run, in milliseconds.
@@ -72,7 +72,7 @@
 const LEASE_MS: u64 = 9_000;
 
 impl World {
-    pub fn new(workers: usize) -> Self {
+    pub(crate) fn new(workers: usize) -> Self {
         let mut world = Self {
             core: PoolCore::new(Default::default()),
             now: ClockTime(100_000),
@@ -118,7 +118,7 @@
         PlatformTime(WALL_START_MS + self.now.0 - 100_000)
     }
 
-    pub fn submit(&mut self, mut body: JobBody) {
+    pub(crate) fn submit(&mut self, mut body: JobBody) {
         let id: Arc<str> = format!("{:016x}", self.next_job).into();
         self.next_job += 1;
         body.accepted_at_ms = self.wall().0;
@@ -127,7 +127,7 @@
         self.core.add_job(&id, body, &JobRecord::default(), now, wall, now);
     }
 
-    pub fn cancel(&mut self, pick: usize) {
+    pub(crate) fn cancel(&mut self, pick: usize) {
         let open: Vec<Arc<str>> = self.bodies.keys().filter(|id| !self.ended_jobs.contains(*id)).cloned().collect();
         if open.is_empty() {
             return;
@@ -137,7 +137,7 @@
         self.cancelled.insert(id);
     }
 
-    pub fn cut(&mut self, pick: usize) {
+    pub(crate) fn cut(&mut self, pick: usize) {
         let at = pick % self.workers.len();
         if self.workers[at].reachable {
             self.workers[at].reachable = false;
@@ -155,7 +155,7 @@
         }
     }
 
-    pub fn heal(&mut self) {
+    pub(crate) fn heal(&mut self) {
         for worker in &mut self.workers {
             worker.reachable = true;
             worker.noticed_at = None;
@@ -163,7 +163,7 @@
     }
 
     /// A worker restarts under its id and knows nothing of before.
-    pub fn restart(&mut self, pick: usize) {
+    pub(crate) fn restart(&mut self, pick: usize) {
         let at = pick % self.workers.len();
         let worker = self.workers.remove(at);
         let mut report = worker.report;
@@ -172,20 +172,20 @@
         self.add_worker(report);
     }
 
-    pub fn drain(&mut self, pick: usize) {
+    pub(crate) fn drain(&mut self, pick: usize) {
         let at = pick % self.workers.len();
         self.workers[at].report.leaves_at = Some(self.now + 4_000);
         let report = self.workers[at].report.clone();
         self.core.report_worker(report, self.now);
     }
 
-    pub fn close_centre(&mut self, closed: bool) {
+    pub(crate) fn close_centre(&mut self, closed: bool) {
         self.closed = if closed { HashSet::from(["trent".into()]) } else { HashSet::new() };
         self.core.close_centres(self.closed.clone());
     }
 
     /// Lets time pass in small steps, in which runs end, workers are listed and the core decides.
-    pub fn pass(&mut self, millis: u64) {
+    pub(crate) fn pass(&mut self, millis: u64) {
         for _ in 0..millis.div_ceil(50) {
             self.now = self.now + 50;
             self.run_late_starts();
@@ -317,7 +317,7 @@
         self.note_ends(told);
     }
 
-    pub fn decide(&mut self) {
+    pub(crate) fn decide(&mut self) {
         let (now, wall) = (self.now, self.wall());
         self.core.decide(now, wall);
         let orders = self.core.take_orders();
@@ -470,7 +470,7 @@
     }
 
     /// Returns the jobs that have neither ended nor were cancelled.
-    pub fn open_jobs(&self) -> Vec<Arc<str>> {
+    pub(crate) fn open_jobs(&self) -> Vec<Arc<str>> {
         let open = self.bodies.keys().filter(|id| !self.ended_jobs.contains(*id));
         open.cloned().collect()
     }
