--- a/crates/clients/src/http_caller.rs
+++ b/crates/clients/src/http_caller.rs
@@ -49,6 +49,7 @@
 #[derive(Clone, Debug)]
 pub struct HttpCaller {
     address: SocketAddr,
+    host: Option<Arc<str>>,
     max_body_bytes: usize,
     idle: Arc<Mutex<Vec<OpenConnection>>>,
 }
@@ -58,11 +59,23 @@
     pub fn new(address: SocketAddr, max_body_bytes: usize) -> Self {
         Self {
             address,
+            host: None,
             max_body_bytes,
             idle: Arc::default(),
         }
     }
 
+    /// Names this host in requests instead of the address.
+    pub fn with_host<H>(self, host: H) -> Self
+    where
+        H: Into<Arc<str>>,
+    {
+        Self {
+            host: Some(host.into()),
+            ..self
+        }
+    }
+
     /// Returns the address that is called.
     pub fn address(&self) -> SocketAddr {
         self.address
@@ -79,8 +92,12 @@
         if Instant::now() >= deadline {
             return Err(CallError::not_sent("the deadline has passed"));
         }
-        let host = HeaderValue::try_from(self.address.to_string())
-            .map_err(|e| CallError::not_sent(format!("invalid host: {e}")))?;
+        let host = self
+            .host
+            .as_ref()
+            .map_or_else(|| self.address.to_string(), ToString::to_string);
+        let host =
+            HeaderValue::try_from(host).map_err(|e| CallError::not_sent(format!("invalid host: {e}")))?;
         request.headers_mut().insert(HOST, host);
         // An idle connection that turns out to be closed returns the request unsent.
         loop {
--- a/crates/clients/tests/call_errors.rs
+++ b/crates/clients/tests/call_errors.rs
@@ -4,8 +4,8 @@
 
 use std::time::Duration;
 
-use arbutuspick_model::WriteId;
 use arbutuspick_clients::{CallError, CallPriority, ClientOptions, TableClient};
+use arbutuspick_model::WriteId;
 use arbutuspick_records::TableTransaction;
 use support::{FakeServer, Script, answer};
 use tokio::net::TcpListener;
--- a/crates/clients/tests/platform_time.rs
+++ b/crates/clients/tests/platform_time.rs
@@ -4,8 +4,8 @@
 
 use std::time::Duration;
 
-use arbutuspick_model::PlatformTime;
 use arbutuspick_clients::{CallPriority, ClientOptions, TableClient};
+use arbutuspick_model::PlatformTime;
 use support::{FakeServer, HeldTime, Script, empty_page};
 use tokio::time::advance;
 
--- a/crates/clients/tests/worker_calls.rs
+++ b/crates/clients/tests/worker_calls.rs
@@ -4,8 +4,8 @@
 
 use std::time::Duration;
 
-use arbutuspick_model::{LeaseEpoch, WorkerTime};
 use arbutuspick_clients::{CallError, EpochRequest, RefusalBody, WorkerClient, WorkerRefusal, WorkerStatus};
+use arbutuspick_model::{LeaseEpoch, WorkerTime};
 use support::{FakeServer, Script, answer};
 
 const TIMEOUT: Duration = Duration::from_secs(5);
--- a/crates/dispatch/src/commit_log.rs
+++ b/crates/dispatch/src/commit_log.rs
@@ -4,10 +4,10 @@
 use bytes::Bytes;
 use prost::Message;
 
+use crate::BootClock;
 use crate::row_store::{RowChange, RowCondition, RowStore, RowWrite, StoreError, TransactOutcome};
 use crate::seat_authority::SeatAuthority;
 use crate::seat_record::{HOLDER_KEY, SEAT_TABLE, SeatRecord};
-use crate::BootClock;
 
 /// Most rows written by one commit besides the row of the seat.
 const COMMIT_ROWS: usize = 90;
@@ -133,7 +133,10 @@
                 }
                 Err(error) => {
                     if !failing {
-                        log::warn!("[store] lost purpose=commit epoch={} error={error}", self.record.epoch);
+                        log::warn!(
+                            "[store] lost purpose=commit epoch={} error={error}",
+                            self.record.epoch
+                        );
                     }
                     failing = true;
                     if matches!(error, StoreError::NotDone { .. }) {
--- a/crates/dispatch/src/front_policy.rs
+++ b/crates/dispatch/src/front_policy.rs
@@ -85,16 +85,25 @@
         keys_fresh: bool,
     ) -> Result<QueueAccess, AccessRefusal> {
         let host = host.split(':').next().unwrap_or(host);
-        let matching = self.queues.iter().filter(|queue| {
-            queue.host.eq_ignore_ascii_case(host) && path.starts_with(queue.prefix.as_ref())
-        });
+        let matching = self
+            .queues
+            .iter()
+            .filter(|queue| queue.host.eq_ignore_ascii_case(host) && path.starts_with(queue.prefix.as_ref()));
         let Some(queue) = matching.max_by_key(|queue| queue.prefix.len()) else {
-            return Err(if keys_fresh { AccessRefusal::NoQueue } else { AccessRefusal::StaleKeys });
+            return Err(if keys_fresh {
+                AccessRefusal::NoQueue
+            } else {
+                AccessRefusal::StaleKeys
+            });
         };
         let rest: Arc<str> = path[queue.prefix.len()..].into();
         let rule = queue.rule.clone();
         if queue.public {
-            return Ok(QueueAccess { rule, account: None, rest });
+            return Ok(QueueAccess {
+                rule,
+                account: None,
+                rest,
+            });
         }
         if !keys_fresh {
             return Err(AccessRefusal::StaleKeys);
--- a/crates/dispatch/src/holder_run.rs
+++ b/crates/dispatch/src/holder_run.rs
@@ -3,7 +3,9 @@
 use std::time::Duration;
 
 use arbutuspick_model::ClockTime;
-use arbutuspick_pool::{JobBody, JobRecord, PoolCore, PoolOrder, RecordChange, StopReason, WorkerKey, WorkerReport};
+use arbutuspick_pool::{
+    JobBody, JobRecord, PoolCore, PoolOrder, RecordChange, StopReason, WorkerKey, WorkerReport,
+};
 use prost::Message;
 use tokio::sync::mpsc::{UnboundedReceiver, unbounded_channel};
 use tokio::task::JoinSet;
@@ -47,7 +49,10 @@
 enum HolderEvent {
     Intake(Vec<RowEntry>),
     IntakeReset(Vec<RowEntry>),
-    Workers { reports: Vec<WorkerReport>, steady: bool },
+    Workers {
+        reports: Vec<WorkerReport>,
+        steady: bool,
+    },
 }
 
 /// The holder of one epoch.
@@ -211,7 +216,11 @@
                 Err(error) => log::warn!("[seat] table={table} cannot be read: {error}"),
             }
             // Without the tables nothing can be decided; another process may have them.
-            if self.authority.is_lost() || !self.authority.may_order(self.context.clock.now() - TAKEOVER_READ_MS) {
+            if self.authority.is_lost()
+                || !self
+                    .authority
+                    .may_order(self.context.clock.now() - TAKEOVER_READ_MS)
+            {
                 return Err(SeatLost);
             }
             tokio::time::sleep(Duration::from_millis(RETRY_MS)).await;
@@ -262,7 +271,8 @@
                         body.shape()
                     );
                     let record = record.cloned().unwrap_or_else(|| first_record(&body));
-                    self.core.add_job(&row.key, body, &record, now, wall, self.lost_bound);
+                    self.core
+                        .add_job(&row.key, body, &record, now, wall, self.lost_bound);
                 }
                 Ok(_) => {}
                 Err(error) => log::error!("[job] id={} its body cannot be read: {error}", row.key),
@@ -281,7 +291,8 @@
             self.removals.push(removal(INTAKE_TABLE, job.clone()));
         }
         if self.cancel_rows.remove(job) {
-            self.removals.push(removal(INTAKE_TABLE, format!("{job}{CANCEL_SUFFIX}").into()));
+            self.removals
+                .push(removal(INTAKE_TABLE, format!("{job}{CANCEL_SUFFIX}").into()));
         }
     }
 
@@ -295,7 +306,11 @@
             for key in self.core.worker_keys() {
                 if !present.contains(&key) {
                     if let Some(report) = self.core.worker_report(key) {
-                        log::info!("[worker] id={} centre={} state=removed from the list", report.id, report.centre);
+                        log::info!(
+                            "[worker] id={} centre={} state=removed from the list",
+                            report.id,
+                            report.centre
+                        );
                     }
                     self.core.remove_worker(key, now);
                 }
@@ -311,7 +326,9 @@
             if self.sessions.contains_key(&key) {
                 continue;
             }
-            let Some(report) = self.core.worker_report(key) else { continue };
+            let Some(report) = self.core.worker_report(key) else {
+                continue;
+            };
             let session = WorkerSession::open(
                 key,
                 report.clone(),
@@ -346,7 +363,10 @@
                 self.sessions.remove(&key);
             }
             WorkerEvent::Fenced => {
-                log::warn!("[seat] a worker knows a later epoch than {}", self.authority.epoch());
+                log::warn!(
+                    "[seat] a worker knows a later epoch than {}",
+                    self.authority.epoch()
+                );
                 self.authority.lose();
             }
         }
@@ -358,8 +378,11 @@
         self.core.decide(now, self.context.clock.wall());
         let orders = self.core.take_orders();
         let changes = self.core.take_changes();
-        let acknowledged: Vec<(WorkerKey, u64)> =
-            self.sessions.keys().map(|key| (*key, self.core.applied_end(*key))).collect();
+        let acknowledged: Vec<(WorkerKey, u64)> = self
+            .sessions
+            .keys()
+            .map(|key| (*key, self.core.applied_end(*key)))
+            .collect();
         let writes = self.writes(changes, now);
         if !writes.is_empty() || now.millis_since(self.committed_at) >= RENEW_MS {
             self.log.commit(writes).await?;
@@ -377,7 +400,12 @@
             let worker = match &order {
                 PoolOrder::Start(start) => start.worker,
                 PoolOrder::Stop(stop) => {
-                    log::debug!("[stop] task={} run={} reason={:?}", stop.task, stop.run, stop.reason);
+                    log::debug!(
+                        "[stop] task={} run={} reason={:?}",
+                        stop.task,
+                        stop.run,
+                        stop.reason
+                    );
                     *stops.entry((stop.task.job.clone(), stop.reason)).or_default() += 1;
                     stop.worker
                 }
@@ -395,7 +423,10 @@
     fn writes(&mut self, changes: Vec<RecordChange>, now: ClockTime) -> Vec<RowWrite> {
         let mut writes = Vec::with_capacity(changes.len());
         for change in changes {
-            let ended = change.record.as_ref().is_none_or(|record| record.stage().is_final());
+            let ended = change
+                .record
+                .as_ref()
+                .is_none_or(|record| record.stage().is_final());
             if ended {
                 self.remove_intake(&change.job);
             }
@@ -409,7 +440,10 @@
         let pending = self.core.pending_by_queue();
         if pending != self.pending && now.millis_since(self.pending_at) >= PENDING_MS {
             let record = PendingRecord {
-                queues: pending.iter().map(|(queue, count)| (queue.to_string(), *count)).collect(),
+                queues: pending
+                    .iter()
+                    .map(|(queue, count)| (queue.to_string(), *count))
+                    .collect(),
             };
             writes.push(RowWrite {
                 table: SEAT_TABLE,
@@ -466,7 +500,10 @@
 {
     loop {
         let deadline = context.clock.now() + INTAKE_WAIT_MS + READ_MS;
-        let answer = context.store.follow(INTAKE_TABLE, after, INTAKE_WAIT_MS, deadline).await;
+        let answer = context
+            .store
+            .follow(INTAKE_TABLE, after, INTAKE_WAIT_MS, deadline)
+            .await;
         let event = match answer {
             Ok(RowFollow::Changes { rows, version }) => {
                 after = version.max(after);
--- a/crates/dispatch/src/job_gate.rs
+++ b/crates/dispatch/src/job_gate.rs
@@ -6,9 +6,9 @@
 use bytes::Bytes;
 use prost::Message;
 
+use crate::BootClock;
 use crate::row_store::{RowChange, RowCondition, RowEntry, RowStore, RowWrite, StoreError, TransactOutcome};
 use crate::seat_record::{CANCEL_SUFFIX, INTAKE_TABLE, PROGRESS_TABLE};
-use crate::BootClock;
 
 /// Times and limits of calls that callers wait for.
 #[derive(Clone, Debug)]
@@ -88,7 +88,11 @@
 {
     /// Returns a gate to a store.
     pub fn new(store: S, clock: BootClock, options: GateOptions) -> Self {
-        Self { store, clock, options }
+        Self {
+            store,
+            clock,
+            options,
+        }
     }
 
     /// Stores a job unless its id is known.
@@ -101,7 +105,11 @@
         loop {
             let now = self.clock.now();
             if now >= deadline {
-                return if unclear { SubmitOutcome::Unclear } else { SubmitOutcome::NotStored };
+                return if unclear {
+                    SubmitOutcome::Unclear
+                } else {
+                    SubmitOutcome::NotStored
+                };
             }
             let attempt_end = deadline.min(now + self.options.attempt_ms);
             match self.store.transact(&change, attempt_end).await {
@@ -144,7 +152,9 @@
         match self.status(id, deadline).await {
             StatusOutcome::Unknown => return CancelOutcome::Unknown,
             StatusOutcome::Unavailable => return CancelOutcome::Unavailable,
-            StatusOutcome::Known { account: owner, .. } if account.is_some_and(|own| own != owner.as_ref()) => {
+            StatusOutcome::Known { account: owner, .. }
+                if account.is_some_and(|own| own != owner.as_ref()) =>
+            {
                 return CancelOutcome::Unknown;
             }
             StatusOutcome::Known { stage, .. } if stage.is_final() => return CancelOutcome::Accepted,
@@ -226,7 +236,10 @@
 }
 
 fn status_of(id: &str, row: Option<&RowEntry>) -> StatusOutcome {
-    let Some(value) = row.filter(|row| row.key.as_ref() == id).and_then(|row| row.value.as_ref()) else {
+    let Some(value) = row
+        .filter(|row| row.key.as_ref() == id)
+        .and_then(|row| row.value.as_ref())
+    else {
         return StatusOutcome::Unknown;
     };
     match JobRecord::decode(value.clone()) {
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -26,7 +26,9 @@
 pub use front_policy::{AccessRefusal, FrontPolicy, FrontQueue, QueueAccess, SizeLimits};
 pub use job_gate::{CancelOutcome, GateOptions, JobGate, StatusOutcome, SubmitOutcome};
 pub use policy_board::{PolicyBoard, PolicyRows, PolicyView, follow_policy};
-pub use row_store::{RowChange, RowCondition, RowEntry, RowFollow, RowPage, RowStore, RowWrite, StoreError, TransactOutcome};
+pub use row_store::{
+    RowChange, RowCondition, RowEntry, RowFollow, RowPage, RowStore, RowWrite, StoreError, TransactOutcome,
+};
 pub use seat_record::SeatRecord;
 pub use seat_run::{DispatchContext, DispatchOptions, SeatView, run_seat};
 pub use seat_watch::{SeatDecision, SeatWatch};
--- a/crates/dispatch/src/order_sender.rs
+++ b/crates/dispatch/src/order_sender.rs
@@ -66,7 +66,11 @@
                         order.run,
                         self.worker.id
                     );
-                    return Ok(if unclear { StartAnswer::Unclear } else { StartAnswer::Refused });
+                    return Ok(if unclear {
+                        StartAnswer::Unclear
+                    } else {
+                        StartAnswer::Refused
+                    });
                 }
                 Err(error) => {
                     log::warn!(
@@ -84,7 +88,11 @@
                 }
             }
         }
-        Ok(if unclear { StartAnswer::Unclear } else { StartAnswer::NotSent })
+        Ok(if unclear {
+            StartAnswer::Unclear
+        } else {
+            StartAnswer::NotSent
+        })
     }
 
     /// Sends a stop; returns whether it was answered.
@@ -107,7 +115,12 @@
                 Err(WorkerError::Replaced) => return Err(WorkerEvent::Replaced),
                 Err(WorkerError::Fenced) => return Err(WorkerEvent::Fenced),
                 Err(error) => {
-                    log::warn!("[stop] task={} run={} worker={} error={error}", order.task, order.run, self.worker.id);
+                    log::warn!(
+                        "[stop] task={} run={} worker={} error={error}",
+                        order.task,
+                        order.run,
+                        self.worker.id
+                    );
                     if matches!(error, WorkerError::NotSent { .. }) {
                         self.pause().await;
                     }
--- a/crates/dispatch/src/policy_board.rs
+++ b/crates/dispatch/src/policy_board.rs
@@ -136,7 +136,10 @@
             }
             Err(error) => {
                 if connected {
-                    log::warn!("[store] lost purpose=config age_ms={} error={error}", board.age_ms());
+                    log::warn!(
+                        "[store] lost purpose=config age_ms={} error={error}",
+                        board.age_ms()
+                    );
                 }
                 connected = false;
                 tokio::time::sleep(std::time::Duration::from_millis(RETRY_MS)).await;
--- a/crates/dispatch/src/seat_run.rs
+++ b/crates/dispatch/src/seat_run.rs
@@ -131,7 +131,10 @@
             }
             PENDING_KEY => match PendingRecord::decode(value) {
                 Ok(record) => {
-                    let pending = record.queues.into_iter().map(|(queue, count)| (queue.into(), count));
+                    let pending = record
+                        .queues
+                        .into_iter()
+                        .map(|(queue, count)| (queue.into(), count));
                     context.seat.store(Arc::new(SeatView {
                         pending: pending.collect(),
                         read_at: asked_at,
@@ -143,7 +146,8 @@
         }
     }
     // A takeover whose answer was lost is found here.
-    if version > 0 && present.process == context.options.process && present.sequence == 0 && !present.released {
+    if version > 0 && present.process == context.options.process && present.sequence == 0 && !present.released
+    {
         return Ok(Some((present, version, asked_at)));
     }
     let ready = context.board.view().front.is_some() && !context.stopping.is_cancelled();
--- a/crates/dispatch/src/seat_watch.rs
+++ b/crates/dispatch/src/seat_watch.rs
@@ -40,6 +40,10 @@
         }
         self.answered_at = now;
         let free = version == 0 || released || now.millis_since(self.changed_at) >= SEAT_TIMEOUT_MS;
-        if free { SeatDecision::Take } else { SeatDecision::Wait }
+        if free {
+            SeatDecision::Take
+        } else {
+            SeatDecision::Wait
+        }
     }
 }
--- a/crates/dispatch/src/worker_session.rs
+++ b/crates/dispatch/src/worker_session.rs
@@ -36,7 +36,11 @@
     /// The runs of the worker.
     Listed(WorkerListing),
     /// What became of a start.
-    Started { task: TaskName, run: u32, answer: StartAnswer },
+    Started {
+        task: TaskName,
+        run: u32,
+        answer: StartAnswer,
+    },
     /// A stop was answered.
     Stopped { task: TaskName, run: u32 },
     /// The worker does not answer; by the time given its leases have run out.
@@ -70,7 +74,9 @@
         }
         let bound = now.0 + lease_ms + lease_ms * CLOCK_DRIFT_PERCENT / 100;
         self.bound.fetch_max(bound, Ordering::AcqRel);
-        Some(WorkerTime(now.0.wrapping_add(self.offset.load(Ordering::Acquire)) + lease_ms))
+        Some(WorkerTime(
+            now.0.wrapping_add(self.offset.load(Ordering::Acquire)) + lease_ms,
+        ))
     }
 
     /// Returns until when leases that we granted may last.
@@ -161,7 +167,9 @@
         let permits = self.permits.clone();
         self.tasks.spawn(async move {
             // The semaphore is never closed.
-            let Ok(_permit) = permits.acquire().await else { return };
+            let Ok(_permit) = permits.acquire().await else {
+                return;
+            };
             let event = match order {
                 PoolOrder::Start(order) => match sender.start(&order).await {
                     Ok(answer) => WorkerEvent::Started {
@@ -216,7 +224,11 @@
                     reached = true;
                     told = acknowledged;
                     let newest = listing.ended.iter().map(|end| end.number).max();
-                    if self.events.send((self.key, WorkerEvent::Listed(listing))).is_err() {
+                    if self
+                        .events
+                        .send((self.key, WorkerEvent::Listed(listing)))
+                        .is_err()
+                    {
                         return;
                     }
                     if let Some(newest) = newest {
@@ -250,7 +262,11 @@
         let lease_ms = sender.authority.lease_ms(asked_at, self.lease_ms);
         // A short lease would only replace a longer one that a start brought.
         let extends = wait && lease_ms > START_LEASE_MS / 4;
-        let lease_until = if extends { sender.worker_clock.lease_until(asked_at, lease_ms) } else { None };
+        let lease_until = if extends {
+            sender.worker_clock.lease_until(asked_at, lease_ms)
+        } else {
+            None
+        };
         let wait_ms = if wait { LISTING_WAIT_MS } else { 0 };
         let call = HoldCall {
             epoch: sender.authority.epoch(),
@@ -292,7 +308,10 @@
         };
         let limit = Duration::from_millis(COMMIT_WAIT_MS);
         if tokio::time::timeout(limit, committed).await.is_err() {
-            log::debug!("[worker] id={} ends up to {newest} are not stored yet", self.sender.worker.id);
+            log::debug!(
+                "[worker] id={} ends up to {newest} are not stored yet",
+                self.sender.worker.id
+            );
         }
     }
 }
--- a/crates/dispatch/tests/lost_answers.rs
+++ b/crates/dispatch/tests/lost_answers.rs
@@ -46,7 +46,10 @@
     let asked_at = deadline(0);
     let outcome = process.gate.submit(ID, &job(2), deadline(2_500)).await;
     assert_eq!(outcome, SubmitOutcome::NotStored);
-    assert!(deadline(0).millis_since(asked_at) < 250, "the caller waited for a refusal");
+    assert!(
+        deadline(0).millis_since(asked_at) < 250,
+        "the caller waited for a refusal"
+    );
     store.set_mood(1, StoreMood::Fine);
     pass(5_000).await;
     assert!(fleet.began().is_empty());
@@ -59,7 +62,11 @@
     let holder = TestProcess::start(1, &store, &fleet);
     let other = TestProcess::start(2, &store, &fleet);
     pass(500).await;
-    let (holding, caller) = if store.value("seat", "holder").is_some() { (1, &other) } else { (2, &holder) };
+    let (holding, caller) = if store.value("seat", "holder").is_some() {
+        (1, &other)
+    } else {
+        (2, &holder)
+    };
     caller.gate.submit(ID, &job(2), deadline(2_000)).await;
     store.set_mood(holding, StoreMood::LosesAnswers);
     pass(1_500).await;
--- a/crates/dispatch/tests/seat_change.rs
+++ b/crates/dispatch/tests/seat_change.rs
@@ -69,7 +69,11 @@
     assert_eq!(final_stage(&other, NEXT, 8_000).await, "completed");
     assert!(fleet.twice().is_empty());
     assert_eq!(fleet.began().len(), 8);
-    let late = fleet.began().iter().filter(|(task, _, by)| task.job.as_ref() == NEXT && *by == 1).count();
+    let late = fleet
+        .began()
+        .iter()
+        .filter(|(task, _, by)| task.job.as_ref() == NEXT && *by == 1)
+        .count();
     assert_eq!(late, 0, "the holder without the store started work");
 }
 
--- a/crates/dispatch/tests/support/mod.rs
+++ b/crates/dispatch/tests/support/mod.rs
@@ -7,14 +7,14 @@
 use std::time::Duration;
 
 use arbutuspick_dispatch::{
-    BootClock, DispatchContext, DispatchOptions, FrontPolicy, GateOptions, HoldCall, HoldReply, JobGate, PolicyBoard,
-    PolicyRows, RowChange, RowEntry, RowFollow, RowPage, RowStore, StartCall, StartReply, StopCall, StoreError,
-    TransactOutcome, WorkerError, WorkerLink, follow_policy, run_seat,
+    BootClock, DispatchContext, DispatchOptions, FrontPolicy, GateOptions, HoldCall, HoldReply, JobGate,
+    PolicyBoard, PolicyRows, RowChange, RowEntry, RowFollow, RowPage, RowStore, StartCall, StartReply,
+    StopCall, StoreError, TransactOutcome, WorkerError, WorkerLink, follow_policy, run_seat,
 };
 use arbutuspick_model::{ClockTime, WorkerTime};
 use arbutuspick_pool::{
-    CoreOptions, EndKind, JobBody, PoolPolicy, QueueRule, ResourceAmount, RunEnd, RunStatus, StepBody, TaskName,
-    WorkerReport,
+    CoreOptions, EndKind, JobBody, PoolPolicy, QueueRule, ResourceAmount, RunEnd, RunStatus, StepBody,
+    TaskName, WorkerReport,
 };
 use bytes::Bytes;
 use tokio::task::JoinHandle;
@@ -86,17 +86,27 @@
 
     pub(crate) fn keys(&self, table: &str) -> Vec<String> {
         let state = lock(&self.state);
-        let rows = state.rows.iter().filter(|((name, _), (value, _))| name == table && value.is_some());
+        let rows = state
+            .rows
+            .iter()
+            .filter(|((name, _), (value, _))| name == table && value.is_some());
         rows.map(|((_, key), _)| key.clone()).collect()
     }
 
     pub(crate) fn value(&self, table: &str, key: &str) -> Option<Bytes> {
         let state = lock(&self.state);
-        state.rows.get(&(table.into(), key.into())).and_then(|(value, _)| value.clone())
+        state
+            .rows
+            .get(&(table.into(), key.into()))
+            .and_then(|(value, _)| value.clone())
     }
 
     fn mood(&self) -> StoreMood {
-        lock(&self.state).moods.get(&self.process).copied().unwrap_or(StoreMood::Fine)
+        lock(&self.state)
+            .moods
+            .get(&self.process)
+            .copied()
+            .unwrap_or(StoreMood::Fine)
     }
 
     async fn wait_out(&self, deadline: ClockTime) -> StoreError {
@@ -178,9 +188,10 @@
     ) -> Result<RowPage, StoreError> {
         self.gate(deadline).await?;
         let state = lock(&self.state);
-        let rows = state.rows.iter().filter(|((name, key), (value, _))| {
-            name == table && key.as_str() >= from && value.is_some()
-        });
+        let rows = state
+            .rows
+            .iter()
+            .filter(|((name, key), (value, _))| name == table && key.as_str() >= from && value.is_some());
         let rows: Vec<RowEntry> = rows
             .map(|((name, key), (value, version))| RowEntry {
                 table: name.as_str().into(),
@@ -208,7 +219,10 @@
             self.gate(deadline).await?;
             {
                 let state = lock(&self.state);
-                let changed = state.rows.iter().filter(|((name, _), (_, version))| name == table && *version > after);
+                let changed = state
+                    .rows
+                    .iter()
+                    .filter(|((name, _), (_, version))| name == table && *version > after);
                 let mut rows: Vec<RowEntry> = changed
                     .map(|((name, key), (value, version))| RowEntry {
                         table: name.as_str().into(),
@@ -298,7 +312,11 @@
 
     pub(crate) fn running(&self) -> usize {
         self.end_runs();
-        lock(&self.state).workers.values().map(|worker| worker.runs.len()).sum()
+        lock(&self.state)
+            .workers
+            .values()
+            .map(|worker| worker.runs.len())
+            .sum()
     }
 
     fn end_runs(&self) {
@@ -311,7 +329,11 @@
                     worker.runs.push((task, run, ends_at));
                     continue;
                 }
-                let kind = if ends_at <= now { EndKind::Done } else { EndKind::Lapsed };
+                let kind = if ends_at <= now {
+                    EndKind::Done
+                } else {
+                    EndKind::Lapsed
+                };
                 lapses += usize::from(kind == EndKind::Lapsed);
                 worker.finish(task, run, kind);
             }
@@ -367,12 +389,21 @@
         let mut state = lock(&self.state);
         let run_ms = state.run_ms;
         let elsewhere = state.workers.values().any(|other| {
-            other.runs.iter().any(|(task, run, _)| *task == call.task && *run != call.run)
+            other
+                .runs
+                .iter()
+                .any(|(task, run, _)| *task == call.task && *run != call.run)
         });
         let own = state.workers.entry(worker.id.clone()).or_default();
         own.admit(call.epoch)?;
-        if own.runs.iter().any(|(task, run, _)| *task == call.task && *run == call.run) {
-            return Ok(StartReply::Started { clock: WorkerTime(now.0) });
+        if own
+            .runs
+            .iter()
+            .any(|(task, run, _)| *task == call.task && *run == call.run)
+        {
+            return Ok(StartReply::Started {
+                clock: WorkerTime(now.0),
+            });
         }
         if own.ended.get(&call.task).is_some_and(|run| *run >= call.run) {
             return Ok(StartReply::Refused { reason: "old".into() });
@@ -384,15 +415,26 @@
         }
         let process = self.process;
         state.began.push((call.task.clone(), call.run, process));
-        Ok(StartReply::Started { clock: WorkerTime(now.0) })
+        Ok(StartReply::Started {
+            clock: WorkerTime(now.0),
+        })
     }
 
-    async fn stop(&self, worker: &WorkerReport, call: &StopCall, deadline: ClockTime) -> Result<(), WorkerError> {
+    async fn stop(
+        &self,
+        worker: &WorkerReport,
+        call: &StopCall,
+        deadline: ClockTime,
+    ) -> Result<(), WorkerError> {
         self.reach(deadline).await?;
         let mut state = lock(&self.state);
         let own = state.workers.entry(worker.id.clone()).or_default();
         own.admit(call.epoch)?;
-        match own.runs.iter().position(|(task, run, _)| *task == call.task && *run == call.run) {
+        match own
+            .runs
+            .iter()
+            .position(|(task, run, _)| *task == call.task && *run == call.run)
+        {
             Some(at) => {
                 let (task, run, _) = own.runs.remove(at);
                 own.finish(task, run, EndKind::Stopped);
@@ -404,7 +446,12 @@
         Ok(())
     }
 
-    async fn hold(&self, worker: &WorkerReport, call: &HoldCall, deadline: ClockTime) -> Result<HoldReply, WorkerError> {
+    async fn hold(
+        &self,
+        worker: &WorkerReport,
+        call: &HoldCall,
+        deadline: ClockTime,
+    ) -> Result<HoldReply, WorkerError> {
         let until = self.clock.now() + call.wait_ms;
         loop {
             self.reach(deadline).await?;
@@ -581,7 +628,10 @@
         {
             return stage.name();
         }
-        assert!(deadline(0) < until, "job {id} did not end in {limit_ms} ms: {status:?}");
+        assert!(
+            deadline(0) < until,
+            "job {id} did not end in {limit_ms} ms: {status:?}"
+        );
         pass(50).await;
     }
 }
--- a/crates/dispatch/tests/taken_keys.rs
+++ b/crates/dispatch/tests/taken_keys.rs
@@ -49,5 +49,8 @@
 )]
 fn access(host: &str, path: &str, key: Option<&str>, fresh: bool, expected: Result<&str, AccessRefusal>) {
     let found = policy().access(host, path, key, fresh);
-    assert_eq!(found.map(|access| access.rule.name.to_string()), expected.map(str::to_owned));
+    assert_eq!(
+        found.map(|access| access.rule.name.to_string()),
+        expected.map(str::to_owned)
+    );
 }
--- a/crates/dispatch/tests/whole_path.rs
+++ b/crates/dispatch/tests/whole_path.rs
@@ -18,7 +18,10 @@
     assert_eq!(final_stage(&process, ID, 5_000).await, "completed");
     assert_eq!(fleet.began().len(), 4);
     pass(500).await;
-    assert!(store.keys("intake").is_empty(), "the body of an ended job is kept");
+    assert!(
+        store.keys("intake").is_empty(),
+        "the body of an ended job is kept"
+    );
 }
 
 /// Guards against a repeated request that makes a second job or hides another job with the same id.
@@ -62,6 +65,12 @@
 async fn unknown_job() {
     let (store, fleet) = (store_with(1), FakeFleet::new(1_000));
     let process = TestProcess::start(1, &store, &fleet);
-    assert_eq!(process.gate.status(ID, deadline(1_000)).await, StatusOutcome::Unknown);
-    assert_eq!(process.gate.cancel(ID, None, deadline(1_000)).await, CancelOutcome::Unknown);
+    assert_eq!(
+        process.gate.status(ID, deadline(1_000)).await,
+        StatusOutcome::Unknown
+    );
+    assert_eq!(
+        process.gate.cancel(ID, None, deadline(1_000)).await,
+        CancelOutcome::Unknown
+    );
 }
--- a/crates/entry/src/api/centre_routes.rs
+++ b/crates/entry/src/api/centre_routes.rs
@@ -1,5 +1,5 @@
-use arbutuspick_model::{CentreName, FieldError, OrderNumber, PlatformTime, WriteId};
 use arbutuspick_clients::CallPriority;
+use arbutuspick_model::{CentreName, FieldError, OrderNumber, PlatformTime, WriteId};
 use arbutuspick_records::{
     CentreOrder, CentreRecord, CommitResolution, OrderError, OrderKind, RowKey, Versioned,
 };
--- a/crates/entry/src/api/operator_routes.rs
+++ b/crates/entry/src/api/operator_routes.rs
@@ -1,5 +1,5 @@
-use arbutuspick_model::PoolConfig;
 use arbutuspick_clients::VmRole;
+use arbutuspick_model::PoolConfig;
 use axum::Json;
 use axum::extract::State;
 use serde_json::{Value, json};
--- a/crates/entry/src/api/service_routes.rs
+++ b/crates/entry/src/api/service_routes.rs
@@ -1,5 +1,5 @@
-use arbutuspick_model::{FieldError, RefusalReason, ServiceName};
 use arbutuspick_clients::UpstreamAnswer;
+use arbutuspick_model::{FieldError, RefusalReason, ServiceName};
 use arbutuspick_route::RequestKind;
 use axum::extract::{Path, State};
 use axum::http::{HeaderMap, HeaderValue, header};
--- a/crates/entry/src/config/config_sync.rs
+++ b/crates/entry/src/config/config_sync.rs
@@ -1,9 +1,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use arbutuspick_clients::CallPriority;
 use arbutuspick_model::{CentreName, ConfigChange, ConfigRevision, PoolConfig};
 use arbutuspick_peer::{ConfigHead, ConfigPage, ConfigPull, PeerMessage};
-use arbutuspick_clients::CallPriority;
 use arbutuspick_records::{HeadRecord, ObjectKey, RevisionRecord, RowKey};
 use futures::future::join_all;
 use tokio::sync::Notify;
--- a/crates/entry/src/config/guarantee_check.rs
+++ b/crates/entry/src/config/guarantee_check.rs
@@ -1,9 +1,9 @@
 use std::collections::BTreeMap;
 
+use arbutuspick_clients::VmEntry;
 use arbutuspick_model::{
     AccountName, CellGuarantee, CentreName, FieldError, PoolConfig, RackName, WORKER_ACCELERATORS,
 };
-use arbutuspick_clients::VmEntry;
 use arbutuspick_sched::check_guarantees;
 use serde::Serialize;
 
--- a/crates/entry/src/daemon/entry_context.rs
+++ b/crates/entry/src/daemon/entry_context.rs
@@ -1,7 +1,7 @@
 use std::net::SocketAddr;
 
-use arbutuspick_peer::{Hello, LinkOptions, PeerLinks};
 use arbutuspick_clients::{ClientOptions, ObjectClient, ProcessClock, TableClient, VmClient};
+use arbutuspick_peer::{Hello, LinkOptions, PeerLinks};
 use arbutuspick_records::VmIdentity;
 use arbutuspick_route::RoutingOptions;
 use metrics_exporter_prometheus::PrometheusHandle;
--- a/crates/entry/src/jobs/job_cancel.rs
+++ b/crates/entry/src/jobs/job_cancel.rs
@@ -1,7 +1,7 @@
 use std::sync::Arc;
 
-use arbutuspick_model::{AccountName, JobId, WriteId};
 use arbutuspick_clients::CallPriority;
+use arbutuspick_model::{AccountName, JobId, WriteId};
 use arbutuspick_records::{CommitResolution, JobError, JobRecord, RowKey, Versioned};
 
 use super::JobView;
--- a/crates/entry/src/jobs/job_rescue.rs
+++ b/crates/entry/src/jobs/job_rescue.rs
@@ -2,8 +2,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use arbutuspick_model::{CentreName, ClockTime, JobId, WriteId};
 use arbutuspick_clients::{CallError, CallPriority};
+use arbutuspick_model::{CentreName, ClockTime, JobId, WriteId};
 use arbutuspick_records::{CommitResolution, JobRecord, JobState, LeaseRecord, RowKey, ScanQuery, Versioned};
 use rand::Rng;
 use tokio::time::sleep;
--- a/crates/entry/src/jobs/job_submit.rs
+++ b/crates/entry/src/jobs/job_submit.rs
@@ -1,10 +1,10 @@
 use std::sync::Arc;
 
+use arbutuspick_clients::CallPriority;
 use arbutuspick_model::{
     AccountName, CallerKey, CentreName, DoubtReason, JobId, JobSpec, RefusalReason, WriteId,
 };
 use arbutuspick_peer::{InboxNotice, PeerMessage};
-use arbutuspick_clients::CallPriority;
 use arbutuspick_records::{
     BodyDigest, CommitResolution, JobRecord, JobSubmission, KeyRecord, PlannedChange, RowKey, Versioned,
     judge_submission,
--- a/crates/entry/src/jobs/job_watch.rs
+++ b/crates/entry/src/jobs/job_watch.rs
@@ -2,8 +2,8 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 
-use arbutuspick_model::{ClockTime, JobId};
 use arbutuspick_clients::{CallError, CallPriority, ProcessClock, TableClient};
+use arbutuspick_model::{ClockTime, JobId};
 use arbutuspick_records::{DecodeError, JobRecord, RowKey, Versioned};
 use parking_lot::Mutex;
 use snafu::Snafu;
--- a/crates/entry/src/owners/proposal_decision.rs
+++ b/crates/entry/src/owners/proposal_decision.rs
@@ -1,7 +1,7 @@
 use std::sync::Arc;
 
-use arbutuspick_model::{OwnerName, WriteId};
 use arbutuspick_clients::CallPriority;
+use arbutuspick_model::{OwnerName, WriteId};
 use arbutuspick_records::{
     AcceptanceBase, CommitResolution, HeadRecord, OwnerDecision, PlannedChange, ProposalError, ProposalId,
     ProposalRecord, RowKey, TurnRecord, Versioned,
--- a/crates/entry/src/owners/proposal_intake.rs
+++ b/crates/entry/src/owners/proposal_intake.rs
@@ -1,7 +1,7 @@
 use std::collections::BTreeMap;
 
-use arbutuspick_model::{AccountConfig, AccountName, CentreName, PoolConfig, WriteId};
 use arbutuspick_clients::{CallPriority, VmRole};
+use arbutuspick_model::{AccountConfig, AccountName, CentreName, PoolConfig, WriteId};
 use arbutuspick_records::{AccountRequest, CommitResolution, ProposalId, ProposalRecord, RowKey, Versioned};
 
 use super::turn_keeper::COMMIT_LIMIT_MS;
--- a/crates/entry/src/owners/turn_keeper.rs
+++ b/crates/entry/src/owners/turn_keeper.rs
@@ -1,5 +1,5 @@
-use arbutuspick_model::WriteId;
 use arbutuspick_clients::CallPriority;
+use arbutuspick_model::WriteId;
 use arbutuspick_records::{CommitResolution, PlannedChange, RowKey, TurnRecord, Versioned};
 
 use crate::api::ApiError;
--- a/crates/entry/src/requests/keyed_request.rs
+++ b/crates/entry/src/requests/keyed_request.rs
@@ -1,9 +1,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use arbutuspick_clients::{CallError, CallPriority, UpstreamAnswer};
 use arbutuspick_model::{CallerKey, ClockTime, DoubtReason, RefusalReason, WriteId};
 use arbutuspick_peer::{ClaimQuery, PeerMessage};
-use arbutuspick_clients::{CallError, CallPriority, UpstreamAnswer};
 use arbutuspick_records::{
     BodyDigest, ClaimOutcome, ClaimVerdict, CommitResolution, KeyRecord, PlannedChange, RequestClaim,
     Versioned, VmIdentity, judge_claim,
--- a/crates/entry/src/requests/recorded_answer.rs
+++ b/crates/entry/src/requests/recorded_answer.rs
@@ -1,5 +1,5 @@
-use arbutuspick_model::{ResultRef, WriteId};
 use arbutuspick_clients::{CallError, CallPriority, ObjectClient, UpstreamAnswer};
+use arbutuspick_model::{ResultRef, WriteId};
 use arbutuspick_records::{MAX_INLINE_BODY_BYTES, RecordedBody, RecordedResponse};
 use axum::http::{HeaderMap, HeaderName, HeaderValue, StatusCode};
 use bytes::Bytes;
--- a/crates/entry/src/requests/request_router.rs
+++ b/crates/entry/src/requests/request_router.rs
@@ -1,7 +1,7 @@
 use std::sync::Arc;
 
-use arbutuspick_model::{AccountName, ClockTime, DoubtReason, RefusalReason, ServiceName};
 use arbutuspick_clients::{ProcessClock, UpstreamAnswer, UpstreamRequest};
+use arbutuspick_model::{AccountName, ClockTime, DoubtReason, RefusalReason, ServiceName};
 use arbutuspick_route::{
     AttemptResult, FairQueue, PlanEvent, PlanStep, QueueRefusal, QueueTicket, RequestKind, RequestOutcome,
     RequestPlan, RetryBudget, RouteRefusal, RoutingOptions, RoutingTable, SlotPermit, TicketId,
--- a/crates/entry/src/table/row_set.rs
+++ b/crates/entry/src/table/row_set.rs
@@ -1,8 +1,8 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 
-use arbutuspick_model::PlatformTime;
 use arbutuspick_clients::{CallError, CallPriority, TableClient};
+use arbutuspick_model::PlatformTime;
 use arbutuspick_records::{DecodeError, RowKey, TableRow, Versioned};
 use serde::de::DeserializeOwned;
 use snafu::Snafu;
--- a/crates/entry/src/table/table_commit.rs
+++ b/crates/entry/src/table/table_commit.rs
@@ -1,7 +1,7 @@
 use std::time::Duration;
 
-use arbutuspick_model::ClockTime;
 use arbutuspick_clients::{CallError, CallPriority, ProcessClock, TableClient};
+use arbutuspick_model::ClockTime;
 use arbutuspick_records::{CommitAnswer, CommitProgress, CommitResolution, CommitStep, TableTransaction};
 use tokio::time::sleep;
 
--- a/crates/entry/src/watch/health_check.rs
+++ b/crates/entry/src/watch/health_check.rs
@@ -2,8 +2,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use arbutuspick_model::UpstreamName;
 use arbutuspick_clients::{UpstreamClient, UpstreamRequest};
+use arbutuspick_model::UpstreamName;
 use axum::http::{HeaderMap, Method};
 use bytes::Bytes;
 use tokio::time::{MissedTickBehavior, interval};
--- a/crates/entry/src/watch/list_poll.rs
+++ b/crates/entry/src/watch/list_poll.rs
@@ -1,9 +1,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use arbutuspick_clients::{CallError, VmEntry, VmRole};
 use arbutuspick_model::{UpstreamName, VmName};
 use arbutuspick_peer::PeerAddress;
-use arbutuspick_clients::{CallError, VmEntry, VmRole};
 use arbutuspick_route::UpstreamEntry;
 use tokio::time::{MissedTickBehavior, interval};
 
--- a/crates/entry/tests/support/fake_platform.rs
+++ b/crates/entry/tests/support/fake_platform.rs
@@ -3,8 +3,8 @@
 use std::sync::{Arc, Mutex};
 use std::time::{SystemTime, UNIX_EPOCH};
 
-use arbutuspick_model::{CentreName, PlatformTime, RackName, WorkerCapacity};
 use arbutuspick_clients::{VmEntry, VmList, VmRole};
+use arbutuspick_model::{CentreName, PlatformTime, RackName, WorkerCapacity};
 use arbutuspick_records::memory::MemoryTable;
 use arbutuspick_records::{CommitResult, ReadQuery, RowPage, ScanQuery, TableAnswer, TableTransaction};
 use axum::extract::{Path, Query, State};
--- a/crates/entry/tests/support/fake_upstream.rs
+++ b/crates/entry/tests/support/fake_upstream.rs
@@ -1,8 +1,8 @@
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 
-use arbutuspick_model::{CentreName, ServiceName};
 use arbutuspick_clients::{VmEntry, VmRole};
+use arbutuspick_model::{CentreName, ServiceName};
 use axum::Router;
 use axum::extract::State;
 use axum::http::{HeaderMap, StatusCode};
--- a/crates/holder/src/gang_attempt.rs
+++ b/crates/holder/src/gang_attempt.rs
@@ -1,7 +1,7 @@
 use std::collections::BTreeMap;
 
-use arbutuspick_model::{ClockTime, DoubtReason, RefusalReason, WorkerName};
 use arbutuspick_clients::{MemberPart, MemberResult, WorkerRefusal};
+use arbutuspick_model::{ClockTime, DoubtReason, RefusalReason, WorkerName};
 use arbutuspick_sched::{AttemptEnd, GangPlacement, PreemptReason};
 use statig::prelude::*;
 
--- a/crates/holder/src/gang_event.rs
+++ b/crates/holder/src/gang_event.rs
@@ -1,5 +1,5 @@
-use arbutuspick_model::{ClockTime, DoubtReason, RefusalReason, WorkerName};
 use arbutuspick_clients::{MemberResult, PartStatus, WorkerRefusal};
+use arbutuspick_model::{ClockTime, DoubtReason, RefusalReason, WorkerName};
 use arbutuspick_sched::{AttemptEnd, PreemptReason};
 
 /// What the holder has to do for an attempt.
--- a/crates/holder/src/gang_part.rs
+++ b/crates/holder/src/gang_part.rs
@@ -1,5 +1,5 @@
-use arbutuspick_model::{ClockTime, WorkerName};
 use arbutuspick_clients::{MemberPart, MemberResult, PartState, PartStatus};
+use arbutuspick_model::{ClockTime, WorkerName};
 
 /// Time after which an unanswered call to a worker is repeated.
 const REPEAT_MS: u64 = 300;
--- a/crates/holder/src/holder_event.rs
+++ b/crates/holder/src/holder_event.rs
@@ -1,5 +1,5 @@
-use arbutuspick_model::{AttemptNumber, JobId, WorkerName};
 use arbutuspick_clients::{CallError, VmList, WorkerAnswer};
+use arbutuspick_model::{AttemptNumber, JobId, WorkerName};
 use arbutuspick_records::{CentreRecord, Versioned};
 use tokio::sync::oneshot;
 
--- a/crates/holder/src/holder_jobs.rs
+++ b/crates/holder/src/holder_jobs.rs
@@ -1,7 +1,7 @@
 use std::sync::Arc;
 
-use arbutuspick_model::{AttemptNumber, ClockTime, JobId, WorkerName};
 use arbutuspick_clients::{MemberPart, PrepareRequest, StartRequest};
+use arbutuspick_model::{AttemptNumber, ClockTime, JobId, WorkerName};
 use arbutuspick_records::{JobNotice, JobRecord, JobState, RequeueReason, Versioned};
 use arbutuspick_sched::{AttemptEnd, GangPlacement, PlacementAction, PlacementEvent};
 
--- a/crates/holder/src/holder_options.rs
+++ b/crates/holder/src/holder_options.rs
@@ -2,8 +2,8 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use arbutuspick_model::{CentreName, JobId, JobSpec, PoolConfig};
 use arbutuspick_clients::{ObjectClient, ProcessClock, TableClient, VmClient};
+use arbutuspick_model::{CentreName, JobId, JobSpec, PoolConfig};
 use arbutuspick_records::VmIdentity;
 use arbutuspick_sched::PlacementOptions;
 use arc_swap::ArcSwap;
--- a/crates/holder/src/holder_requests.rs
+++ b/crates/holder/src/holder_requests.rs
@@ -1,11 +1,11 @@
 use std::future::Future;
 use std::sync::Arc;
 
-use arbutuspick_model::{AttemptNumber, ClockTime, JobId, WorkerName, WriteId};
 use arbutuspick_clients::{
     AttemptRequest, CallError, CallPriority, CommitEnd, EpochRequest, LeaseExtension, PrepareRequest,
     RenewRequest, StartRequest, VmRole, WorkerAnswer, WorkerClient, commit_transaction,
 };
+use arbutuspick_model::{AttemptNumber, ClockTime, JobId, WorkerName, WriteId};
 use arbutuspick_records::{HolderGuard, JobRecord, RowKey, TableTransaction, Versioned};
 
 use crate::HolderLinks;
--- a/crates/holder/src/holder_workers.rs
+++ b/crates/holder/src/holder_workers.rs
@@ -1,9 +1,9 @@
 use std::collections::BTreeSet;
 
-use arbutuspick_model::{AttemptNumber, ClockTime, JobId, WorkerName};
 use arbutuspick_clients::{
     CallError, LeaseExtension, PartState, PartStatus, VmList, WorkerAnswer, WorkerRefusal,
 };
+use arbutuspick_model::{AttemptNumber, ClockTime, JobId, WorkerName};
 use arbutuspick_sched::PlacementEvent;
 
 use crate::GangEvent;
--- a/crates/holder/src/job_reader.rs
+++ b/crates/holder/src/job_reader.rs
@@ -1,7 +1,7 @@
 use std::sync::Arc;
 
-use arbutuspick_model::{CentreName, JobId};
 use arbutuspick_clients::{CallError, CallPriority, TableClient};
+use arbutuspick_model::{CentreName, JobId};
 use arbutuspick_records::{CentreRecord, InboxRecord, JobRecord, RowKey, ScanQuery, TableRow, Versioned};
 
 /// Rows of one scan page and of one read.
--- a/crates/holder/src/job_write.rs
+++ b/crates/holder/src/job_write.rs
@@ -1,9 +1,9 @@
 use std::sync::Arc;
 
+use arbutuspick_clients::{CallPriority, CommitEnd, MemberResult, commit_transaction};
 use arbutuspick_model::{
     AttemptNumber, CentreName, ClockTime, DoubtReason, RefusalReason, ResultRef, WriteId,
 };
-use arbutuspick_clients::{CallPriority, CommitEnd, MemberResult, commit_transaction};
 use arbutuspick_records::{
     CentreRecord, HolderGuard, JobEnding, JobError, JobRecord, JobStart, JobState, ObjectKey, PlacedMember,
     PlannedChange, RequeueReason, RowKey, Versioned,
--- a/crates/holder/src/placement_lease.rs
+++ b/crates/holder/src/placement_lease.rs
@@ -1,7 +1,7 @@
 use std::sync::Arc;
 
-use arbutuspick_model::{ClockTime, PlatformTime, WriteId};
 use arbutuspick_clients::{CallError, CallPriority, CommitEnd, commit_transaction};
+use arbutuspick_model::{ClockTime, PlatformTime, WriteId};
 use arbutuspick_records::{
     DecodeError, EpochRecord, HolderGuard, LeaseRecord, LeaseTakeover, RowKey, TableRow, Versioned,
 };
--- a/crates/holder/src/worker_session.rs
+++ b/crates/holder/src/worker_session.rs
@@ -1,7 +1,7 @@
 use std::time::Duration;
 
-use arbutuspick_model::{ClockTime, RackName, WorkerCapacity, WorkerName, WorkerTime};
 use arbutuspick_clients::{VmEntry, WorkerAnswer, WorkerClient};
+use arbutuspick_model::{ClockTime, RackName, WorkerCapacity, WorkerName, WorkerTime};
 
 use crate::WorkerClock;
 
--- a/crates/holder/tests/support/mod.rs
+++ b/crates/holder/tests/support/mod.rs
@@ -1,10 +1,10 @@
 //! A gang attempt with fake workers in virtual time.
 
+use arbutuspick_clients::{MemberPart, MemberResult, PartState, PartStatus, WorkerRefusal};
 use arbutuspick_holder::{
     AttemptRules, AttemptVerdict, GangCommand, GangEvent, GangMachine, HOLD_MS, START_PERMIT_MS,
 };
 use arbutuspick_model::{AttemptNumber, ClockTime, JobId, WorkerName};
-use arbutuspick_clients::{MemberPart, MemberResult, PartState, PartStatus, WorkerRefusal};
 use arbutuspick_sched::{GangPlacement, MemberPlacement, PreemptReason};
 
 const STEP_MS: u64 = 100;
--- a/crates/holder/tests/whole_path.rs
+++ b/crates/holder/tests/whole_path.rs
@@ -5,15 +5,15 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use arbutuspick_clients::{
+    CallPriority, ClientOptions, CommitEnd, ObjectClient, ProcessClock, TableClient, VmClient,
+    commit_transaction,
+};
 use arbutuspick_holder::{HolderLinks, HolderNotice, HolderOptions, HolderView, run_holder};
 use arbutuspick_model::{
     AccountName, CentreName, FinalOutcome, GangShape, JobId, JobSpec, PlatformTime, PoolConfig, VmName,
     WriteId,
 };
-use arbutuspick_clients::{
-    CallPriority, ClientOptions, CommitEnd, ObjectClient, ProcessClock, TableClient, VmClient,
-    commit_transaction,
-};
 use arbutuspick_records::{BodyDigest, JobRecord, JobState, JobSubmission, RowKey, Versioned, VmIdentity};
 use arbutuspick_sched::PlacementOptions;
 use arbutuspick_standins::{
--- a/crates/pool/src/job_body.rs
+++ b/crates/pool/src/job_body.rs
@@ -148,7 +148,10 @@
 
     /// Returns the estimated work of one occurrence, in core milliseconds.
     pub fn work_core_ms(&self) -> u64 {
-        self.steps.iter().map(|step| u64::from(step.count) * step.task_core_ms()).sum()
+        self.steps
+            .iter()
+            .map(|step| u64::from(step.count) * step.task_core_ms())
+            .sum()
     }
 
     /// Returns the estimated milliseconds of the longest chain of steps.
--- a/crates/pool/src/job_run.rs
+++ b/crates/pool/src/job_run.rs
@@ -3,7 +3,9 @@
 
 use arbutuspick_model::ClockTime;
 
-use crate::{JobBody, JobRecord, JobStage, OccurrenceRecord, QueueRule, StepBody, TaskName, TaskRecord, WorkerKey};
+use crate::{
+    JobBody, JobRecord, JobStage, OccurrenceRecord, QueueRule, StepBody, TaskName, TaskRecord, WorkerKey,
+};
 
 /// How far the start or stop of a run has come.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -158,7 +160,11 @@
 
     /// Returns the milliseconds of the objective.
     pub(crate) fn objective_ms(&self) -> u64 {
-        #[allow(clippy::cast_precision_loss, clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+        #[allow(
+            clippy::cast_precision_loss,
+            clippy::cast_possible_truncation,
+            clippy::cast_sign_loss
+        )]
         let stretched = (self.chain_ms as f64 * self.rule.stretch.max(0.0)) as u64;
         stretched + self.rule.allowance_ms
     }
--- a/crates/pool/src/listing_apply.rs
+++ b/crates/pool/src/listing_apply.rs
@@ -4,11 +4,13 @@
 
 use arbutuspick_model::ClockTime;
 
+use crate::WorkerListing;
 use crate::job_run::{PlaceStage, RunProgress};
 use crate::pool_core::{JobKey, PoolCore};
 use crate::worker_view::Occupant;
-use crate::{EndKind, JobStage, ResourceAmount, RunEnd, RunStatus, StartAnswer, StopReason, TaskName, WorkerKey};
-use crate::WorkerListing;
+use crate::{
+    EndKind, JobStage, ResourceAmount, RunEnd, RunStatus, StartAnswer, StopReason, TaskName, WorkerKey,
+};
 
 /// Most run times that are kept for a step.
 const KEPT_TIMES: usize = 16;
@@ -32,14 +34,17 @@
                 present.insert((task.clone(), status.run));
             }
         }
-        let Some(view) = self.workers.get(worker) else { return };
+        let Some(view) = self.workers.get(worker) else {
+            return;
+        };
         let absent = view.occupants.iter().filter(|(name, occupant)| {
             !present.contains(*name) && occupant.listed_from.is_some_and(|from| from <= listing.asked_at)
         });
         let absent: Vec<(TaskName, u32)> = absent.map(|(name, _)| name.clone()).collect();
-        let unclear = view.occupants.iter().filter(|(name, occupant)| {
-            !present.contains(*name) && occupant.listed_from.is_none()
-        });
+        let unclear = view
+            .occupants
+            .iter()
+            .filter(|(name, occupant)| !present.contains(*name) && occupant.listed_from.is_none());
         let unclear: Vec<(TaskName, u32)> = unclear.map(|(name, _)| name.clone()).collect();
         for (name, run) in absent {
             self.return_task(&name, run, worker, "absent", now);
@@ -50,7 +55,14 @@
     }
 
     /// A start without an answer that is not listed is stopped, so that it cannot begin later.
-    fn stop_unclear(&mut self, worker: WorkerKey, name: TaskName, run: u32, asked_at: ClockTime, now: ClockTime) {
+    fn stop_unclear(
+        &mut self,
+        worker: WorkerKey,
+        name: TaskName,
+        run: u32,
+        asked_at: ClockTime,
+        now: ClockTime,
+    ) {
         let waits = match self.current_task(&name, run, worker) {
             Some((_, task)) => {
                 let place = task.place.as_ref();
@@ -65,7 +77,10 @@
 
     fn apply_status(&mut self, worker: WorkerKey, status: &RunStatus, now: ClockTime) {
         let Some(name) = &status.task else {
-            log::warn!("[run] worker={worker:?} has a run whose name cannot be read run={}", status.run);
+            log::warn!(
+                "[run] worker={worker:?} has a run whose name cannot be read run={}",
+                status.run
+            );
             self.mark_unknown(worker);
             return;
         };
@@ -129,7 +144,10 @@
         if !view.occupants.contains_key(&entry) {
             // Of a job that has ended the size is not known, so the worker counts as full.
             let amount = amount.unwrap_or(view.report.capacity);
-            log::info!("[run] task={name} run={run} worker={} state=unexpected", view.report.id);
+            log::info!(
+                "[run] task={name} run={run} worker={} state=unexpected",
+                view.report.id
+            );
             view.occupants.insert(
                 entry,
                 Occupant {
@@ -154,11 +172,7 @@
             view.occupants.remove(&(name.clone(), end.run));
             match end.kind {
                 EndKind::Done => view.health.note_success(),
-                EndKind::Failed => {
-                    if view.health.note_failure(now) {
-                        log::warn!("[worker] id={} paused cause=failures", view.report.id);
-                    }
-                }
+                EndKind::Failed => view.note_failure(now),
                 _ => {}
             }
         }
@@ -168,7 +182,11 @@
         if !end.checkpoint.is_empty() {
             task.checkpoint = end.checkpoint.clone();
         }
-        let level = if end.kind == EndKind::Done { log::Level::Debug } else { log::Level::Info };
+        let level = if end.kind == EndKind::Done {
+            log::Level::Debug
+        } else {
+            log::Level::Info
+        };
         log::log!(level, "[run] task={name} run={} ended={:?}", end.run, end.kind);
         match end.kind {
             EndKind::Done => self.finish_task(key, name, now),
@@ -206,7 +224,8 @@
                 && !place.remote
                 && step.finished_ms.len() < KEPT_TIMES
             {
-                step.finished_ms.push((place.worker, now.millis_since(place.since)));
+                step.finished_ms
+                    .push((place.worker, now.millis_since(place.since)));
             }
             task.place = None;
             task.done = !endless;
--- a/crates/pool/src/pool_core.rs
+++ b/crates/pool/src/pool_core.rs
@@ -5,7 +5,7 @@
 use slotmap::{SlotMap, new_key_type};
 
 use crate::job_run::{JobRun, OccurrenceRun, PlaceStage, TaskPlace, TaskRun};
-use crate::placement_pass::RoomClaim;
+use crate::room_claim::RoomClaim;
 use crate::worker_view::{Occupant, WorkerView};
 use crate::{
     CoreOptions, JobBody, JobRecord, JobStage, PoolOrder, PoolPolicy, QueueRule, StopOrder, StopReason,
@@ -145,7 +145,12 @@
         lost_bound: ClockTime,
     ) {
         let mut records = tasks.iter();
-        let steps: Vec<usize> = self.jobs[key].body.steps.iter().map(|step| step.count as usize).collect();
+        let steps: Vec<usize> = self.jobs[key]
+            .body
+            .steps
+            .iter()
+            .map(|step| step.count as usize)
+            .collect();
         for (step, count) in steps.into_iter().enumerate() {
             for index in 0..count {
                 let Some(record) = records.next() else { return };
@@ -333,7 +338,10 @@
             ..CoreSummary::default()
         };
         let occurrences = self.jobs.values().flat_map(|job| job.occurrences.values());
-        for task in occurrences.flat_map(|run| &run.steps).flat_map(|step| &step.tasks) {
+        for task in occurrences
+            .flat_map(|run| &run.steps)
+            .flat_map(|step| &step.tasks)
+        {
             summary.waiting_tasks += usize::from(task.is_waiting());
             summary.placed_tasks += usize::from(task.place.is_some());
         }
@@ -381,13 +389,16 @@
     /// Notes a final record found in the store, so that it is removed when it is no longer needed.
     pub fn note_ended_job(&mut self, id: &Arc<str>, now: ClockTime) {
         if self.ended_ids.insert(id.clone()) {
-            self.ended.push_back((now + self.options.keep_final_ms, id.clone()));
+            self.ended
+                .push_back((now + self.options.keep_final_ms, id.clone()));
         }
     }
 
     fn drop_ended(&mut self, now: ClockTime) {
         while self.ended.front().is_some_and(|(until, _)| *until <= now) {
-            let Some((_, id)) = self.ended.pop_front() else { return };
+            let Some((_, id)) = self.ended.pop_front() else {
+                return;
+            };
             self.ended_ids.remove(&id);
             self.dropped.push(id);
         }
@@ -464,7 +475,10 @@
             return;
         };
         if let Some(occupant) = view.occupants.get_mut(&(task.clone(), run)) {
-            if occupant.stop_ordered_at.is_some_and(|at| now.millis_since(at) < REPEAT_MS) {
+            if occupant
+                .stop_ordered_at
+                .is_some_and(|at| now.millis_since(at) < REPEAT_MS)
+            {
                 return;
             }
             occupant.stop_ordered_at = Some(now);
@@ -549,7 +563,10 @@
         };
         let tasks = occurrence.steps[member.step as usize].tasks.iter().enumerate();
         let placed: Vec<usize> = tasks
-            .filter(|(_, task)| task.place.is_some_and(|place| place.stage != PlaceStage::Stopping))
+            .filter(|(_, task)| {
+                task.place
+                    .is_some_and(|place| place.stage != PlaceStage::Stopping)
+            })
             .map(|(index, _)| index)
             .collect();
         for index in placed {
--- a/crates/pool/src/progress_check.rs
+++ b/crates/pool/src/progress_check.rs
@@ -115,7 +115,11 @@
 
     fn pace_of(&self, body: &StepBody, task: &TaskRun, rates: &StepRates) -> Option<(WorkerKey, RunPace)> {
         let place = task.place?;
-        let factor = if place.remote { self.options.remote_factor.max(1) } else { 1 };
+        let factor = if place.remote {
+            self.options.remote_factor.max(1)
+        } else {
+            1
+        };
         let total_ms = implied_total_ms(&task.progress)? / factor;
         let sibling_ms = rates.sibling_ms(place.worker);
         Some((place.worker, run_pace(total_ms, sibling_ms, body.estimate_ms)))
@@ -132,7 +136,11 @@
     ) -> Option<StopReason> {
         let place = task.place?;
         let view = self.workers.get(place.worker)?;
-        let factor = if place.remote { self.options.remote_factor.max(1) } else { 1 };
+        let factor = if place.remote {
+            self.options.remote_factor.max(1)
+        } else {
+            1
+        };
         let left_percent = u64::from(100 - task.progress.percent.min(100));
         if let Some(leaves_at) = view.report.leaves_at {
             let left_ms = body.estimate_ms * factor * left_percent / 100;
@@ -173,7 +181,9 @@
                     progress.percent,
                     progress.first_percent,
                     progress.seen_at.millis_since(progress.rose_at),
-                    progress.began_at.map_or(0, |began| progress.seen_at.millis_since(began)),
+                    progress
+                        .began_at
+                        .map_or(0, |began| progress.seen_at.millis_since(began)),
                 );
                 task.slow_restarts += 1;
                 task.avoid = Some(run.worker);
--- /dev/null
+++ b/crates/pool/src/room_claim.rs
@@ -0,0 +1,109 @@
+//! Room that is kept for work whose place is being cleared.
+
+use arbutuspick_model::ClockTime;
+
+use crate::pool_core::{JobKey, PoolCore};
+use crate::room_search::RoomRow;
+use crate::waiting_unit::WaitingUnit;
+use crate::{ResourceAmount, WorkerKey};
+
+/// Room kept for work whose place is being cleared.
+#[derive(Clone, Debug)]
+pub(crate) struct RoomClaim {
+    pub(crate) job: JobKey,
+    pub(crate) occurrence: u32,
+    pub(crate) step: usize,
+    pub(crate) workers: Vec<WorkerKey>,
+    pub(crate) remote: bool,
+    pub(crate) until: ClockTime,
+}
+
+impl PoolCore {
+    /// Starts units whose cleared room is free, and keeps room for those that still wait for it.
+    pub(crate) fn serve_claims(&mut self, units: &mut [WaitingUnit], rows: &mut [RoomRow], now: ClockTime) {
+        for claim in std::mem::take(&mut self.claims) {
+            let unit = units.iter_mut().find(|unit| {
+                unit.key == claim.job && unit.occurrence == claim.occurrence && unit.step == claim.step
+            });
+            let Some(unit) = unit else { continue };
+            let places: Vec<usize> = claim
+                .workers
+                .iter()
+                .filter_map(|worker| rows.iter().position(|row| row.worker == *worker))
+                .collect();
+            if places.len() < claim.workers.len() || now > claim.until || unit.tasks.is_empty() {
+                continue;
+            }
+            if unit.gang {
+                self.serve_gang_claim(claim, unit, &places, rows, now);
+            } else {
+                self.serve_task_claim(claim, unit, &places, rows, now);
+            }
+        }
+    }
+
+    pub(crate) fn serve_gang_claim(
+        &mut self,
+        claim: RoomClaim,
+        unit: &mut WaitingUnit,
+        places: &[usize],
+        rows: &mut [RoomRow],
+        now: ClockTime,
+    ) {
+        for place in places {
+            rows[*place].free -= unit.need.amount;
+        }
+        let fits = places
+            .iter()
+            .all(|place| rows[*place].free.covers(&ResourceAmount::default()));
+        if !fits || places.len() != unit.tasks.len() {
+            unit.tasks.clear();
+            self.claims.push(claim);
+            return;
+        }
+        let tasks = std::mem::take(&mut unit.tasks);
+        let run = self.next_gang_run(unit);
+        let mut placed = Vec::with_capacity(tasks.len());
+        for (task, place) in tasks.into_iter().zip(places) {
+            self.start_task(unit, task, run, rows[*place].worker, claim.remote, now);
+            placed.push((task, rows[*place].worker));
+        }
+        self.log_placed(unit, &placed, claim.remote, now);
+    }
+
+    pub(crate) fn serve_task_claim(
+        &mut self,
+        mut claim: RoomClaim,
+        unit: &mut WaitingUnit,
+        places: &[usize],
+        rows: &mut [RoomRow],
+        now: ClockTime,
+    ) {
+        claim.workers.clear();
+        let mut placed = Vec::with_capacity(places.len());
+        let mut counts = self.step_counts(unit);
+        for place in places {
+            let count = counts.entry(rows[*place].worker).or_default();
+            if unit.need.spread_limit.is_some_and(|limit| *count >= limit) {
+                continue;
+            }
+            *count += 1;
+            let Some(task) = unit.tasks.first().copied() else {
+                break;
+            };
+            let ready = rows[*place].free.covers(&unit.need.amount);
+            rows[*place].free -= unit.need.amount;
+            unit.tasks.remove(0);
+            if ready {
+                self.start_task(unit, task, None, rows[*place].worker, claim.remote, now);
+                placed.push((task, rows[*place].worker));
+            } else {
+                claim.workers.push(rows[*place].worker);
+            }
+        }
+        self.log_placed(unit, &placed, claim.remote, now);
+        if !claim.workers.is_empty() {
+            self.claims.push(claim);
+        }
+    }
+}
--- a/crates/pool/src/room_search.rs
+++ b/crates/pool/src/room_search.rs
@@ -36,7 +36,10 @@
     /// Returns whether the worker may run the task, were it empty.
     pub(crate) fn allows(&self, row: &RoomRow) -> bool {
         row.service == self.service
-            && self.required_label.as_ref().is_none_or(|label| row.labels.contains(label))
+            && self
+                .required_label
+                .as_ref()
+                .is_none_or(|label| row.labels.contains(label))
             && row.capacity.covers(&self.amount)
     }
 
@@ -75,19 +78,18 @@
 }
 
 /// Returns rows for `count` tasks among those allowed, fullest workers first, or `None` if they do not all fit.
-pub(crate) fn gang_rows<F>(
-    rows: &[RoomRow],
-    need: &TaskNeed,
-    count: usize,
-    allowed: F,
-) -> Option<Vec<usize>>
+pub(crate) fn gang_rows<F>(rows: &[RoomRow], need: &TaskNeed, count: usize, allowed: F) -> Option<Vec<usize>>
 where
     F: Fn(&RoomRow) -> bool,
 {
     let counts = StepCounts::new();
     let mut candidates: Vec<(bool, i64, usize, usize)> = Vec::new();
     for (number, row) in rows.iter().enumerate() {
-        let fits = if allowed(row) { row_fits(row, need, &counts, count) } else { 0 };
+        let fits = if allowed(row) {
+            row_fits(row, need, &counts, count)
+        } else {
+            0
+        };
         if fits > 0 {
             candidates.push((row.doubtful, row.free.largest_share(&row.capacity), number, fits));
         }
@@ -115,9 +117,14 @@
         }
         let entry = racks.entry(rack.clone()).or_default();
         entry.0 += row_fits(row, need, &counts, count);
-        entry.1 += row.capacity.times(&need.amount, need.spread_limit.unwrap_or(count).min(count));
+        entry.1 += row
+            .capacity
+            .times(&need.amount, need.spread_limit.unwrap_or(count).min(count));
     }
-    let mut racks: Vec<_> = racks.into_iter().map(|(rack, (now, empty))| (rack, now, empty)).collect();
+    let mut racks: Vec<_> = racks
+        .into_iter()
+        .map(|(rack, (now, empty))| (rack, now, empty))
+        .collect();
     racks.sort();
     racks
 }
--- a/crates/pool/src/run_rates.rs
+++ b/crates/pool/src/run_rates.rs
@@ -61,7 +61,12 @@
 
     /// Returns the median time on other workers than this one.
     pub(crate) fn sibling_ms(&self, worker: WorkerKey) -> Option<u64> {
-        let mut others: Vec<u64> = self.totals.iter().filter(|(key, _)| *key != worker).map(|(_, ms)| *ms).collect();
+        let mut others: Vec<u64> = self
+            .totals
+            .iter()
+            .filter(|(key, _)| *key != worker)
+            .map(|(_, ms)| *ms)
+            .collect();
         if others.len() < SIBLINGS {
             return None;
         }
@@ -117,7 +122,10 @@
 
     /// Returns whether the worker is slow rather than its tasks long.
     pub(crate) fn is_slow(&self, worker: WorkerKey) -> bool {
-        let several = self.behind.get(&worker).is_some_and(|jobs| jobs.len() >= SLOW_JOBS);
+        let several = self
+            .behind
+            .get(&worker)
+            .is_some_and(|jobs| jobs.len() >= SLOW_JOBS);
         self.proven.contains(&worker) || several && !self.fine.contains(&worker)
     }
 }
--- a/crates/pool/src/victim_choice.rs
+++ b/crates/pool/src/victim_choice.rs
@@ -56,17 +56,20 @@
     };
     while plan.rows.len() < count {
         let mut best: Option<(u64, bool, usize, Vec<usize>)> = None;
-        for number in 0..free.len() {
-            if !allowed(&free[number]) || !need.allows(&free[number]) {
+        for (number, row) in free.iter().enumerate() {
+            if !allowed(row) || !need.allows(row) {
                 continue;
             }
             let units = rows_of_units.get(&number).map_or(&[][..], Vec::as_slice);
-            let Some((cost, units)) = units_for_one(&free[number], number, victims, units, &stopped, need, &counts)
+            let Some((cost, units)) = units_for_one(row, number, victims, units, &stopped, need, &counts)
             else {
                 continue;
             };
-            let doubtful = free[number].doubtful;
-            if best.as_ref().is_none_or(|(c, d, _, _)| (cost, doubtful) < (*c, *d)) {
+            let doubtful = row.doubtful;
+            if best
+                .as_ref()
+                .is_none_or(|(c, d, _, _)| (cost, doubtful) < (*c, *d))
+            {
                 best = Some((cost, doubtful, number, units));
             }
         }
@@ -100,7 +103,11 @@
     if row_fits(&row, need, counts, 1) > 0 {
         return Some((0, Vec::new()));
     }
-    let mut left: Vec<usize> = units.iter().copied().filter(|unit| !stopped.contains(unit)).collect();
+    let mut left: Vec<usize> = units
+        .iter()
+        .copied()
+        .filter(|unit| !stopped.contains(unit))
+        .collect();
     left.sort_by_key(|unit| (victims[*unit].cost, *unit));
     let mut chosen = Vec::new();
     let mut cost = 0;
--- a/crates/pool/src/worker_view.rs
+++ b/crates/pool/src/worker_view.rs
@@ -94,6 +94,13 @@
         free
     }
 
+    /// Notes a failed run; after several the worker gets no work for a while.
+    pub(crate) fn note_failure(&mut self, now: ClockTime) {
+        if self.health.note_failure(now) {
+            log::warn!("[worker] id={} paused cause=failures", self.report.id);
+        }
+    }
+
     /// Returns whether new work may be placed here.
     pub(crate) fn takes_work(&self, now: ClockTime) -> bool {
         self.listed && !self.gone && self.report.leaves_at.is_none() && self.health.takes_work(now)
--- a/crates/pool/tests/ended_jobs.rs
+++ b/crates/pool/tests/ended_jobs.rs
@@ -31,6 +31,9 @@
     pool.changes.clear();
     pool.pass(240_001);
     pool.step();
-    let removed = pool.changes.iter().any(|change| change.job.as_ref() == "a" && change.record.is_none());
+    let removed = pool
+        .changes
+        .iter()
+        .any(|change| change.job.as_ref() == "a" && change.record.is_none());
     assert!(removed);
 }
--- a/crates/pool/tests/random_pool.rs
+++ b/crates/pool/tests/random_pool.rs
@@ -106,13 +106,18 @@
 
 #[test]
 fn random_histories() {
-    let cases = std::env::var("PROPTEST_CASES").ok().and_then(|text| text.parse().ok());
+    let cases = std::env::var("PROPTEST_CASES")
+        .ok()
+        .and_then(|text| text.parse().ok());
     let config = Config {
         cases: cases.unwrap_or(HISTORIES),
         failure_persistence: None,
         ..Config::default()
     };
-    let seed = std::env::var("POOL_SEED").ok().and_then(|text| text.parse::<u64>().ok()).unwrap_or(1);
+    let seed = std::env::var("POOL_SEED")
+        .ok()
+        .and_then(|text| text.parse::<u64>().ok())
+        .unwrap_or(1);
     let mut bytes = [0; 32];
     bytes[..8].copy_from_slice(&seed.to_le_bytes());
     let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &bytes);
--- a/crates/pool/tests/support/mod.rs
+++ b/crates/pool/tests/support/mod.rs
@@ -171,7 +171,8 @@
             }
             PoolOrder::Stop(stop) => {
                 let now = self.now;
-                self.core.apply_stop_answer(&stop.task, stop.run, stop.worker, now);
+                self.core
+                    .apply_stop_answer(&stop.task, stop.run, stop.worker, now);
                 self.end(stop.worker, &stop.task, stop.run, EndKind::Stopped);
             }
         }
@@ -180,7 +181,10 @@
     /// Lets a run end, as its worker lists it.
     pub(crate) fn end(&mut self, worker: WorkerKey, task: &TaskName, run: u32, kind: EndKind) {
         let runs = self.runs.entry(worker).or_default();
-        let Some(at) = runs.iter().position(|(name, number)| name == task && *number == run) else {
+        let Some(at) = runs
+            .iter()
+            .position(|(name, number)| name == task && *number == run)
+        else {
             return;
         };
         runs.remove(at);
--- a/crates/pool/tests/support/world.rs
+++ b/crates/pool/tests/support/world.rs
@@ -124,11 +124,17 @@
         body.accepted_at_ms = self.wall().0;
         self.bodies.insert(id.clone(), body.clone());
         let (now, wall) = (self.now, self.wall());
-        self.core.add_job(&id, body, &JobRecord::default(), now, wall, now);
+        self.core
+            .add_job(&id, body, &JobRecord::default(), now, wall, now);
     }
 
     pub(crate) fn cancel(&mut self, pick: usize) {
-        let open: Vec<Arc<str>> = self.bodies.keys().filter(|id| !self.ended_jobs.contains(*id)).cloned().collect();
+        let open: Vec<Arc<str>> = self
+            .bodies
+            .keys()
+            .filter(|id| !self.ended_jobs.contains(*id))
+            .cloned()
+            .collect();
         if open.is_empty() {
             return;
         }
@@ -180,7 +186,11 @@
     }
 
     pub(crate) fn close_centre(&mut self, closed: bool) {
-        self.closed = if closed { HashSet::from(["trent".into()]) } else { HashSet::new() };
+        self.closed = if closed {
+            HashSet::from(["trent".into()])
+        } else {
+            HashSet::new()
+        };
         self.core.close_centres(self.closed.clone());
     }
 
@@ -284,8 +294,17 @@
     /// Returns the tasks that one end as done stands for: a gang ends together.
     fn done_with(&self, task: &TaskName) -> Vec<TaskName> {
         let step = &self.bodies[&task.job].steps[task.step as usize];
-        let members = if step.gang { 0..step.count } else { task.index..task.index + 1 };
-        members.map(|index| TaskName { index, ..task.clone() }).collect()
+        let members = if step.gang {
+            0..step.count
+        } else {
+            task.index..task.index + 1
+        };
+        members
+            .map(|index| TaskName {
+                index,
+                ..task.clone()
+            })
+            .collect()
     }
 
     fn list_workers(&mut self) {
@@ -347,13 +366,19 @@
             let step = &self.bodies[&start.task.job].steps[start.task.step as usize];
             if step.gang {
                 let task = &start.task;
-                gangs.entry((task.job.clone(), task.occurrence, task.step)).or_default().push(start.run);
+                gangs
+                    .entry((task.job.clone(), task.occurrence, task.step))
+                    .or_default()
+                    .push(start.run);
             }
         }
         for ((job, _, step), runs) in gangs {
             let count = self.bodies[&job].steps[step as usize].count as usize;
             assert_eq!(runs.len(), count, "gang of {job} was started in part");
-            assert!(runs.iter().all(|run| *run == runs[0]), "gang of {job} has several runs");
+            assert!(
+                runs.iter().all(|run| *run == runs[0]),
+                "gang of {job} has several runs"
+            );
         }
     }
 
@@ -364,9 +389,14 @@
         assert!(!self.ended_jobs.contains(job), "start of the ended job {job}");
         let worker = self.workers.iter().find(|worker| worker.key == order.worker);
         let worker = worker.expect("start on a worker that has ended");
-        assert!(!self.closed.contains(&worker.report.centre), "start in a closed data centre");
+        assert!(
+            !self.closed.contains(&worker.report.centre),
+            "start in a closed data centre"
+        );
         assert!(worker.report.leaves_at.is_none(), "start on a leaving worker");
-        let lost = self.lose_start.is_some_and(|every| self.starts.is_multiple_of(every));
+        let lost = self
+            .lose_start
+            .is_some_and(|every| self.starts.is_multiple_of(every));
         let reachable = worker.reachable;
         if lost || !reachable {
             if reachable {
@@ -382,7 +412,8 @@
 
     fn answer(&mut self, order: &StartOrder, answer: StartAnswer) {
         let now = self.now;
-        self.core.apply_start_answer(&order.task, order.run, order.worker, answer, now);
+        self.core
+            .apply_start_answer(&order.task, order.run, order.worker, answer, now);
     }
 
     /// Begins a run unless the worker knows that run or a later one; checks every rule for starts.
@@ -392,7 +423,11 @@
         };
         let task = &order.task;
         let worker = &self.workers[at];
-        if worker.runs.iter().any(|run| run.task == *task && run.run == order.run) {
+        if worker
+            .runs
+            .iter()
+            .any(|run| run.task == *task && run.run == order.run)
+        {
             return true;
         }
         if worker.ended_runs.get(task).is_some_and(|run| *run >= order.run) {
@@ -429,8 +464,15 @@
         for earlier in &step.after {
             let count = self.bodies[&task.job].steps[*earlier as usize].count;
             for index in 0..count {
-                let name = TaskName { step: *earlier, index, ..task.clone() };
-                assert!(self.finished.contains(&name), "{task} started before {name} was done");
+                let name = TaskName {
+                    step: *earlier,
+                    index,
+                    ..task.clone()
+                };
+                assert!(
+                    self.finished.contains(&name),
+                    "{task} started before {name} was done"
+                );
             }
         }
         let worker = &self.workers[at];
@@ -441,13 +483,24 @@
             let same = run.task.job == task.job && run.task.step == task.step;
             siblings += usize::from(same && run.task.occurrence == task.occurrence);
         }
-        assert!(free.covers(&step.amount()), "{task} does not fit on {}", worker.report.id);
+        assert!(
+            free.covers(&step.amount()),
+            "{task} does not fit on {}",
+            worker.report.id
+        );
         let limit = step.spread_limit as usize;
-        assert!(limit == 0 || siblings < limit, "{task} exceeds the spread limit on {}", worker.report.id);
+        assert!(
+            limit == 0 || siblings < limit,
+            "{task} exceeds the spread limit on {}",
+            worker.report.id
+        );
         let label = &step.required_label;
         let labelled = worker.report.labels.iter().any(|own| own.as_ref() == label);
         assert!(label.is_empty() || labelled, "{task} needs the label {label}");
-        assert!(self.failures.get(task).copied().unwrap_or(0) < 4, "{task} has used its attempts");
+        assert!(
+            self.failures.get(task).copied().unwrap_or(0) < 4,
+            "{task} has used its attempts"
+        );
     }
 
     fn stop(&mut self, order: &StopOrder) {
@@ -460,13 +513,17 @@
             return;
         }
         let known = worker.ended_runs.entry(order.task.clone()).or_default();
-        let running = worker.runs.iter_mut().find(|run| run.task == order.task && run.run == order.run);
+        let running = worker
+            .runs
+            .iter_mut()
+            .find(|run| run.task == order.task && run.run == order.run);
         match running {
             Some(run) => run.stopping_until = run.stopping_until.or(Some(until)),
             None => *known = (*known).max(order.run),
         }
         let now = self.now;
-        self.core.apply_stop_answer(&order.task, order.run, order.worker, now);
+        self.core
+            .apply_stop_answer(&order.task, order.run, order.worker, now);
     }
 
     /// Returns the jobs that have neither ended nor were cancelled.
--- a/crates/standins/src/bin/standin.rs
+++ b/crates/standins/src/bin/standin.rs
@@ -6,8 +6,8 @@
 use std::process::ExitCode;
 use std::str::FromStr;
 
-use arbutuspick_model::{CentreName, FieldError, ServiceName, WORKER_ACCELERATORS, WorkerCapacity};
 use arbutuspick_clients::VmEntry;
+use arbutuspick_model::{CentreName, FieldError, ServiceName, WORKER_ACCELERATORS, WorkerCapacity};
 use arbutuspick_standins::{
     ControlClient, FleetOptions, PlatformControl, PlatformOptions, PlatformSettings, PlatformStandin,
     UpstreamFleet, UpstreamFleetOptions, WorkerFleet,
--- a/crates/standins/src/drive/entry_pool.rs
+++ b/crates/standins/src/drive/entry_pool.rs
@@ -1,8 +1,8 @@
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicUsize, Ordering};
 
-use arbutuspick_model::{CentreName, ClockTime};
 use arbutuspick_clients::{CallError, ProcessClock, UpstreamAnswer, UpstreamClient, UpstreamRequest};
+use arbutuspick_model::{CentreName, ClockTime};
 use bytes::Bytes;
 use hyper::header::{AUTHORIZATION, CONTENT_TYPE, HeaderName, HeaderValue};
 use hyper::{HeaderMap, Method};
--- a/crates/standins/src/drive/job_call.rs
+++ b/crates/standins/src/drive/job_call.rs
@@ -1,7 +1,7 @@
 use std::time::Duration;
 
-use arbutuspick_model::{AccountName, ClockTime};
 use arbutuspick_clients::{CallError, MemberResult, UpstreamAnswer};
+use arbutuspick_model::{AccountName, ClockTime};
 use hyper::header::HeaderName;
 use hyper::{Method, StatusCode};
 use serde_json::{Value, json};
--- a/crates/standins/src/drive/request_call.rs
+++ b/crates/standins/src/drive/request_call.rs
@@ -1,7 +1,7 @@
 use std::time::Duration;
 
-use arbutuspick_model::{AccountName, ClockTime};
 use arbutuspick_clients::{CallError, UpstreamAnswer};
+use arbutuspick_model::{AccountName, ClockTime};
 use bytes::Bytes;
 use hyper::header::HeaderName;
 use hyper::{Method, StatusCode};
--- a/crates/standins/src/drive/run_logs.rs
+++ b/crates/standins/src/drive/run_logs.rs
@@ -2,8 +2,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use arbutuspick_model::CentreName;
 use arbutuspick_clients::{ClientOptions, VmClient, VmEntry, VmRole};
+use arbutuspick_model::CentreName;
 use futures::future::join_all;
 
 use crate::control_client::ControlClient;
--- a/crates/standins/src/platform_standin.rs
+++ b/crates/standins/src/platform_standin.rs
@@ -4,8 +4,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use arbutuspick_model::PlatformTime;
 use arbutuspick_clients::{VmEntry, VmList};
+use arbutuspick_model::PlatformTime;
 use arbutuspick_records::{ReadQuery, ScanQuery, TableAnswer, TableRow, TableTransaction};
 use bytes::Bytes;
 use hyper::{Method, Response, StatusCode};
--- a/crates/standins/src/upstream_fleet.rs
+++ b/crates/standins/src/upstream_fleet.rs
@@ -1,7 +1,7 @@
 use std::io;
 
-use arbutuspick_model::{CentreName, FieldError, ServiceName, UpstreamName};
 use arbutuspick_clients::VmEntry;
+use arbutuspick_model::{CentreName, FieldError, ServiceName, UpstreamName};
 
 use crate::upstream_standin::{UpstreamOptions, UpstreamStandin};
 
--- a/crates/standins/src/upstream_standin.rs
+++ b/crates/standins/src/upstream_standin.rs
@@ -3,8 +3,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use arbutuspick_model::{CentreName, ServiceName, UpstreamName};
 use arbutuspick_clients::{VmEntry, VmRole};
+use arbutuspick_model::{CentreName, ServiceName, UpstreamName};
 use bytes::Bytes;
 use hyper::header::HeaderValue;
 use hyper::{Method, Response, StatusCode};
--- a/crates/standins/src/worker_core.rs
+++ b/crates/standins/src/worker_core.rs
@@ -1,11 +1,11 @@
 use std::collections::{BTreeMap, HashSet, VecDeque};
 use std::sync::Arc;
 
-use arbutuspick_model::{AttemptNumber, JobId, LeaseEpoch, WorkerCapacity, WorkerTime};
 use arbutuspick_clients::{
     AttemptRequest, PartState, PartStatus, PrepareRequest, RefusalBody, RenewRequest, StartRequest,
     WorkerRefusal, WorkerStatus,
 };
+use arbutuspick_model::{AttemptNumber, JobId, LeaseEpoch, WorkerCapacity, WorkerTime};
 
 use crate::task_log::TaskEnd;
 use crate::worker_part::{TaskProgress, WorkerPart};
--- a/crates/standins/src/worker_fleet.rs
+++ b/crates/standins/src/worker_fleet.rs
@@ -1,8 +1,8 @@
 use std::io;
 use std::net::SocketAddr;
 
-use arbutuspick_model::{CentreName, FieldError, RackName, WorkerCapacity, WorkerName};
 use arbutuspick_clients::VmEntry;
+use arbutuspick_model::{CentreName, FieldError, RackName, WorkerCapacity, WorkerName};
 
 use crate::checkpoint_store::CheckpointStore;
 use crate::worker_standin::{WorkerOptions, WorkerStandin};
--- a/crates/standins/src/worker_part.rs
+++ b/crates/standins/src/worker_part.rs
@@ -1,7 +1,7 @@
 use std::sync::Arc;
 
-use arbutuspick_model::WorkerTime;
 use arbutuspick_clients::{MemberPart, MemberResult, PartState, PrepareRequest};
+use arbutuspick_model::WorkerTime;
 use serde::{Deserialize, Serialize};
 
 use crate::task_log::TaskEnd;
--- a/crates/standins/src/worker_standin.rs
+++ b/crates/standins/src/worker_standin.rs
@@ -3,10 +3,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use arbutuspick_model::{CentreName, RackName, WorkerCapacity, WorkerName, WorkerTime};
 use arbutuspick_clients::{
     AttemptRequest, EpochRequest, PrepareRequest, RefusalBody, VmEntry, VmRole, WorkerRefusal, WorkerStatus,
 };
+use arbutuspick_model::{CentreName, RackName, WorkerCapacity, WorkerName, WorkerTime};
 use hyper::{Method, StatusCode};
 use parking_lot::Mutex;
 use tokio::time::sleep;
--- a/crates/standins/tests/capacity.rs
+++ b/crates/standins/tests/capacity.rs
@@ -2,8 +2,8 @@
 
 mod support;
 
-use arbutuspick_model::JobId;
 use arbutuspick_clients::{MemberPart, PrepareRequest, WorkerRefusal};
+use arbutuspick_model::JobId;
 use support::WorkerCase;
 use yare::parameterized;
 
--- a/crates/standins/tests/checkpoints.rs
+++ b/crates/standins/tests/checkpoints.rs
@@ -2,8 +2,8 @@
 
 mod support;
 
-use arbutuspick_model::AttemptNumber;
 use arbutuspick_clients::{CallError, PartState};
+use arbutuspick_model::AttemptNumber;
 use arbutuspick_standins::{PlatformControl, PlatformOptions, PlatformStandin};
 use support::{TIMEOUT, WorkerCase, advance, finished, worker_options};
 
--- a/crates/standins/tests/fencing.rs
+++ b/crates/standins/tests/fencing.rs
@@ -2,8 +2,8 @@
 
 mod support;
 
-use arbutuspick_model::{LeaseEpoch, WorkerTime};
 use arbutuspick_clients::{PartState, WorkerRefusal};
+use arbutuspick_model::{LeaseEpoch, WorkerTime};
 use support::{WorkerCase, advance, finished, only_state};
 
 #[tokio::test]
--- a/crates/standins/tests/naive_entry/mod.rs
+++ b/crates/standins/tests/naive_entry/mod.rs
@@ -5,11 +5,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use arbutuspick_model::{AttemptNumber, JobId, LeaseEpoch, WorkerTime};
 use arbutuspick_clients::{
     AttemptRequest, EpochRequest, MemberPart, MemberResult, PartState, PrepareRequest, ProcessClock,
     RenewRequest, StartRequest, UpstreamClient, UpstreamRequest, WorkerClient,
 };
+use arbutuspick_model::{AttemptNumber, JobId, LeaseEpoch, WorkerTime};
 use axum::body::Bytes;
 use axum::extract::{Path, State};
 use axum::http::{HeaderMap, HeaderValue, Method, StatusCode};
--- a/crates/standins/tests/platform_calls.rs
+++ b/crates/standins/tests/platform_calls.rs
@@ -4,10 +4,10 @@
 
 use std::time::Duration;
 
-use arbutuspick_model::{CentreName, WriteId};
 use arbutuspick_clients::{
     CallError, CallPriority, ClientOptions, ObjectClient, TableClient, VmClient, VmEntry, VmRole,
 };
+use arbutuspick_model::{CentreName, WriteId};
 use arbutuspick_records::{CommitResult, RowVersion, ScanQuery, TableTransaction};
 use arbutuspick_standins::{LateWrites, PlatformControl, PlatformOptions, PlatformStandin, VmKey};
 use support::{HeldTime, advance};
--- a/crates/standins/tests/support/mod.rs
+++ b/crates/standins/tests/support/mod.rs
@@ -4,11 +4,11 @@
 use std::sync::{Arc, mpsc};
 use std::time::Duration;
 
-use arbutuspick_model::{AttemptNumber, CentreName, JobId, LeaseEpoch, RackName, WorkerName, WorkerTime};
 use arbutuspick_clients::{
     AttemptRequest, EpochRequest, MemberPart, PartState, PrepareRequest, RenewRequest, StartRequest,
     WorkerClient, WorkerRefusal, WorkerStatus,
 };
+use arbutuspick_model::{AttemptNumber, CentreName, JobId, LeaseEpoch, RackName, WorkerName, WorkerTime};
 use arbutuspick_standins::{WorkerOptions, WorkerStandin};
 
 pub(crate) const TIMEOUT: Duration = Duration::from_secs(3600);
--- a/crates/standins/tests/upstreams.rs
+++ b/crates/standins/tests/upstreams.rs
@@ -4,8 +4,8 @@
 
 use std::net::SocketAddr;
 
-use arbutuspick_model::{CentreName, ServiceName, UpstreamName};
 use arbutuspick_clients::{CallError, ProcessClock, UpstreamAnswer, UpstreamClient, UpstreamRequest};
+use arbutuspick_model::{CentreName, ServiceName, UpstreamName};
 use arbutuspick_standins::{
     ControlClient, RequestLog, UpstreamControl, UpstreamFaults, UpstreamOptions, UpstreamResult,
     UpstreamStandin,
--- a/crates/standins/tests/worker_faults.rs
+++ b/crates/standins/tests/worker_faults.rs
@@ -2,8 +2,8 @@
 
 mod support;
 
-use arbutuspick_model::LeaseEpoch;
 use arbutuspick_clients::{CallError, PartState, WorkerRefusal};
+use arbutuspick_model::LeaseEpoch;
 use arbutuspick_standins::{TaskEnd, WorkerControl};
 use support::{WorkerCase, advance, only_state};
 
