Look at the seat every half second

As all look at different times, one of them finds a free seat soon after its timeout whatever its own period is.

--- a/crates/dispatch/src/seat_run.rs
+++ b/crates/dispatch/src/seat_run.rs
@@ -15,8 +15,9 @@
 use crate::worker_link::WorkerLink;
 use crate::{BootClock, PolicyBoard, SeatDecision, SeatWatch};
 
-/// Time between looks at the seat, in milliseconds; a free seat is found within it.
-const WATCH_MS: u64 = 200;
+/// Time between looks at the seat, in milliseconds. The third look after the last change finds the seat free; as all
+/// processes look at different times, one of them does so soon after the timeout of the seat.
+const WATCH_MS: u64 = 500;
 /// Random part of that time, in milliseconds, so that processes do not race for the seat.
 const WATCH_JITTER_MS: u64 = 80;
 /// A look at the seat is given up after this time, in milliseconds.
--- a/crates/dispatch/src/seat_watch.rs
+++ b/crates/dispatch/src/seat_watch.rs
@@ -3,7 +3,7 @@
 /// A seat whose row has not changed for this long is free, in milliseconds; the holder stops ordering earlier.
 const SEAT_TIMEOUT_MS: u64 = 1_000;
 /// After a longer gap between answers of the store the wait starts anew: the holder may have been cut off too.
-const OBSERVATION_GAP_MS: u64 = 800;
+const OBSERVATION_GAP_MS: u64 = 1_200;
 
 /// What a process that does not hold the seat should do.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
