Notice the return of the store within half a second

While the store is away, short calls ask for it. dispatch/tests/config_age.rs failed before (8,296 ms).

--- a/crates/dispatch/src/policy_board.rs
+++ b/crates/dispatch/src/policy_board.rs
@@ -13,8 +13,10 @@
 const FOLLOW_WAIT_MS: u64 = 1_000;
 /// A call that follows the configuration is given up this long after its wait, in milliseconds.
 const FOLLOW_SLACK_MS: u64 = 900;
+/// A call is given up after this time while the store is away, in milliseconds, so that its return is noticed soon.
+const PROBE_MS: u64 = 500;
 /// Pause after a failed call, in milliseconds.
-const RETRY_MS: u64 = 250;
+const RETRY_MS: u64 = 200;
 
 /// The configuration and what operators ordered.
 #[derive(Clone, Debug, Default)]
@@ -125,7 +127,7 @@
     let mut version = None;
     let mut connected = true;
     loop {
-        let answer = follow_once(&store, &board, table, &decode, version).await;
+        let answer = follow_once(&store, &board, table, &decode, version, connected).await;
         match answer {
             Ok(next) => {
                 if !connected {
@@ -155,6 +157,7 @@
     table: &'static str,
     decode: &D,
     version: Option<u64>,
+    connected: bool,
 ) -> Result<Option<u64>, StoreError>
 where
     S: RowStore,
@@ -167,8 +170,12 @@
         board.confirm(sent_at);
         return Ok(Some(version));
     };
-    let deadline = sent_at + FOLLOW_WAIT_MS + FOLLOW_SLACK_MS;
-    match store.follow(table, after, FOLLOW_WAIT_MS, deadline).await? {
+    let (wait_ms, limit_ms) = if connected {
+        (FOLLOW_WAIT_MS, FOLLOW_WAIT_MS + FOLLOW_SLACK_MS)
+    } else {
+        (0, PROBE_MS)
+    };
+    match store.follow(table, after, wait_ms, sent_at + limit_ms).await? {
         RowFollow::Changes { rows, version } => {
             if !rows.is_empty() {
                 board.apply(decode(&rows), false);
