--- a/crates/dispatch/tests/config_age.rs
+++ b/crates/dispatch/tests/config_age.rs
@@ -13,7 +13,9 @@
 async fn store_returns() {
     let store = store_with(0);
     let board = Arc::new(PolicyBoard::new(BootClock::of_runtime()));
-    let follow = follow_policy(store.for_process(1), board.clone(), CONFIG_TABLE, |_| PolicyRows::default());
+    let follow = follow_policy(store.for_process(1), board.clone(), CONFIG_TABLE, |_| {
+        PolicyRows::default()
+    });
     tokio::spawn(follow);
     pass(1_500).await;
     assert!(board.age_ms() < 2_200);
@@ -22,5 +24,9 @@
     assert!(board.age_ms() >= 6_000, "confirmed without an answer");
     store.set_mood(1, StoreMood::Fine);
     pass(800).await;
-    assert!(board.age_ms() < 800, "the return of the store was not noticed: {} ms", board.age_ms());
+    assert!(
+        board.age_ms() < 800,
+        "the return of the store was not noticed: {} ms",
+        board.age_ms()
+    );
 }
--- a/crates/pool/src/listing_apply.rs
+++ b/crates/pool/src/listing_apply.rs
@@ -172,7 +172,7 @@
             view.occupants.remove(&(name.clone(), end.run));
             match end.kind {
                 EndKind::Done => view.health.note_success(),
-                EndKind::Failed => view.note_failure(now),
+                EndKind::Failed => view.note_failure(&name.job, now),
                 _ => {}
             }
         }
--- a/crates/pool/src/place_choice.rs
+++ b/crates/pool/src/place_choice.rs
@@ -7,6 +7,9 @@
 use crate::victim_choice::{VictimPlan, VictimUnit, choose_victims};
 use crate::waiting_unit::WaitingUnit;
 
+/// One in this many workers is kept whole for urgent work and gangs while others have room.
+const KEPT_WHOLE_PART: usize = 8;
+
 /// Where the tasks of a unit go.
 pub(crate) struct RowChoice {
     pub(crate) rows: Vec<usize>,
@@ -20,19 +23,22 @@
     avoid: Option<WorkerKey>,
     pool_busy: bool,
 ) -> Option<(usize, bool)> {
-    let near = |row: &RoomRow| unit.need.is_near(row) && avoid != Some(row.worker);
+    let whole = rows.iter().filter(|row| row.is_empty()).count();
+    let spares = unit.spares_whole_workers() && whole * KEPT_WHOLE_PART <= rows.len();
+    let open = |row: &RoomRow| !(spares && row.is_empty());
+    let near = |row: &RoomRow| unit.need.is_near(row) && avoid != Some(row.worker) && open(row);
     if let Some(row) = best_row(rows, &unit.need, counts, near) {
         return Some((row, false));
     }
     if unit.need.data_rack.is_some() && unit.may_go_remote(pool_busy) {
-        let other = |row: &RoomRow| avoid != Some(row.worker);
+        let other = |row: &RoomRow| avoid != Some(row.worker) && open(row);
         if let Some(row) = best_row(rows, &unit.need, counts, other) {
             return Some((row, true));
         }
     }
     // Nothing else fits: the worker that failed the task before is better than none.
     let again = best_row(rows, &unit.need, counts, |row| {
-        unit.need.is_near(row) && !row.doubtful
+        unit.need.is_near(row) && (!row.doubtful || unit.takes_doubtful()) && open(row)
     });
     again.map(|row| (row, false))
 }
--- a/crates/pool/src/room_search.rs
+++ b/crates/pool/src/room_search.rs
@@ -21,6 +21,13 @@
     pub(crate) doubtful: bool,
 }
 
+impl RoomRow {
+    /// Returns whether nothing runs on the worker.
+    pub(crate) fn is_empty(&self) -> bool {
+        self.free == self.capacity
+    }
+}
+
 /// What a task asks of a worker.
 #[derive(Clone, Debug)]
 pub(crate) struct TaskNeed {
--- a/crates/pool/src/waiting_unit.rs
+++ b/crates/pool/src/waiting_unit.rs
@@ -12,6 +12,12 @@
 use crate::room_search::TaskNeed;
 use crate::unit_order::{Lateness, UnitRank, UnitTiming, unit_rank};
 
+/// A task returns to a doubtful worker where it failed only after this wait, in milliseconds.
+const DOUBTFUL_WAIT_MS: u64 = 600;
+/// Priorities from here on come last.
+const LOWEST_PRIORITY: u32 = 2;
+/// Work that comes last leaves the last whole workers to others for this long, in milliseconds.
+const SPARING_MS: u64 = 4_000;
 /// With less than half of the pool in use, work goes to remote workers after this wait, in milliseconds.
 const REMOTE_IDLE_WAIT_MS: u64 = 1_000;
 
@@ -43,6 +49,17 @@
         }
     }
 
+    /// Returns whether a worker on which a run went wrong is better than waiting on.
+    pub(crate) fn takes_doubtful(&self) -> bool {
+        self.waited_ms > DOUBTFUL_WAIT_MS
+    }
+
+    /// Returns whether the unit leaves the last whole workers to others: it comes last and has time.
+    pub(crate) fn spares_whole_workers(&self) -> bool {
+        let patient = self.rank.lateness == Lateness::OnTime && self.waited_ms < SPARING_MS;
+        self.rank.priority >= LOWEST_PRIORITY && patient
+    }
+
     /// Returns what is lost if the unit starts after its last time instead of soon.
     pub(crate) fn gain(&self) -> u64 {
         let later = match self.rank.lateness {
--- a/crates/pool/src/worker_health.rs
+++ b/crates/pool/src/worker_health.rs
@@ -1,6 +1,8 @@
+use std::sync::Arc;
+
 use arbutuspick_model::ClockTime;
 
-/// Failed runs of different tasks in a row after which a worker gets no work for a while.
+/// Failed runs of different jobs in a row after which a worker gets no work for a while.
 const FAILURES_TO_AVOID: u32 = 2;
 /// First pause of a worker that fails what it starts, in milliseconds; doubles up to the longest.
 const FIRST_PAUSE_MS: u64 = 5_000;
@@ -15,6 +17,8 @@
 #[derive(Clone, Debug, Default)]
 pub(crate) struct WorkerHealth {
     failures_in_row: u32,
+    /// Job whose run failed last; several failures of one job say more about the job.
+    failed_job: Option<Arc<str>>,
     pauses: u32,
     paused_until: ClockTime,
     slow_until: ClockTime,
@@ -25,11 +29,16 @@
     /// Notes a run that ended as done.
     pub(crate) fn note_success(&mut self) {
         self.failures_in_row = 0;
+        self.failed_job = None;
         self.pauses = 0;
     }
 
-    /// Notes a run that failed; returns whether the worker is paused now.
-    pub(crate) fn note_failure(&mut self, now: ClockTime) -> bool {
+    /// Notes a run of a job that failed; returns whether the worker is paused now.
+    pub(crate) fn note_failure(&mut self, job: &Arc<str>, now: ClockTime) -> bool {
+        if self.failed_job.as_ref() == Some(job) {
+            return false;
+        }
+        self.failed_job = Some(job.clone());
         self.failures_in_row += 1;
         if self.failures_in_row < FAILURES_TO_AVOID {
             return false;
--- a/crates/pool/src/worker_view.rs
+++ b/crates/pool/src/worker_view.rs
@@ -95,8 +95,8 @@
     }
 
     /// Notes a failed run; after several the worker gets no work for a while.
-    pub(crate) fn note_failure(&mut self, now: ClockTime) {
-        if self.health.note_failure(now) {
+    pub(crate) fn note_failure(&mut self, job: &Arc<str>, now: ClockTime) {
+        if self.health.note_failure(job, now) {
             log::warn!("[worker] id={} paused cause=failures", self.report.id);
         }
     }
