--- a/crates/dispatch/src/job_gate.rs
+++ b/crates/dispatch/src/job_gate.rs
@@ -17,6 +17,8 @@
     pub attempt_ms: u64,
     /// Pause before a repetition, in milliseconds.
     pub retry_ms: u64,
+    /// Calls without an answer after which the caller is told, because another VM may reach the store.
+    pub silences: u32,
     /// Refusals of the store in a row after which a request is turned away instead of repeated.
     pub refusals: u32,
 }
@@ -26,6 +28,7 @@
         Self {
             attempt_ms: 700,
             retry_ms: 60,
+            silences: 2,
             refusals: 2,
         }
     }
@@ -100,12 +103,12 @@
     /// The write happens only if the job has no record, so repeating it after a lost answer stores it once.
     pub async fn submit(&self, id: &str, body: &JobBody, deadline: ClockTime) -> SubmitOutcome {
         let change = submission(id, body);
-        let mut unclear = false;
+        let mut silences = 0;
         let mut refusals = 0;
         loop {
             let now = self.clock.now();
-            if now >= deadline {
-                return if unclear {
+            if now >= deadline || silences >= self.options.silences {
+                return if silences > 0 {
                     SubmitOutcome::Unclear
                 } else {
                     SubmitOutcome::NotStored
@@ -117,11 +120,11 @@
                 Ok(TransactOutcome::Conflict { rows }) => return repeated_submission(&rows, body.body_hash),
                 Err(StoreError::Unclear { message }) => {
                     log::warn!("[submit] job={id} store=unclear error={message}");
-                    unclear = true;
+                    silences += 1;
                 }
                 Err(StoreError::NotDone { message }) => {
                     refusals += 1;
-                    if !unclear && refusals >= self.options.refusals {
+                    if silences == 0 && refusals >= self.options.refusals {
                         log::warn!("[submit] job={id} store=refused error={message}");
                         return SubmitOutcome::NotStored;
                     }
@@ -133,9 +136,10 @@
 
     /// Reads where a job stands.
     pub async fn status(&self, id: &str, deadline: ClockTime) -> StatusOutcome {
+        let mut failures = 0;
         loop {
             let now = self.clock.now();
-            if now >= deadline {
+            if now >= deadline || failures >= self.options.silences {
                 return StatusOutcome::Unavailable;
             }
             let attempt_end = deadline.min(now + self.options.attempt_ms);
@@ -143,6 +147,7 @@
                 Ok(page) => return status_of(id, page.rows.first()),
                 Err(error) => log::debug!("[status] job={id} error={error}"),
             }
+            failures += 1;
             self.pause(deadline).await;
         }
     }
@@ -168,9 +173,10 @@
                 value: Some(Bytes::from_static(b"1")),
             }],
         };
+        let mut failures = 0;
         loop {
             let now = self.clock.now();
-            if now >= deadline {
+            if now >= deadline || failures >= self.options.silences {
                 return CancelOutcome::Unavailable;
             }
             let attempt_end = deadline.min(now + self.options.attempt_ms);
@@ -181,6 +187,7 @@
                 }
                 Err(error) => log::warn!("[cancel] job={id} error={error}"),
             }
+            failures += 1;
             self.pause(deadline).await;
         }
     }
--- a/crates/dispatch/tests/lost_answers.rs
+++ b/crates/dispatch/tests/lost_answers.rs
@@ -2,7 +2,7 @@
 
 mod support;
 
-use arbutuspick_dispatch::SubmitOutcome;
+use arbutuspick_dispatch::{StatusOutcome, SubmitOutcome};
 use support::{FakeFleet, StoreMood, TestProcess, deadline, final_stage, job, pass, store_with};
 
 const ID: &str = "00000000000000aa";
@@ -36,6 +36,28 @@
     assert_eq!(final_stage(&process, ID, 8_000).await, "completed");
 }
 
+/// Guards against callers that are held until their deadline while another VM could serve them.
+#[tokio::test(start_paused = true)]
+async fn silent_store() {
+    let (store, fleet) = (store_with(2), FakeFleet::new(1_000));
+    let process = TestProcess::start(1, &store, &fleet);
+    pass(500).await;
+    store.set_mood(1, StoreMood::Silent);
+    let asked_at = deadline(0);
+    assert_eq!(
+        process.gate.status(ID, deadline(2_750)).await,
+        StatusOutcome::Unavailable
+    );
+    assert!(deadline(0).millis_since(asked_at) < 1_700, "the status was held");
+    let asked_at = deadline(0);
+    let outcome = process.gate.submit(ID, &job(2), deadline(2_750)).await;
+    assert_eq!(outcome, SubmitOutcome::Unclear);
+    assert!(
+        deadline(0).millis_since(asked_at) < 1_700,
+        "the submission was held"
+    );
+}
+
 /// Guards against waiting for a store that refuses, and against a job that runs after its refusal.
 #[tokio::test(start_paused = true)]
 async fn refused_submission() {
