--- a/crates/dispatch/src/seat_run.rs
+++ b/crates/dispatch/src/seat_run.rs
@@ -32,6 +32,8 @@
     pub process: u64,
     /// Table in which workers register.
     pub worker_table: &'static str,
+    /// How long this VM leaves a free seat to others, in milliseconds.
+    pub seat_handicap_ms: u64,
     /// Figures for scheduling.
     pub core: CoreOptions,
 }
@@ -73,7 +75,7 @@
     L: WorkerLink,
     W: Fn(&[RowEntry], ClockTime) -> Vec<WorkerReport> + Send + Sync + 'static,
 {
-    let mut watch = SeatWatch::default();
+    let mut watch = SeatWatch::with_handicap(context.options.seat_handicap_ms);
     let mut connected = true;
     loop {
         if context.stopping.is_cancelled() {
@@ -87,7 +89,7 @@
                 if run.run().await == HolderEnd::Released {
                     return;
                 }
-                watch = SeatWatch::default();
+                watch = SeatWatch::with_handicap(context.options.seat_handicap_ms);
             }
             Ok(None) => {
                 if !connected {
--- a/crates/dispatch/src/seat_watch.rs
+++ b/crates/dispatch/src/seat_watch.rs
@@ -28,9 +28,23 @@
     version: Option<u64>,
     changed_at: ClockTime,
     answered_at: ClockTime,
+    /// Since when the seat has been free.
+    free_since: Option<ClockTime>,
+    handicap_ms: u64,
 }
 
 impl SeatWatch {
+    /// Returns a watch that leaves a free seat to others for `handicap_ms` first, as a weak VM should.
+    ///
+    /// Load pattern: a large pool whose holder needs a whole small VM's processor and link. A VM that is too weak
+    /// for it takes the seat only when no stronger one does.
+    pub fn with_handicap(handicap_ms: u64) -> Self {
+        Self {
+            handicap_ms,
+            ..Self::default()
+        }
+    }
+
     /// Judges an answer of the store: the version of the row, 0 for none, and whether the seat was given up.
     pub fn observe(&mut self, version: u64, released: bool, now: ClockTime) -> SeatDecision {
         let gap = now.millis_since(self.answered_at) > OBSERVATION_GAP_MS;
@@ -40,10 +54,14 @@
         }
         self.answered_at = now;
         let free = version == 0 || released || now.millis_since(self.changed_at) >= SEAT_TIMEOUT_MS;
-        if free {
-            SeatDecision::Take
-        } else {
-            SeatDecision::Wait
+        if !free {
+            self.free_since = None;
+            return SeatDecision::Wait;
+        }
+        let since = *self.free_since.get_or_insert(now);
+        if now.millis_since(since) < self.handicap_ms {
+            return SeatDecision::Wait;
         }
+        SeatDecision::Take
     }
 }
--- a/crates/dispatch/tests/seat_change.rs
+++ b/crates/dispatch/tests/seat_change.rs
@@ -115,6 +115,17 @@
     assert_eq!(fleet.began().len(), 2, "started before the leases had run out");
 }
 
+/// Guards against a weak VM that takes the seat of a large pool while stronger ones look for it too.
+#[test]
+fn weak_vm() {
+    let mut weak = SeatWatch::with_handicap(800);
+    assert_eq!(weak.observe(0, false, ClockTime(1_000)), SeatDecision::Wait);
+    assert_eq!(weak.observe(0, false, ClockTime(1_500)), SeatDecision::Wait);
+    assert_eq!(weak.observe(0, false, ClockTime(2_000)), SeatDecision::Take);
+    assert_eq!(weak.observe(9, false, ClockTime(2_500)), SeatDecision::Wait);
+    assert_eq!(weak.observe(9, true, ClockTime(3_000)), SeatDecision::Wait);
+}
+
 /// Guards against taking the seat of a holder that was cut off together with the observer.
 #[test]
 fn observer_gap() {
--- a/crates/dispatch/tests/support/mod.rs
+++ b/crates/dispatch/tests/support/mod.rs
@@ -556,6 +556,7 @@
                 vm: format!("vm-{number}").into(),
                 process: 1_000 + number as u64,
                 worker_table: WORKER_TABLE,
+                seat_handicap_ms: 0,
                 core: CoreOptions::default(),
             },
         });
