Stop awaited runs that do not end in time for a guarantee

Cause: a guarantee that waits for runs about to end kept their room for 2 s and then planned anew, although one of them had not ended. The claim now names the runs it waits for and stops those that are still there 200 ms after their expected end, for work inside a guarantee only. Test: load_patterns overdue_end, 0 of 1 running before, 1 of 1 after.

--- a/crates/pool/src/room_claim.rs
+++ b/crates/pool/src/room_claim.rs
@@ -5,7 +5,18 @@
 use crate::pool_core::{JobKey, PoolCore};
 use crate::room_search::RoomRow;
 use crate::waiting_unit::WaitingUnit;
-use crate::{ResourceAmount, WorkerKey};
+use crate::{ResourceAmount, StopReason, TaskName, WorkerKey};
+
+/// Room that is being made by stopping runs is kept for this long, in milliseconds; a stop takes up to 900.
+pub(crate) const CLAIM_MS: u64 = 2_000;
+
+/// A run that should end by itself, so that its room was not cleared by a stop.
+#[derive(Clone, Debug)]
+pub(crate) struct AwaitedRun {
+    pub(crate) job: JobKey,
+    pub(crate) task: TaskName,
+    pub(crate) run: u32,
+}
 
 /// Room kept for work whose place is being cleared.
 #[derive(Clone, Debug)]
@@ -16,16 +27,22 @@
     pub(crate) workers: Vec<WorkerKey>,
     pub(crate) remote: bool,
     pub(crate) until: ClockTime,
+    pub(crate) awaited: Vec<AwaitedRun>,
+    /// By this time the awaited runs should have ended.
+    pub(crate) awaited_until: ClockTime,
 }
 
 impl PoolCore {
     /// Starts units whose cleared room is free, and keeps room for those that still wait for it.
     pub(crate) fn serve_claims(&mut self, units: &mut [WaitingUnit], rows: &mut [RoomRow], now: ClockTime) {
-        for claim in std::mem::take(&mut self.claims) {
+        for mut claim in std::mem::take(&mut self.claims) {
             let unit = units.iter_mut().find(|unit| {
                 unit.key == claim.job && unit.occurrence == claim.occurrence && unit.step == claim.step
             });
             let Some(unit) = unit else { continue };
+            if unit.rank.inside_guarantee() && now > claim.awaited_until {
+                self.stop_overdue(&mut claim, now);
+            }
             let places: Vec<usize> = claim
                 .workers
                 .iter()
@@ -42,6 +59,33 @@
         }
     }
 
+    /// Stops awaited runs that did not end in time; a guarantee has to be honoured within a bound.
+    fn stop_overdue(&mut self, claim: &mut RoomClaim, now: ClockTime) {
+        let mut stopped = 0;
+        for awaited in std::mem::take(&mut claim.awaited) {
+            let Some(task) = self
+                .jobs
+                .get_mut(awaited.job)
+                .and_then(|job| job.task_mut(&awaited.task))
+            else {
+                continue;
+            };
+            if task.run == awaited.run && task.place.is_some() {
+                task.preemptions += 1;
+                stopped += 1;
+                self.stop_task(awaited.job, &awaited.task, StopReason::Preempted, now);
+            }
+        }
+        if stopped > 0 {
+            claim.until = now + CLAIM_MS;
+            log::info!(
+                "[preempt] job={} step={} stopped={stopped} cause=awaited runs did not end",
+                self.jobs[claim.job].id,
+                claim.step
+            );
+        }
+    }
+
     pub(crate) fn serve_gang_claim(
         &mut self,
         claim: RoomClaim,
--- a/crates/pool/src/room_making.rs
+++ b/crates/pool/src/room_making.rs
@@ -12,7 +12,7 @@
 use crate::job_worth::{JobWorth, waste};
 use crate::place_choice::choose_scope;
 use crate::pool_core::{JobKey, PoolCore};
-use crate::room_claim::RoomClaim;
+use crate::room_claim::{AwaitedRun, CLAIM_MS, RoomClaim};
 use crate::room_search::RoomRow;
 use crate::run_rates::remaining_run_ms;
 use crate::unit_order::{Lateness, UnitTiming};
@@ -20,12 +20,13 @@
 use crate::waiting_unit::{WaitingUnit, job_worth, remaining_ms};
 use crate::{StopReason, TaskName, WorkerKey};
 
-/// Room that is being made by stopping runs is kept for this long, in milliseconds; a stop takes up to 900.
-const CLAIM_MS: u64 = 2_000;
 /// Work stops others only when it must start within this time, in milliseconds; a stop takes up to 900.
 const LAST_CALL_MS: u64 = 1_600;
 /// Room that becomes free by itself is waited for at most this long, in milliseconds.
 const LONGEST_WAIT_MS: u64 = 600;
+/// An awaited run counts as overdue this long after its expected end, in milliseconds: progress comes in whole
+/// percents and an end is listed a little later.
+const OVERDUE_MS: u64 = 200;
 /// Each earlier preemption makes stopping a run this many times dearer.
 const REPEAT_COST_FACTOR: u64 = 2;
 /// A run that saves its progress loses at most this much work, in milliseconds.
@@ -67,12 +68,10 @@
         if !unit.rank.inside_guarantee() && plan.cost > unit.gain() {
             return;
         }
-        let stopped: Vec<usize> = plan
+        let (awaited, stopped): (Vec<usize>, Vec<usize>) = plan
             .stopped
             .iter()
-            .copied()
-            .filter(|number| !victims[*number].ends_soon)
-            .collect();
+            .partition(|number| victims[**number].ends_soon);
         log::info!(
             "[preempt] job={} step={} tasks={left} stopped={} loss={} gain={} inside_guarantee={}",
             self.jobs[unit.key].id,
@@ -93,7 +92,13 @@
         for row in &plan.rows {
             rows[*row].free -= unit.need.amount;
         }
+        let awaited = awaited.iter().flat_map(|number| &names[*number]);
+        let awaited = awaited
+            .filter_map(|(job, task)| self.awaited_run(*job, task))
+            .collect();
         self.claims.push(RoomClaim {
+            awaited,
+            awaited_until: now + wait_ms + OVERDUE_MS,
             job: unit.key,
             occurrence: unit.occurrence,
             step: unit.step,
@@ -103,6 +108,18 @@
         });
     }
 
+    /// Returns the present run of a task, if nobody has ordered it to stop.
+    fn awaited_run(&self, job: JobKey, task: &TaskName) -> Option<AwaitedRun> {
+        let occurrence = self.jobs.get(job)?.occurrences.get(&task.occurrence)?;
+        let state = &occurrence.steps[task.step as usize].tasks[task.index as usize];
+        let running = state.place?.stage != PlaceStage::Stopping;
+        running.then(|| AwaitedRun {
+            job,
+            task: task.clone(),
+            run: state.run,
+        })
+    }
+
     /// Lists the runs that the unit may displace, gangs as one.
     pub(crate) fn victim_units(
         &self,
--- a/crates/pool/tests/load_patterns.rs
+++ b/crates/pool/tests/load_patterns.rs
@@ -219,3 +219,29 @@
     let runs: HashSet<u32> = pool.starts.iter().rev().take(3).map(|start| start.run).collect();
     assert_eq!(runs, HashSet::from([2]), "the gang did not start anew as a whole");
 }
+
+/// Return for a guarantee while a run is about to end: guards against waiting for an end that does not come.
+#[test]
+fn overdue_end() {
+    let mut pool = TestPool::new(1);
+    pool.submit("bulk", body("bulk", "south", vec![step(1, 8)]));
+    pool.step();
+    let worker = pool.workers[0];
+    let list = |pool: &mut TestPool, percent| {
+        pool.pass(100);
+        let listing = pool.listing(worker, percent);
+        let now = pool.now;
+        pool.core.apply_listing(worker, &listing, now);
+        pool.step();
+    };
+    for tick in 0..19 {
+        list(&mut pool, tick * 5);
+    }
+    pool.submit("now", body("urgent", "north", vec![step(1, 8)]));
+    pool.step();
+    assert!(pool.stops.is_empty(), "a run about to end was stopped");
+    for _ in 0..12 {
+        list(&mut pool, 95);
+    }
+    assert_eq!(pool.running("now"), 1, "waited for a run that does not end");
+}
