Judge runs from their start, and leave slow workers out

Cause: a run was judged only 1.2 s after it was first listed, and a run that showed nothing only after 2.2 s, so an urgent gang with a member on a slow or standing worker was late before it was moved. A worker proven slow stayed in use for other work. Now a run is judged from its start (a gang from the moment when its last member is present), by the least time that its percent allows, and a gang is stopped as a whole, since the first member that ends breaks it. The recorded time of a finished run was wrong when an earlier holder had started it; such times are no longer kept. A stop that overruns its bound is no longer waited for as room that comes free by itself. Planned preemptions log their workers. Test: load_patterns standing_member: no stop after 600 ms before.

--- a/crates/pool/src/job_run.rs
+++ b/crates/pool/src/job_run.rs
@@ -33,9 +33,11 @@
 /// How much work a run has shown.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct RunProgress {
-    /// When the run was first seen at work.
+    /// The work before this run's start is not known: it resumed, or an earlier placement holder started it.
+    pub(crate) resumed: bool,
+    /// When the run began to work, or was first seen if it resumed.
     pub(crate) began_at: Option<ClockTime>,
-    /// Percent when it was first seen.
+    /// Percent at that time.
     pub(crate) first_percent: u32,
     pub(crate) percent: u32,
     /// When the percent last rose.
@@ -44,6 +46,28 @@
     pub(crate) seen_at: ClockTime,
 }
 
+impl RunProgress {
+    /// Notes a reported percent; `work_start` is when the run began to work, if it has.
+    pub(crate) fn note(&mut self, percent: u32, work_start: Option<ClockTime>, now: ClockTime) {
+        if self.began_at.is_none() {
+            let (began_at, first_percent) = match work_start {
+                _ if self.resumed => (now, percent),
+                Some(start) => (start, 0),
+                None => return,
+            };
+            self.began_at = Some(began_at);
+            self.first_percent = first_percent;
+            self.percent = first_percent;
+            self.rose_at = began_at;
+        }
+        if percent > self.percent {
+            self.percent = percent;
+            self.rose_at = now;
+        }
+        self.seen_at = now;
+    }
+}
+
 /// One task.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct TaskRun {
@@ -109,6 +133,23 @@
         self.steps.iter().all(StepRun::is_done)
     }
 
+    /// Returns when the run of a task began to work: members of a gang begin when all of them are present.
+    pub(crate) fn work_start(&self, step: usize, index: usize, gang: bool) -> Option<ClockTime> {
+        let tasks = &self.steps.get(step)?.tasks;
+        let running_since = |task: &TaskRun| {
+            let place = task.place?;
+            (place.stage == PlaceStage::Running).then_some(place.since)
+        };
+        if !gang {
+            return running_since(tasks.get(index)?);
+        }
+        let mut latest = ClockTime::default();
+        for task in tasks {
+            latest = latest.max(running_since(task)?);
+        }
+        Some(latest)
+    }
+
     /// Returns whether every step that must come first is done.
     pub(crate) fn may_run(&self, step: &StepBody) -> bool {
         let mut earlier = step.after.iter().map(|number| self.steps.get(*number as usize));
--- a/crates/pool/src/listing_apply.rs
+++ b/crates/pool/src/listing_apply.rs
@@ -5,7 +5,7 @@
 use arbutuspick_model::ClockTime;
 
 use crate::WorkerListing;
-use crate::job_run::{PlaceStage, RunProgress};
+use crate::job_run::PlaceStage;
 use crate::pool_core::{JobKey, PoolCore};
 use crate::worker_view::Occupant;
 use crate::{
@@ -91,7 +91,6 @@
         if !status.checkpoint.is_empty() {
             task.checkpoint = status.checkpoint.clone();
         }
-        note_progress(&mut task.progress, status.percent, now);
         let Some(place) = &mut task.place else { return };
         if matches!(place.stage, PlaceStage::Starting | PlaceStage::Unclear) {
             place.stage = PlaceStage::Running;
@@ -99,6 +98,7 @@
         }
         let stopping = place.stage == PlaceStage::Stopping;
         let checkpoint = task.checkpoint.clone();
+        self.note_progress(key, name, status.percent, now);
         if let Some(view) = self.workers.get_mut(worker)
             && let Some(occupant) = view.occupants.get_mut(&(name.clone(), status.run))
         {
@@ -112,6 +112,17 @@
         }
     }
 
+    fn note_progress(&mut self, key: JobKey, name: &TaskName, percent: u32, now: ClockTime) {
+        let job = &mut self.jobs[key];
+        let step = name.step as usize;
+        let gang = job.body.steps.get(step).is_some_and(|step| step.gang);
+        let occurrence = job.occurrences.get(&name.occurrence);
+        let start = occurrence.and_then(|run| run.work_start(step, name.index as usize, gang));
+        if let Some(task) = job.task_mut(name) {
+            task.progress.note(percent, start, now);
+        }
+    }
+
     /// A gang resumes from one value that any of its members saved.
     fn share_checkpoint(&mut self, key: JobKey, name: &TaskName, checkpoint: &std::sync::Arc<str>) {
         let step = name.step as usize;
@@ -218,9 +229,8 @@
             }
         } else {
             let task = &mut step.tasks[name.index as usize];
-            let resumed = !task.checkpoint.is_empty();
             if let Some(place) = task.place
-                && !resumed
+                && !task.progress.resumed
                 && !place.remote
                 && step.finished_ms.len() < KEPT_TIMES
             {
@@ -331,17 +341,3 @@
         self.workers.get(worker).map(crate::worker_view::WorkerView::free)
     }
 }
-
-fn note_progress(progress: &mut RunProgress, percent: u32, now: ClockTime) {
-    if progress.began_at.is_none() {
-        progress.began_at = Some(now);
-        progress.first_percent = percent;
-        progress.percent = percent;
-        progress.rose_at = now;
-    }
-    if percent > progress.percent {
-        progress.percent = percent;
-        progress.rose_at = now;
-    }
-    progress.seen_at = now;
-}
--- a/crates/pool/src/place_choice.rs
+++ b/crates/pool/src/place_choice.rs
@@ -26,58 +26,67 @@
     let whole = rows.iter().filter(|row| row.is_empty()).count();
     let spares = unit.spares_whole_workers() && whole * KEPT_WHOLE_PART <= rows.len();
     let open = |row: &RoomRow| !(spares && row.is_empty());
-    let near = |row: &RoomRow| unit.need.is_near(row) && avoid != Some(row.worker) && open(row);
+    let near =
+        |row: &RoomRow| unit.need.is_near(row) && avoid != Some(row.worker) && unit.accepts(row) && open(row);
     if let Some(row) = best_row(rows, &unit.need, counts, near) {
         return Some((row, false));
     }
     if unit.need.data_rack.is_some() && unit.may_go_remote(pool_busy) {
-        let other = |row: &RoomRow| avoid != Some(row.worker) && open(row);
+        let other = |row: &RoomRow| avoid != Some(row.worker) && unit.accepts(row) && open(row);
         if let Some(row) = best_row(rows, &unit.need, counts, other) {
             return Some((row, true));
         }
     }
     // Nothing else fits: the worker that failed the task before is better than none.
     let again = best_row(rows, &unit.need, counts, |row| {
-        unit.need.is_near(row) && (!row.doubtful || unit.takes_doubtful()) && open(row)
+        unit.need.is_near(row) && unit.accepts(row) && (!row.doubtful || unit.takes_doubtful()) && open(row)
     });
     again.map(|row| (row, false))
 }
 
 /// Chooses rows for a gang: one rack if it must be near itself, otherwise anywhere near its data.
+///
+/// Workers on which something went wrong lately are left out if the gang fits without them.
 pub(crate) fn choose_gang(unit: &WaitingUnit, rows: &[RoomRow], pool_busy: bool) -> Option<RowChoice> {
     let count = unit.tasks.len();
+    let sound = |row: &RoomRow| unit.accepts(row) && !row.doubtful;
+    let near = near_gang(unit, rows, sound).or_else(|| near_gang(unit, rows, |row| unit.accepts(row)));
+    if let Some(rows) = near {
+        return Some(RowChoice { rows, remote: false });
+    }
     let remote_ok = unit.may_go_remote(pool_busy);
+    let never_near = unit.same_rack
+        && !rack_fits(rows, &unit.need, count, |_| true)
+            .iter()
+            .any(|(rack, _, empty)| unit.need.is_near_rack(rack) && *empty >= count);
+    let restricted = unit.same_rack || unit.need.data_rack.is_some();
+    if !restricted || !(remote_ok || never_near) {
+        return None;
+    }
+    let anywhere = gang_rows(rows, &unit.need, count, |row| unit.accepts(row));
+    anywhere.map(|rows| RowChoice { rows, remote: true })
+}
+
+/// Chooses rows near the gang's data, and in one rack if the gang must be near itself.
+fn near_gang<F>(unit: &WaitingUnit, rows: &[RoomRow], allowed: F) -> Option<Vec<usize>>
+where
+    F: Fn(&RoomRow) -> bool,
+{
+    let count = unit.tasks.len();
     if !unit.same_rack {
-        let near = gang_rows(rows, &unit.need, count, |row| unit.need.is_near(row));
-        if let Some(rows) = near {
-            return Some(RowChoice { rows, remote: false });
-        }
-        let data = unit.need.data_rack.is_some() && remote_ok;
-        let anywhere = if data {
-            gang_rows(rows, &unit.need, count, |_| true)
-        } else {
-            None
-        };
-        return anywhere.map(|rows| RowChoice { rows, remote: true });
+        return gang_rows(rows, &unit.need, count, |row| {
+            unit.need.is_near(row) && allowed(row)
+        });
     }
-    let racks = rack_fits(rows, &unit.need, count);
-    let near_racks = racks
+    let racks = rack_fits(rows, &unit.need, count, &allowed);
+    let near = racks
         .iter()
-        .filter(|(rack, _, _)| unit.need.data_rack.as_ref().is_none_or(|data| data == rack));
+        .filter(|(rack, now, _)| unit.need.is_near_rack(rack) && *now >= count);
     // The rack in which the fewest further members would fit keeps the others whole.
-    let tightest = near_racks
-        .clone()
-        .filter(|(_, now, _)| *now >= count)
-        .min_by_key(|(_, now, _)| *now);
-    if let Some((rack, _, _)) = tightest {
-        let inside = gang_rows(rows, &unit.need, count, |row| row.rack.as_ref() == Some(rack));
-        return inside.map(|rows| RowChoice { rows, remote: false });
-    }
-    let possible = near_racks.clone().any(|(_, _, empty)| *empty >= count);
-    if possible && !remote_ok {
-        return None;
-    }
-    gang_rows(rows, &unit.need, count, |_| true).map(|rows| RowChoice { rows, remote: true })
+    let (tightest, _, _) = near.min_by_key(|(_, now, _)| *now)?;
+    gang_rows(rows, &unit.need, count, |row| {
+        row.rack.as_ref() == Some(tightest) && allowed(row)
+    })
 }
 
 /// Chooses where runs are stopped for the unit: inside one rack for a gang that must be near itself.
@@ -92,21 +101,21 @@
     let count = if unit.gang { unit.tasks.len() } else { left };
     let plan_in = |rack: &Arc<str>| {
         choose_victims(rows, victims, &unit.need, count, counts, |row| {
-            row.rack.as_ref() == Some(rack)
+            row.rack.as_ref() == Some(rack) && unit.accepts(row)
         })
     };
     if unit.same_rack {
-        let racks = rack_fits(rows, &unit.need, count);
-        let near = racks.iter().filter(|(rack, _, empty)| {
-            *empty >= count && unit.need.data_rack.as_ref().is_none_or(|data| data == rack)
-        });
+        let racks = rack_fits(rows, &unit.need, count, |row| unit.accepts(row));
+        let near = racks
+            .iter()
+            .filter(|(rack, _, empty)| *empty >= count && unit.need.is_near_rack(rack));
         let plans = near.filter_map(|(rack, _, _)| plan_in(rack));
         if let Some(plan) = plans.min_by_key(|plan| plan.cost) {
             return Some((plan, false));
         }
     } else {
         let near = choose_victims(rows, victims, &unit.need, count, counts, |row| {
-            unit.need.is_near(row)
+            unit.need.is_near(row) && unit.accepts(row)
         });
         if let Some(plan) = near {
             return Some((plan, false));
@@ -116,5 +125,6 @@
     if !remote_ok {
         return None;
     }
-    choose_victims(rows, victims, &unit.need, count, counts, |_| true).map(|plan| (plan, true))
+    let plan = choose_victims(rows, victims, &unit.need, count, counts, |row| unit.accepts(row));
+    plan.map(|plan| (plan, true))
 }
--- a/crates/pool/src/placement_pass.rs
+++ b/crates/pool/src/placement_pass.rs
@@ -2,7 +2,7 @@
 
 use arbutuspick_model::ClockTime;
 
-use crate::job_run::{PlaceStage, TaskPlace};
+use crate::job_run::{PlaceStage, RunProgress, TaskPlace};
 use crate::place_choice::{choose_gang, choose_row};
 use crate::pool_core::PoolCore;
 use crate::room_search::{RoomRow, StepCounts};
@@ -53,6 +53,7 @@
             service: view.report.service.clone(),
             labels: view.report.labels.clone(),
             doubtful: view.health.is_doubtful(now),
+            slow: view.health.is_slow(now),
         });
         rows.collect()
     }
@@ -187,7 +188,10 @@
             since: now,
             remote,
         });
-        task.progress = Default::default();
+        task.progress = RunProgress {
+            resumed: !task.checkpoint.is_empty(),
+            ..RunProgress::default()
+        };
         let (run, checkpoint) = (task.run, task.checkpoint.clone());
         let view = &mut self.workers[worker];
         view.occupants.insert(
--- a/crates/pool/src/pool_core.rs
+++ b/crates/pool/src/pool_core.rs
@@ -184,6 +184,7 @@
                         since: now,
                         remote: false,
                     });
+                    task.progress.resumed = true;
                 }
             }
         }
--- a/crates/pool/src/progress_check.rs
+++ b/crates/pool/src/progress_check.rs
@@ -7,11 +7,11 @@
 
 use crate::job_run::{PlaceStage, TaskRun};
 use crate::pool_core::{JobKey, PoolCore};
-use crate::run_rates::{RunPace, StepRates, WorkerEvidence, implied_total_ms, run_pace};
+use crate::run_rates::{RunPace, StepRates, WorkerEvidence, least_total_ms, run_pace};
 use crate::{StepBody, StopReason, TaskName, WorkerKey};
 
-/// A run whose percent has not risen for this long stands still, in milliseconds.
-const STALL_MS: u64 = 2_200;
+/// A run whose percent has not risen for this long stands still, in milliseconds; listings are a second apart.
+const STALL_MS: u64 = 1_100;
 /// Most times that a task is moved for lack of progress; a task that is slow everywhere is left alone.
 const MAX_SLOW_RESTARTS: u32 = 2;
 /// A gang with an unanswered start is stopped this long before its members stop waiting, in milliseconds.
@@ -59,6 +59,9 @@
     /// Stops runs that stand still, are far too slow, or can resume elsewhere before their worker leaves.
     pub(crate) fn check_progress(&mut self, now: ClockTime) {
         let evidence = self.worker_evidence();
+        for worker in evidence.proven() {
+            self.note_slow(worker, now);
+        }
         let mut moves = Vec::new();
         let mut broken = Vec::new();
         for (key, job) in &self.jobs {
@@ -120,9 +123,12 @@
         } else {
             1
         };
-        let total_ms = implied_total_ms(&task.progress)? / factor;
-        let sibling_ms = rates.sibling_ms(place.worker);
-        Some((place.worker, run_pace(total_ms, sibling_ms, body.estimate_ms)))
+        if body.endless {
+            return None;
+        }
+        let total_ms = least_total_ms(&task.progress)? / factor;
+        let siblings = rates.siblings(place.worker);
+        Some((place.worker, run_pace(total_ms, siblings, body.estimate_ms)))
     }
 
     /// Returns why the run should be stopped and placed anew, if it should.
@@ -156,11 +162,11 @@
         let (worker, pace) = self.pace_of(body, task, rates)?;
         let expected_ms = match pace {
             RunPace::Expected => return None,
-            RunPace::BehindSiblings { expected_ms } => expected_ms,
+            RunPace::FarBehind { expected_ms } => expected_ms,
             RunPace::BehindEstimate if evidence.is_slow(worker) => body.estimate_ms,
             RunPace::BehindEstimate => return None,
         };
-        let remaining_ms = implied_total_ms(&task.progress)? * left_percent / 100;
+        let remaining_ms = least_total_ms(&task.progress)? * left_percent / 100;
         let elsewhere_ms = expected_ms + self.options.stop_ms;
         // A task that was moved before is slow by itself.
         let sooner = remaining_ms > elsewhere_ms + elsewhere_ms / 4;
@@ -169,9 +175,7 @@
 
     fn move_run(&mut self, run: &RunMove, now: ClockTime) {
         if run.reason == StopReason::NoProgress {
-            if let Some(view) = self.workers.get_mut(run.worker) {
-                view.health.note_slow(now);
-            }
+            self.note_slow(run.worker, now);
             if let Some(task) = self.jobs.get_mut(run.key).and_then(|job| job.task_mut(&run.name)) {
                 let progress = &task.progress;
                 log::warn!(
@@ -190,5 +194,19 @@
             }
         }
         self.stop_task(run.key, &run.name, run.reason, now);
+        // The first member that ends breaks the gang, so stopping all of them is faster than stopping one.
+        let step = run.name.step as usize;
+        if self.jobs[run.key].body.steps[step].gang {
+            self.break_gang(run.key, &run.name, now);
+        }
+    }
+
+    fn note_slow(&mut self, worker: WorkerKey, now: ClockTime) {
+        if let Some(view) = self.workers.get_mut(worker) {
+            if !view.health.is_slow(now) {
+                log::info!("[worker] id={} state=slow", view.report.id);
+            }
+            view.health.note_slow(now);
+        }
     }
 }
--- a/crates/pool/src/room_making.rs
+++ b/crates/pool/src/room_making.rs
@@ -27,6 +27,8 @@
 /// An awaited run counts as overdue this long after its expected end, in milliseconds: progress comes in whole
 /// percents and an end is listed a little later.
 const OVERDUE_MS: u64 = 200;
+/// An ordered stop that takes this much longer than the bound of workers is not relied on, in milliseconds.
+const STOP_MARGIN_MS: u64 = 300;
 /// Each earlier preemption makes stopping a run this many times dearer.
 const REPEAT_COST_FACTOR: u64 = 2;
 /// A run that saves its progress loses at most this much work, in milliseconds.
@@ -73,13 +75,15 @@
             .iter()
             .partition(|number| victims[**number].ends_soon);
         log::info!(
-            "[preempt] job={} step={} tasks={left} stopped={} loss={} gain={} inside_guarantee={}",
+            "[preempt] job={} step={} tasks={left} stopped={} awaited={} wait_ms={wait_ms} loss={} gain={} inside_guarantee={} workers={}",
             self.jobs[unit.key].id,
             unit.step,
             stopped.len(),
+            awaited.len(),
             plan.cost,
             unit.gain(),
             unit.rank.inside_guarantee(),
+            self.worker_names(plan.rows.iter().map(|row| rows[*row].worker)),
         );
         for number in &stopped {
             for (key, name) in &names[*number] {
@@ -108,6 +112,14 @@
         });
     }
 
+    fn worker_names<I>(&self, workers: I) -> String
+    where
+        I: Iterator<Item = WorkerKey>,
+    {
+        let names: Vec<&str> = workers.map(|key| self.workers[key].report.id.as_ref()).collect();
+        names.join(",")
+    }
+
     /// Returns the present run of a task, if nobody has ordered it to stop.
     fn awaited_run(&self, job: JobKey, task: &TaskName) -> Option<AwaitedRun> {
         let occurrence = self.jobs.get(job)?.occurrences.get(&task.occurrence)?;
@@ -153,8 +165,11 @@
                     let placed = step.tasks.iter().filter(|task| task.place.is_some()).count() as u64;
                     for (index, task) in step.tasks.iter().enumerate() {
                         let Some(place) = task.place else { continue };
-                        let ends_soon = place.stage == PlaceStage::Stopping
-                            || remaining_run_ms(task, now).is_some_and(|left_ms| left_ms <= wait_ms);
+                        let stops_by = place.since + self.options.stop_ms + STOP_MARGIN_MS;
+                        let ends_soon = match place.stage {
+                            PlaceStage::Stopping => now <= stops_by,
+                            _ => remaining_run_ms(task, now).is_some_and(|left_ms| left_ms <= wait_ms),
+                        };
                         if !ends_soon && !may_stop {
                             gang.ends_soon = false;
                             continue;
--- a/crates/pool/src/room_search.rs
+++ b/crates/pool/src/room_search.rs
@@ -19,6 +19,8 @@
     pub(crate) labels: Vec<Arc<str>>,
     /// Others are to be preferred.
     pub(crate) doubtful: bool,
+    /// It is used only by work that has waited in vain for others.
+    pub(crate) slow: bool,
 }
 
 impl RoomRow {
@@ -53,6 +55,10 @@
     pub(crate) fn is_near(&self, row: &RoomRow) -> bool {
         self.data_rack.is_none() || self.data_rack == row.rack
     }
+
+    pub(crate) fn is_near_rack(&self, rack: &Arc<str>) -> bool {
+        self.data_rack.as_ref().is_none_or(|data| data == rack)
+    }
 }
 
 /// Tasks of the step that a worker has already.
@@ -114,12 +120,20 @@
 }
 
 /// Returns the racks that hold workers for the need, each with the number of tasks that fit now and when empty.
-pub(crate) fn rack_fits(rows: &[RoomRow], need: &TaskNeed, count: usize) -> Vec<(Arc<str>, usize, usize)> {
+pub(crate) fn rack_fits<F>(
+    rows: &[RoomRow],
+    need: &TaskNeed,
+    count: usize,
+    allowed: F,
+) -> Vec<(Arc<str>, usize, usize)>
+where
+    F: Fn(&RoomRow) -> bool,
+{
     let counts = StepCounts::new();
     let mut racks: HashMap<Arc<str>, (usize, usize)> = HashMap::new();
     for row in rows {
         let Some(rack) = &row.rack else { continue };
-        if !need.allows(row) {
+        if !need.allows(row) || !allowed(row) {
             continue;
         }
         let entry = racks.entry(rack.clone()).or_default();
--- a/crates/pool/src/run_rates.rs
+++ b/crates/pool/src/run_rates.rs
@@ -11,27 +11,49 @@
 use crate::job_run::{RunProgress, StepRun, TaskRun};
 use crate::pool_core::JobKey;
 
-/// A run is judged only after this long at work, in milliseconds.
-const JUDGED_AFTER_MS: u64 = 1_200;
+/// A run is judged only after this long at work, in milliseconds: a start is known to some tens of milliseconds.
+const JUDGED_AFTER_MS: u64 = 500;
+/// A run whose start is not known is judged only after this long, in milliseconds: more than one listing.
+const RESUMED_JUDGED_AFTER_MS: u64 = 1_200;
 /// A run is judged only after this much progress, in percent.
 const JUDGED_AFTER_PERCENT: u32 = 3;
 /// A run is slow when it needs this many percent of the time of its siblings; sizes differ by a third.
 const SLOW_SIBLING_PERCENT: u64 = 200;
 /// A run falls behind when it needs this many percent of its estimate.
 const SLOW_ESTIMATE_PERCENT: u64 = 250;
+/// A run that needs this many percent of its estimate stands still; no error of an estimate is that large.
+const FAR_ESTIMATE_PERCENT: u64 = 2_500;
+/// With a single sibling to compare with, a run must also need this many percent of its estimate.
+const ONE_SIBLING_PERCENT: u64 = 160;
 /// Jobs that must fall behind on a worker before the worker counts as slow.
 const SLOW_JOBS: usize = 2;
-/// Runs on other workers that are needed for a comparison.
+/// Runs on other workers with which a comparison needs no estimate.
 const SIBLINGS: usize = 2;
 
-/// Returns how long the whole run will take at its present rate, in milliseconds.
-pub(crate) fn implied_total_ms(progress: &RunProgress) -> Option<u64> {
+/// Returns the milliseconds that a run was seen at work and the percent that it gained, if it can be judged.
+fn observed_work(progress: &RunProgress) -> Option<(u64, u32)> {
     let worked_ms = progress.seen_at.millis_since(progress.began_at?);
     let gained = progress.percent.saturating_sub(progress.first_percent);
-    if worked_ms < JUDGED_AFTER_MS || gained < JUDGED_AFTER_PERCENT {
-        return None;
-    }
-    Some(worked_ms * 100 / u64::from(gained))
+    let judged_after_ms = if progress.resumed {
+        RESUMED_JUDGED_AFTER_MS
+    } else {
+        JUDGED_AFTER_MS
+    };
+    (worked_ms >= judged_after_ms).then_some((worked_ms, gained))
+}
+
+/// Returns how long the whole run will take at its present rate, in milliseconds.
+pub(crate) fn implied_total_ms(progress: &RunProgress) -> Option<u64> {
+    let (worked_ms, gained) = observed_work(progress)?;
+    (gained >= JUDGED_AFTER_PERCENT).then(|| worked_ms * 100 / u64::from(gained))
+}
+
+/// Returns the least time that the whole run can take at its present rate, in milliseconds.
+///
+/// The percent is rounded down, so that this judges runs that have shown nothing yet, too.
+pub(crate) fn least_total_ms(progress: &RunProgress) -> Option<u64> {
+    let (worked_ms, gained) = observed_work(progress)?;
+    Some(worked_ms * 100 / u64::from(gained + 1))
 }
 
 /// Returns in how many milliseconds a run should end by its progress; estimates are too far off for this.
@@ -59,19 +81,17 @@
         }
     }
 
-    /// Returns the median time on other workers than this one.
-    pub(crate) fn sibling_ms(&self, worker: WorkerKey) -> Option<u64> {
+    /// Returns the median time on other workers than this one, and how many runs it comes from.
+    pub(crate) fn siblings(&self, worker: WorkerKey) -> Option<(u64, usize)> {
         let mut others: Vec<u64> = self
             .totals
             .iter()
             .filter(|(key, _)| *key != worker)
             .map(|(_, ms)| *ms)
             .collect();
-        if others.len() < SIBLINGS {
-            return None;
-        }
         others.sort_unstable();
-        Some(others[others.len() / 2])
+        let median = others.get(others.len() / 2)?;
+        Some((*median, others.len()))
     }
 }
 
@@ -80,19 +100,28 @@
 pub(crate) enum RunPace {
     /// As expected, or not judged yet.
     Expected,
-    /// Slower than other runs of its step.
-    BehindSiblings { expected_ms: u64 },
+    /// Far slower than other runs of its step, or than any error of an estimate explains.
+    FarBehind { expected_ms: u64 },
     /// Slower than its estimate, with nothing else to compare.
     BehindEstimate,
 }
 
-pub(crate) fn run_pace(total_ms: u64, sibling_ms: Option<u64>, estimate_ms: u64) -> RunPace {
-    match sibling_ms {
-        Some(expected_ms) if total_ms * 100 > expected_ms * SLOW_SIBLING_PERCENT => {
-            RunPace::BehindSiblings { expected_ms }
+/// Judges a run that takes at least `total_ms` by its siblings, a median and their number, and its estimate.
+pub(crate) fn run_pace(total_ms: u64, siblings: Option<(u64, usize)>, estimate_ms: u64) -> RunPace {
+    let exceeds = |base_ms: u64, percent: u64| total_ms * 100 > base_ms * percent;
+    match siblings {
+        Some((expected_ms, count)) => {
+            let trusted = count >= SIBLINGS || exceeds(estimate_ms, ONE_SIBLING_PERCENT);
+            if trusted && exceeds(expected_ms, SLOW_SIBLING_PERCENT) {
+                RunPace::FarBehind { expected_ms }
+            } else {
+                RunPace::Expected
+            }
         }
-        Some(_) => RunPace::Expected,
-        None if total_ms * 100 > estimate_ms * SLOW_ESTIMATE_PERCENT => RunPace::BehindEstimate,
+        None if exceeds(estimate_ms, FAR_ESTIMATE_PERCENT) => RunPace::FarBehind {
+            expected_ms: estimate_ms,
+        },
+        None if exceeds(estimate_ms, SLOW_ESTIMATE_PERCENT) => RunPace::BehindEstimate,
         None => RunPace::Expected,
     }
 }
@@ -111,7 +140,7 @@
             RunPace::Expected => {
                 self.fine.insert(worker);
             }
-            RunPace::BehindSiblings { .. } => {
+            RunPace::FarBehind { .. } => {
                 self.proven.insert(worker);
             }
             RunPace::BehindEstimate => {
@@ -120,6 +149,11 @@
         }
     }
 
+    /// Returns the workers on which a run is far behind.
+    pub(crate) fn proven(&self) -> impl Iterator<Item = WorkerKey> {
+        self.proven.iter().copied()
+    }
+
     /// Returns whether the worker is slow rather than its tasks long.
     pub(crate) fn is_slow(&self, worker: WorkerKey) -> bool {
         let several = self
--- a/crates/pool/src/waiting_unit.rs
+++ b/crates/pool/src/waiting_unit.rs
@@ -9,11 +9,13 @@
 use crate::job_run::JobRun;
 use crate::job_worth::JobWorth;
 use crate::pool_core::{JobKey, PoolCore};
-use crate::room_search::TaskNeed;
+use crate::room_search::{RoomRow, TaskNeed};
 use crate::unit_order::{Lateness, UnitRank, UnitTiming, unit_rank};
 
 /// A task returns to a doubtful worker where it failed only after this wait, in milliseconds.
 const DOUBTFUL_WAIT_MS: u64 = 600;
+/// Work goes to a slow worker only after this wait, in milliseconds; most runs last a few seconds.
+const SLOW_WAIT_MS: u64 = 1_500;
 /// Priorities from here on come last.
 const LOWEST_PRIORITY: u32 = 2;
 /// Work that comes last leaves the last whole workers to others for this long, in milliseconds.
@@ -54,6 +56,11 @@
         self.waited_ms > DOUBTFUL_WAIT_MS
     }
 
+    /// Returns whether the unit may use the worker: a slow one only after a wait in vain.
+    pub(crate) fn accepts(&self, row: &RoomRow) -> bool {
+        !row.slow || self.waited_ms > SLOW_WAIT_MS
+    }
+
     /// Returns whether the unit leaves the last whole workers to others: it comes last and has time.
     pub(crate) fn spares_whole_workers(&self) -> bool {
         let patient = self.rank.lateness == Lateness::OnTime && self.waited_ms < SPARING_MS;
--- a/crates/pool/src/worker_health.rs
+++ b/crates/pool/src/worker_health.rs
@@ -8,7 +8,7 @@
 const FIRST_PAUSE_MS: u64 = 5_000;
 /// Longest pause in milliseconds.
 const LONGEST_PAUSE_MS: u64 = 40_000;
-/// A worker that was seen slow is used last for this long, in milliseconds.
+/// A worker that was seen slow gets work only when nothing else will do for this long, in milliseconds.
 const SLOW_MS: u64 = 6_000;
 /// A worker that left a call unanswered is used last for this long, in milliseconds.
 const SILENT_MS: u64 = 1_500;
@@ -66,6 +66,11 @@
 
     /// Returns whether other workers are to be preferred.
     pub(crate) fn is_doubtful(&self, now: ClockTime) -> bool {
-        now < self.slow_until || now < self.silent_until || self.failures_in_row > 0
+        now < self.silent_until || self.failures_in_row > 0
+    }
+
+    /// Returns whether runs on the worker were seen to make far too little progress.
+    pub(crate) fn is_slow(&self, now: ClockTime) -> bool {
+        now < self.slow_until
     }
 }
--- a/crates/pool/tests/load_patterns.rs
+++ b/crates/pool/tests/load_patterns.rs
@@ -245,3 +245,40 @@
     }
     assert_eq!(pool.running("now"), 1, "waited for a run that does not end");
 }
+
+/// Gang with a member on a worker that stands still: guards against urgent work that is late before it is moved.
+#[test]
+fn standing_member() {
+    let mut pool = TestPool::new(8);
+    let gang = StepBody {
+        gang: true,
+        ..step(3, 8)
+    };
+    pool.submit("now", body("urgent", "north", vec![gang]));
+    pool.step();
+    let bad = pool.starts[0].worker;
+    let list = |pool: &mut TestPool, percent: u32| {
+        for worker in pool.workers.clone() {
+            let shown = if worker == bad { 0 } else { percent };
+            let listing = pool.listing(worker, shown);
+            let now = pool.now;
+            pool.core.apply_listing(worker, &listing, now);
+        }
+        pool.step();
+    };
+    pool.pass(600);
+    list(&mut pool, 30);
+    assert_eq!(pool.stops.len(), 3, "{:?}", pool.stops);
+    pool.pass(25);
+    pool.step();
+    assert_eq!(pool.running("now"), 3, "the gang did not start anew");
+    let again = pool.starts.iter().filter(|start| start.run == 2);
+    assert!(
+        again.clone().all(|start| start.worker != bad),
+        "a member went back to the worker that stands still"
+    );
+    // Later work leaves that worker alone as well.
+    pool.submit("next", body("normal", "south", vec![step(4, 8)]));
+    pool.step();
+    assert!(pool.starts.iter().skip(3).all(|start| start.worker != bad));
+}
