Promise the room of a stopped gang once

Cause: a gang with several members on a worker was listed once for each of them among the runs that could make room there, so its room was counted as often. Several units got claims on the same worker, waited 2 s for room that could not come, and kept other workers from being used. Ruled out: stops without an answer, workers that were paused, claims that were dropped. Test: load_patterns promised_twice, left free room unused before.

--- a/crates/pool/src/room_claim.rs
+++ b/crates/pool/src/room_claim.rs
@@ -49,6 +49,7 @@
                 .filter_map(|worker| rows.iter().position(|row| row.worker == *worker))
                 .collect();
             if places.len() < claim.workers.len() || now > claim.until || unit.tasks.is_empty() {
+                self.log_expired(&claim, now);
                 continue;
             }
             if unit.gang {
@@ -59,6 +60,32 @@
         }
     }
 
+    /// Logs what still takes the room of a claim that ends in vain.
+    fn log_expired(&self, claim: &RoomClaim, now: ClockTime) {
+        let mut blockers = Vec::new();
+        for worker in &claim.workers {
+            let Some(view) = self.workers.get(*worker) else {
+                continue;
+            };
+            if !view.takes_work(now) {
+                blockers.push(format!("{}:takes no work", view.report.id));
+            }
+            for ((task, run), occupant) in &view.occupants {
+                let stop_ms = occupant.stop_ordered_at.map(|at| now.millis_since(at));
+                blockers.push(format!(
+                    "{}:{task}/{run}:stop_ordered_ms={stop_ms:?}",
+                    view.report.id
+                ));
+            }
+        }
+        log::info!(
+            "[preempt] job={} step={} state=room not free in time occupied={}",
+            self.jobs[claim.job].id,
+            claim.step,
+            blockers.join(",")
+        );
+    }
+
     /// Stops awaited runs that did not end in time; a guarantee has to be honoured within a bound.
     fn stop_overdue(&mut self, claim: &mut RoomClaim, now: ClockTime) {
         let mut stopped = 0;
--- a/crates/pool/src/victim_choice.rs
+++ b/crates/pool/src/victim_choice.rs
@@ -43,7 +43,11 @@
     let mut rows_of_units: HashMap<usize, Vec<usize>> = HashMap::new();
     for (unit, victim) in victims.iter().enumerate() {
         for (row, _) in &victim.frees {
-            rows_of_units.entry(*row).or_default().push(unit);
+            let units = rows_of_units.entry(*row).or_default();
+            // Several members of a gang may stand on one row.
+            if units.last() != Some(&unit) {
+                units.push(unit);
+            }
         }
     }
     let mut free = rows.to_vec();
--- a/crates/pool/tests/load_patterns.rs
+++ b/crates/pool/tests/load_patterns.rs
@@ -282,3 +282,35 @@
     pool.step();
     assert!(pool.starts.iter().skip(3).all(|start| start.worker != bad));
 }
+
+/// Several returns for a guarantee at once: guards against room of one stopped gang that is promised twice, so that
+/// later work waits for a place that does not come free and leaves others unused.
+#[test]
+fn promised_twice() {
+    let mut pool = TestPool::new(2);
+    let pairs = StepBody {
+        gang: true,
+        ..step(4, 4)
+    };
+    pool.submit("pairs", body("bulk", "south", vec![pairs]));
+    pool.step();
+    assert_eq!(pool.running("pairs"), 4);
+    pool.pass(500);
+    let mut orders = Vec::new();
+    for job in ["first", "second", "third"] {
+        let account = if job == "third" { "south" } else { "north" };
+        pool.submit(job, body("urgent", account, vec![step(1, 8)]));
+        orders.extend(pool.decide());
+        pool.pass(25);
+    }
+    assert_eq!(pool.stops.len(), 4, "the gang was not stopped once");
+    for order in orders {
+        pool.carry_out(order);
+    }
+    pool.step();
+    assert_eq!((pool.running("first"), pool.running("second")), (1, 1));
+    pool.pass(100);
+    pool.finish("second");
+    pool.step();
+    assert_eq!(pool.running("third"), 1, "free room was left unused");
+}
