Plan anew when room is not free within the bound of a stop

Cause: a claim kept its unit waiting for 2 s whatever had become of the stops, so a guarantee had one round of preemption within its bound; a run whose stop had overrun could be chosen again as if its end were near. Claims now end with the bound of a stop and 700 ms, or with the awaited ends; runs whose stop overran are neither relied on nor chosen.

--- a/crates/pool/src/room_claim.rs
+++ b/crates/pool/src/room_claim.rs
@@ -7,8 +7,8 @@
 use crate::waiting_unit::WaitingUnit;
 use crate::{ResourceAmount, StopReason, TaskName, WorkerKey};
 
-/// Room that is being made by stopping runs is kept for this long, in milliseconds; a stop takes up to 900.
-pub(crate) const CLAIM_MS: u64 = 2_000;
+/// Most runs that a log line names.
+const LOGGED_RUNS: usize = 8;
 
 /// A run that should end by itself, so that its room was not cleared by a stop.
 #[derive(Clone, Debug)]
@@ -79,10 +79,11 @@
             }
         }
         log::info!(
-            "[preempt] job={} step={} state=room not free in time occupied={}",
+            "[preempt] job={} step={} state=room not free in time runs={} occupied={}",
             self.jobs[claim.job].id,
             claim.step,
-            blockers.join(",")
+            blockers.len(),
+            blockers[..blockers.len().min(LOGGED_RUNS)].join(",")
         );
     }
 
@@ -104,7 +105,7 @@
             }
         }
         if stopped > 0 {
-            claim.until = now + CLAIM_MS;
+            claim.until = now + self.stop_bound_ms();
             log::info!(
                 "[preempt] job={} step={} stopped={stopped} cause=awaited runs did not end",
                 self.jobs[claim.job].id,
--- a/crates/pool/src/room_making.rs
+++ b/crates/pool/src/room_making.rs
@@ -12,7 +12,7 @@
 use crate::job_worth::{JobWorth, waste};
 use crate::place_choice::choose_scope;
 use crate::pool_core::{JobKey, PoolCore};
-use crate::room_claim::{AwaitedRun, CLAIM_MS, RoomClaim};
+use crate::room_claim::{AwaitedRun, RoomClaim};
 use crate::room_search::RoomRow;
 use crate::run_rates::remaining_run_ms;
 use crate::unit_order::{Lateness, UnitTiming};
@@ -28,7 +28,7 @@
 /// percents and an end is listed a little later.
 const OVERDUE_MS: u64 = 200;
 /// An ordered stop that takes this much longer than the bound of workers is not relied on, in milliseconds.
-const STOP_MARGIN_MS: u64 = 300;
+const STOP_MARGIN_MS: u64 = 700;
 /// Each earlier preemption makes stopping a run this many times dearer.
 const REPEAT_COST_FACTOR: u64 = 2;
 /// A run that saves its progress loses at most this much work, in milliseconds.
@@ -108,7 +108,7 @@
             step: unit.step,
             workers: plan.rows.iter().map(|row| rows[*row].worker).collect(),
             remote,
-            until: now + CLAIM_MS.max(wait_ms + CLAIM_MS / 2),
+            until: now + self.stop_bound_ms().max(wait_ms + OVERDUE_MS),
         });
     }
 
@@ -132,6 +132,11 @@
         })
     }
 
+    /// Returns by when a stop that was ordered has taken effect, unless its worker leaves orders unanswered.
+    pub(crate) fn stop_bound_ms(&self) -> u64 {
+        self.options.stop_ms + STOP_MARGIN_MS
+    }
+
     /// Lists the runs that the unit may displace, gangs as one.
     pub(crate) fn victim_units(
         &self,
@@ -165,12 +170,13 @@
                     let placed = step.tasks.iter().filter(|task| task.place.is_some()).count() as u64;
                     for (index, task) in step.tasks.iter().enumerate() {
                         let Some(place) = task.place else { continue };
-                        let stops_by = place.since + self.options.stop_ms + STOP_MARGIN_MS;
-                        let ends_soon = match place.stage {
-                            PlaceStage::Stopping => now <= stops_by,
-                            _ => remaining_run_ms(task, now).is_some_and(|left_ms| left_ms <= wait_ms),
+                        let stopping = place.stage == PlaceStage::Stopping;
+                        let ends_soon = if stopping {
+                            now <= place.since + self.stop_bound_ms()
+                        } else {
+                            remaining_run_ms(task, now).is_some_and(|left_ms| left_ms <= wait_ms)
                         };
-                        if !ends_soon && !may_stop {
+                        if !ends_soon && (stopping || !may_stop) {
                             gang.ends_soon = false;
                             continue;
                         }
