Make calls to the store through a peer while a VM cannot reach it

Cause: when the store turned some VMs away, or their path to it was cut, those VMs turned their callers away and a holder among them lost the seat. A change that may have been made is never said to be undone. Peers that do not reach the store say so at once.

--- /dev/null
+++ b/crates/dispatch/src/relay_message.rs
@@ -0,0 +1,277 @@
+//! Messages by which a process that cannot reach the store asks another one to make a call for it.
+
+use prost::{Message, Oneof};
+
+use crate::member_list::MEMBER_TABLE;
+use crate::row_store::{
+    RowChange, RowCondition, RowEntry, RowFollow, RowPage, RowWrite, StoreError, TransactOutcome,
+};
+use crate::seat_record::{INTAKE_TABLE, PROGRESS_TABLE, SEAT_TABLE};
+
+/// A call to the store for somebody else.
+#[derive(Clone, PartialEq, Message)]
+pub(crate) struct RelayCall {
+    /// Milliseconds that the caller still waits.
+    #[prost(uint64, tag = "1")]
+    pub(crate) left_ms: u64,
+    #[prost(oneof = "CallBody", tags = "2, 3, 4")]
+    pub(crate) body: Option<CallBody>,
+}
+
+#[derive(Clone, PartialEq, Oneof)]
+pub(crate) enum CallBody {
+    #[prost(message, tag = "2")]
+    Transact(ChangeMessage),
+    #[prost(message, tag = "3")]
+    Read(ReadMessage),
+    #[prost(message, tag = "4")]
+    Follow(FollowMessage),
+}
+
+#[derive(Clone, PartialEq, Message)]
+pub(crate) struct ChangeMessage {
+    #[prost(message, repeated, tag = "1")]
+    conditions: Vec<RowMessage>,
+    #[prost(message, repeated, tag = "2")]
+    writes: Vec<RowMessage>,
+}
+
+#[derive(Clone, PartialEq, Message)]
+pub(crate) struct ReadMessage {
+    #[prost(string, tag = "1")]
+    pub(crate) table: String,
+    #[prost(string, tag = "2")]
+    pub(crate) from: String,
+    #[prost(uint64, tag = "3")]
+    pub(crate) limit: u64,
+}
+
+#[derive(Clone, PartialEq, Message)]
+pub(crate) struct FollowMessage {
+    #[prost(string, tag = "1")]
+    pub(crate) table: String,
+    #[prost(uint64, tag = "2")]
+    pub(crate) after: u64,
+    #[prost(uint64, tag = "3")]
+    pub(crate) wait_ms: u64,
+}
+
+/// A row, a condition or a write.
+#[derive(Clone, PartialEq, Message)]
+pub(crate) struct RowMessage {
+    #[prost(string, tag = "1")]
+    table: String,
+    #[prost(string, tag = "2")]
+    key: String,
+    /// Absent for a row that was or is to be removed.
+    #[prost(bytes = "bytes", optional, tag = "3")]
+    value: Option<bytes::Bytes>,
+    #[prost(uint64, tag = "4")]
+    version: u64,
+}
+
+/// The answer to a [`RelayCall`].
+#[derive(Clone, PartialEq, Message)]
+pub(crate) struct RelayReply {
+    #[prost(oneof = "ReplyBody", tags = "1, 2, 3, 4, 5, 6, 7")]
+    pub(crate) body: Option<ReplyBody>,
+}
+
+#[derive(Clone, PartialEq, Oneof)]
+pub(crate) enum ReplyBody {
+    /// Version of a change that was made.
+    #[prost(uint64, tag = "1")]
+    Committed(u64),
+    #[prost(message, tag = "2")]
+    Conflict(RowsMessage),
+    #[prost(message, tag = "3")]
+    Page(RowsMessage),
+    #[prost(message, tag = "4")]
+    Changes(RowsMessage),
+    #[prost(bool, tag = "5")]
+    HistoryGone(bool),
+    /// Nothing was done.
+    #[prost(string, tag = "6")]
+    NotDone(String),
+    /// It is not known what was done.
+    #[prost(string, tag = "7")]
+    Unclear(String),
+}
+
+#[derive(Clone, PartialEq, Message)]
+pub(crate) struct RowsMessage {
+    #[prost(message, repeated, tag = "1")]
+    rows: Vec<RowMessage>,
+    #[prost(bool, tag = "2")]
+    has_more: bool,
+    #[prost(uint64, tag = "3")]
+    version: u64,
+}
+
+/// Tables that may be named by a relayed call besides those of this crate.
+pub(crate) type KnownTables = &'static [&'static str];
+
+/// Tables of this crate.
+const OWN_TABLES: [&str; 4] = [SEAT_TABLE, INTAKE_TABLE, PROGRESS_TABLE, MEMBER_TABLE];
+
+/// Returns the name of a table that may be relayed: one of this crate or of `tables`.
+pub(crate) fn known_table(tables: KnownTables, name: &str) -> Option<&'static str> {
+    let mut known = OWN_TABLES.iter().chain(tables).copied();
+    known.find(|table| *table == name)
+}
+
+impl From<&RowChange> for ChangeMessage {
+    fn from(change: &RowChange) -> Self {
+        let conditions = change.conditions.iter().map(|condition| RowMessage {
+            table: condition.table.into(),
+            key: condition.key.to_string(),
+            value: None,
+            version: condition.version,
+        });
+        let writes = change.writes.iter().map(|write| RowMessage {
+            table: write.table.into(),
+            key: write.key.to_string(),
+            value: write.value.clone(),
+            version: 0,
+        });
+        Self {
+            conditions: conditions.collect(),
+            writes: writes.collect(),
+        }
+    }
+}
+
+impl ChangeMessage {
+    /// Returns the change, unless it names an unknown table.
+    pub(crate) fn into_change(self, tables: KnownTables) -> Option<RowChange> {
+        let conditions = self.conditions.into_iter().map(|row| {
+            Some(RowCondition {
+                table: known_table(tables, &row.table)?,
+                key: row.key.into(),
+                version: row.version,
+            })
+        });
+        let writes = self.writes.into_iter().map(|row| {
+            Some(RowWrite {
+                table: known_table(tables, &row.table)?,
+                key: row.key.into(),
+                value: row.value,
+            })
+        });
+        Some(RowChange {
+            conditions: conditions.collect::<Option<_>>()?,
+            writes: writes.collect::<Option<_>>()?,
+        })
+    }
+}
+
+impl From<RowEntry> for RowMessage {
+    fn from(row: RowEntry) -> Self {
+        Self {
+            table: row.table.to_string(),
+            key: row.key.to_string(),
+            value: row.value,
+            version: row.version,
+        }
+    }
+}
+
+impl From<RowMessage> for RowEntry {
+    fn from(row: RowMessage) -> Self {
+        Self {
+            table: row.table.into(),
+            key: row.key.into(),
+            value: row.value,
+            version: row.version,
+        }
+    }
+}
+
+impl RowsMessage {
+    fn new(rows: Vec<RowEntry>, has_more: bool, version: u64) -> Self {
+        Self {
+            rows: rows.into_iter().map(RowMessage::from).collect(),
+            has_more,
+            version,
+        }
+    }
+
+    fn entries(self) -> Vec<RowEntry> {
+        self.rows.into_iter().map(RowEntry::from).collect()
+    }
+}
+
+impl From<StoreError> for ReplyBody {
+    fn from(error: StoreError) -> Self {
+        match error {
+            StoreError::NotDone { message } => Self::NotDone(message),
+            StoreError::Unclear { message } => Self::Unclear(message),
+        }
+    }
+}
+
+impl From<TransactOutcome> for ReplyBody {
+    fn from(outcome: TransactOutcome) -> Self {
+        match outcome {
+            TransactOutcome::Committed { version } => Self::Committed(version),
+            TransactOutcome::Conflict { rows } => Self::Conflict(RowsMessage::new(rows, false, 0)),
+        }
+    }
+}
+
+impl From<RowPage> for ReplyBody {
+    fn from(page: RowPage) -> Self {
+        Self::Page(RowsMessage::new(page.rows, page.has_more, page.version))
+    }
+}
+
+impl From<RowFollow> for ReplyBody {
+    fn from(follow: RowFollow) -> Self {
+        match follow {
+            RowFollow::Changes { rows, version } => Self::Changes(RowsMessage::new(rows, false, version)),
+            RowFollow::HistoryGone => Self::HistoryGone(true),
+        }
+    }
+}
+
+impl ReplyBody {
+    pub(crate) fn into_outcome(self) -> Result<TransactOutcome, StoreError> {
+        match self {
+            Self::Committed(version) => Ok(TransactOutcome::Committed { version }),
+            Self::Conflict(rows) => Ok(TransactOutcome::Conflict { rows: rows.entries() }),
+            other => Err(other.into_error()),
+        }
+    }
+
+    pub(crate) fn into_page(self) -> Result<RowPage, StoreError> {
+        match self {
+            Self::Page(rows) => Ok(RowPage {
+                has_more: rows.has_more,
+                version: rows.version,
+                rows: rows.entries(),
+            }),
+            other => Err(other.into_error()),
+        }
+    }
+
+    pub(crate) fn into_follow(self) -> Result<RowFollow, StoreError> {
+        match self {
+            Self::Changes(rows) => Ok(RowFollow::Changes {
+                version: rows.version,
+                rows: rows.entries(),
+            }),
+            Self::HistoryGone(_) => Ok(RowFollow::HistoryGone),
+            other => Err(other.into_error()),
+        }
+    }
+
+    fn into_error(self) -> StoreError {
+        match self {
+            Self::NotDone(message) => StoreError::NotDone { message },
+            Self::Unclear(message) => StoreError::Unclear { message },
+            other => StoreError::Unclear {
+                message: format!("a peer's answer does not match the call: {other:?}"),
+            },
+        }
+    }
+}
--- /dev/null
+++ b/crates/dispatch/src/relay_server.rs
@@ -0,0 +1,144 @@
+//! Makes calls to the store for processes that cannot reach it.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use futures::{SinkExt, StreamExt};
+use prost::Message;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Semaphore;
+use tokio::task::JoinSet;
+use tokio_util::codec::{Framed, LengthDelimitedCodec};
+
+use crate::BootClock;
+use crate::relay_message::{CallBody, KnownTables, RelayCall, RelayReply, ReplyBody, known_table};
+use crate::row_store::{RowStore, StoreError};
+use crate::store_path::StorePath;
+
+/// Longest frame in bytes: a commit or a page of rows, which the store limits to 1 MB of text.
+pub(crate) const MAX_FRAME_BYTES: usize = 2 * 1024 * 1024;
+/// Longest time that a caller may wait for one call, in milliseconds.
+const LONGEST_CALL_MS: u64 = 5_000;
+/// Connections served at once; a large deployment has some tens of entry VMs with a few connections each.
+const MAX_CONNECTIONS: usize = 128;
+/// A connection without a call is closed after this time, in seconds.
+const IDLE_S: u64 = 30;
+/// Pause after a failure to accept a connection, in milliseconds.
+const ACCEPT_PAUSE_MS: u64 = 50;
+
+pub(crate) type RelayStream = Framed<TcpStream, LengthDelimitedCodec>;
+
+/// Frames a connection between processes.
+pub(crate) fn relay_stream(stream: TcpStream) -> RelayStream {
+    let codec = LengthDelimitedCodec::builder()
+        .length_field_length(4)
+        .max_frame_length(MAX_FRAME_BYTES)
+        .new_codec();
+    Framed::new(stream, codec)
+}
+
+/// What a relay needs.
+#[derive(Debug)]
+pub(crate) struct RelayContext<S> {
+    pub(crate) store: S,
+    pub(crate) path: Arc<StorePath>,
+    pub(crate) clock: BootClock,
+    pub(crate) tables: KnownTables,
+}
+
+/// Serves calls of other processes for as long as the process runs.
+pub(crate) async fn serve_relay<S>(listener: TcpListener, context: Arc<RelayContext<S>>)
+where
+    S: RowStore,
+{
+    let permits = Arc::new(Semaphore::new(MAX_CONNECTIONS));
+    let mut connections = JoinSet::new();
+    loop {
+        while connections.try_join_next().is_some() {}
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                // Without a permit the connection is closed, and the caller asks another process.
+                if let Ok(permit) = permits.clone().try_acquire_owned() {
+                    let context = context.clone();
+                    connections.spawn(async move {
+                        serve_connection(stream, &context).await;
+                        drop(permit);
+                    });
+                }
+            }
+            Err(error) => {
+                log::warn!("[relay] cannot accept a connection: {error}");
+                tokio::time::sleep(Duration::from_millis(ACCEPT_PAUSE_MS)).await;
+            }
+        }
+    }
+}
+
+async fn serve_connection<S>(stream: TcpStream, context: &RelayContext<S>)
+where
+    S: RowStore,
+{
+    if let Err(error) = stream.set_nodelay(true) {
+        log::debug!("[relay] cannot set no-delay: {error}");
+    }
+    let mut frames = relay_stream(stream);
+    loop {
+        let idle = Duration::from_secs(IDLE_S);
+        let Ok(Some(Ok(frame))) = tokio::time::timeout(idle, frames.next()).await else {
+            return;
+        };
+        let body = answer(frame, context).await;
+        let reply = RelayReply { body: Some(body) };
+        if let Err(error) = frames.send(Bytes::from(reply.encode_to_vec())).await {
+            log::debug!("[relay] an answer could not be sent: {error}");
+            return;
+        }
+    }
+}
+
+async fn answer<S>(frame: BytesMut, context: &RelayContext<S>) -> ReplyBody
+where
+    S: RowStore,
+{
+    if context.path.is_failing() {
+        return ReplyBody::NotDone("this VM does not reach the store either".into());
+    }
+    let call = match RelayCall::decode(frame.freeze()) {
+        Ok(call) => call,
+        Err(error) => return ReplyBody::NotDone(format!("the call cannot be decoded: {error}")),
+    };
+    let deadline = context.clock.now() + call.left_ms.min(LONGEST_CALL_MS);
+    let store = &context.store;
+    let unknown = || StoreError::NotDone {
+        message: "the call names an unknown table".into(),
+    };
+    let table = |name: &str| known_table(context.tables, name).ok_or_else(unknown);
+    metrics::counter!("arbutuspick_relayed_calls_total", "side" => "server").increment(1);
+    let reply = match call.body {
+        None => return ReplyBody::NotDone("the call is empty".into()),
+        Some(CallBody::Transact(change)) => match change.into_change(context.tables) {
+            Some(change) => context
+                .path
+                .judge(store.transact(&change, deadline).await)
+                .map(ReplyBody::from),
+            None => Err(unknown()),
+        },
+        Some(CallBody::Read(read)) => match table(&read.table) {
+            Ok(table) => {
+                let limit = usize::try_from(read.limit).unwrap_or(usize::MAX);
+                let page = store.read(table, &read.from, limit, deadline).await;
+                context.path.judge(page).map(ReplyBody::from)
+            }
+            Err(error) => Err(error),
+        },
+        Some(CallBody::Follow(follow)) => match table(&follow.table) {
+            Ok(table) => {
+                let changes = store.follow(table, follow.after, follow.wait_ms, deadline).await;
+                context.path.judge(changes).map(ReplyBody::from)
+            }
+            Err(error) => Err(error),
+        },
+    };
+    reply.unwrap_or_else(ReplyBody::from)
+}
