--- a/crates/dispatch/src/holder_run.rs
+++ b/crates/dispatch/src/holder_run.rs
@@ -4,7 +4,7 @@
 
 use arbutuspick_model::ClockTime;
 use arbutuspick_pool::{
-    JobBody, JobRecord, PoolCore, PoolOrder, RecordChange, StopReason, WorkerKey, WorkerReport,
+    JobBody, JobRecord, PoolCore, PoolOrder, PoolTiming, RecordChange, StopReason, WorkerKey, WorkerReport,
 };
 use prost::Message;
 use tokio::sync::mpsc::{UnboundedReceiver, unbounded_channel};
@@ -73,6 +73,8 @@
     pending_at: ClockTime,
     committed_at: ClockTime,
     lost_bound: ClockTime,
+    /// When the holder before was last seen at work.
+    vacant_since: ClockTime,
 }
 
 /// Why a holder stopped.
@@ -95,6 +97,7 @@
         record: SeatRecord,
         version: u64,
         taken_at: ClockTime,
+        vacant_since: ClockTime,
     ) -> Self {
         let authority = Arc::new(SeatAuthority::new(record.epoch, taken_at));
         let (worker_sender, worker_events) = unbounded_channel();
@@ -120,6 +123,7 @@
             pending_at: taken_at,
             committed_at: taken_at,
             lost_bound: context.clock.now() + wait_ms,
+            vacant_since,
             context,
         }
     }
@@ -130,12 +134,16 @@
             Ok(found) => found,
             Err(SeatLost) => return HolderEnd::Lost,
         };
+        let ready_at = self.context.clock.now();
+        record_takeover(ready_at.millis_since(self.vacant_since));
+        self.publish_seat(self.context.seat.load().pending.clone(), ready_at);
         log::info!(
-            "[seat] ready epoch={} jobs={} workers={} took_ms={}",
+            "[seat] ready epoch={} jobs={} workers={} took_ms={} vacant_ms={}",
             self.authority.epoch(),
             self.core.summary().jobs,
             self.core.summary().workers,
-            self.context.clock.now().millis_since(started),
+            ready_at.millis_since(started),
+            ready_at.millis_since(self.vacant_since),
         );
         let (sender, mut events) = unbounded_channel();
         let mut loops = JoinSet::new();
@@ -163,12 +171,24 @@
                 self.apply(event);
             }
             last = Instant::now();
+            let now = self.context.clock.now();
+            self.context.state.answer(|| self.core.dump(now));
             if self.authority.is_lost() || self.step().await.is_err() {
                 return HolderEnd::Lost;
             }
         }
     }
 
+    /// Lets callers of this VM and the state dump know of the seat.
+    fn publish_seat(&self, pending: HashMap<Arc<str>, u64>, now: ClockTime) {
+        self.context.seat.store(Arc::new(SeatView {
+            holder: self.context.options.vm.clone(),
+            epoch: self.authority.epoch(),
+            pending,
+            read_at: now,
+        }));
+    }
+
     async fn stop(mut self) -> HolderEnd {
         if self.log.release().await.is_ok() {
             log::info!("[seat] released epoch={}", self.authority.epoch());
@@ -377,6 +397,7 @@
         let now = self.context.clock.now();
         self.core.decide(now, self.context.clock.wall());
         let orders = self.core.take_orders();
+        record_timings(self.core.take_timings());
         let changes = self.core.take_changes();
         let acknowledged: Vec<(WorkerKey, u64)> = self
             .sessions
@@ -450,10 +471,7 @@
                 key: PENDING_KEY.into(),
                 value: Some(record.encode_to_vec().into()),
             });
-            self.context.seat.store(Arc::new(SeatView {
-                pending: pending.clone(),
-                read_at: now,
-            }));
+            self.publish_seat(pending.clone(), now);
             self.pending = pending;
             self.pending_at = now;
         }
@@ -472,6 +490,22 @@
     }
 }
 
+#[allow(clippy::cast_precision_loss)]
+fn record_timings(timings: Vec<PoolTiming>) {
+    for timing in timings {
+        let (name, millis) = match timing {
+            PoolTiming::FirstStart(millis) => ("arbutuspick_first_start_seconds", millis),
+            PoolTiming::Reclaim(millis) => ("arbutuspick_reclaim_seconds", millis),
+        };
+        metrics::histogram!(name).record(millis as f64 / 1000.0);
+    }
+}
+
+#[allow(clippy::cast_precision_loss)]
+fn record_takeover(vacant_ms: u64) {
+    metrics::histogram!("arbutuspick_takeover_seconds").record(vacant_ms as f64 / 1000.0);
+}
+
 fn removal(table: &'static str, key: Arc<str>) -> RowWrite {
     RowWrite {
         table,
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -30,6 +30,7 @@
 mod seat_record;
 mod seat_run;
 mod seat_watch;
+mod state_board;
 mod store_path;
 mod worker_link;
 mod worker_session;
@@ -45,4 +46,5 @@
 pub use seat_record::SeatRecord;
 pub use seat_run::{DispatchContext, DispatchOptions, SeatView, run_seat};
 pub use seat_watch::{SeatDecision, SeatWatch};
+pub use state_board::StateBoard;
 pub use worker_link::{HoldCall, HoldReply, StartCall, StartReply, StopCall, WorkerError, WorkerLink};
--- a/crates/dispatch/src/seat_run.rs
+++ b/crates/dispatch/src/seat_run.rs
@@ -13,7 +13,7 @@
 use crate::row_store::{RowChange, RowCondition, RowEntry, RowStore, RowWrite, StoreError, TransactOutcome};
 use crate::seat_record::{HOLDER_KEY, PENDING_KEY, PendingRecord, SEAT_TABLE, SeatRecord};
 use crate::worker_link::WorkerLink;
-use crate::{BootClock, PolicyBoard, SeatDecision, SeatWatch};
+use crate::{BootClock, PolicyBoard, SeatDecision, SeatWatch, StateBoard};
 
 /// Time between looks at the seat, in milliseconds. The third look after the last change finds the seat free; as all
 /// processes look at different times, one of them does so soon after the timeout of the seat.
@@ -41,6 +41,10 @@
 /// What a process knows of the holder.
 #[derive(Clone, Debug, Default)]
 pub struct SeatView {
+    /// VM whose process holds the seat.
+    pub holder: Arc<str>,
+    /// Its epoch.
+    pub epoch: u64,
     /// Jobs without a started task, by queue.
     pub pending: HashMap<Arc<str>, u64>,
     /// When that was read.
@@ -60,6 +64,8 @@
     pub board: Arc<PolicyBoard>,
     /// What is known of the holder.
     pub seat: ArcSwap<SeatView>,
+    /// Description of the holder's state on request.
+    pub state: StateBoard,
     /// Clocks.
     pub clock: BootClock,
     /// Cancelled when the process stops.
@@ -85,7 +91,8 @@
             Ok(Some((record, version, taken_at))) => {
                 log::info!("[seat] taken epoch={} process={:x}", record.epoch, record.process);
                 metrics::counter!("arbutuspick_seats_taken_total").increment(1);
-                let run = HolderRun::new(context.clone(), record, version, taken_at);
+                let vacant_since = watch.changed_at().unwrap_or(taken_at);
+                let run = HolderRun::new(context.clone(), record, version, taken_at, vacant_since);
                 if run.run().await == HolderEnd::Released {
                     return;
                 }
@@ -122,6 +129,7 @@
     let now = context.clock.now();
     let mut present = SeatRecord::default();
     let mut version = 0;
+    let mut pending = HashMap::new();
     for row in page.rows {
         let Some(value) = row.value else { continue };
         match row.key.as_ref() {
@@ -134,20 +142,20 @@
             }
             PENDING_KEY => match PendingRecord::decode(value) {
                 Ok(record) => {
-                    let pending = record
-                        .queues
-                        .into_iter()
-                        .map(|(queue, count)| (queue.into(), count));
-                    context.seat.store(Arc::new(SeatView {
-                        pending: pending.collect(),
-                        read_at: asked_at,
-                    }));
+                    let queues = record.queues.into_iter();
+                    pending = queues.map(|(queue, count)| (queue.into(), count)).collect();
                 }
                 Err(error) => log::error!("[seat] the counts of waiting jobs cannot be read: {error}"),
             },
             _ => {}
         }
     }
+    context.seat.store(Arc::new(SeatView {
+        holder: present.holder.as_str().into(),
+        epoch: present.epoch,
+        pending,
+        read_at: asked_at,
+    }));
     // A takeover whose answer was lost is found here.
     if version > 0 && present.process == context.options.process && present.sequence == 0 && !present.released
     {
--- a/crates/dispatch/src/seat_watch.rs
+++ b/crates/dispatch/src/seat_watch.rs
@@ -45,6 +45,11 @@
         }
     }
 
+    /// Returns when the row was last seen to change.
+    pub(crate) fn changed_at(&self) -> Option<ClockTime> {
+        self.version.map(|_| self.changed_at)
+    }
+
     /// Judges an answer of the store: the version of the row, 0 for none, and whether the seat was given up.
     pub fn observe(&mut self, version: u64, released: bool, now: ClockTime) -> SeatDecision {
         let gap = now.millis_since(self.answered_at) > OBSERVATION_GAP_MS;
--- a/crates/dispatch/tests/support/mod.rs
+++ b/crates/dispatch/tests/support/mod.rs
@@ -550,6 +550,7 @@
             decode_workers,
             board: board.clone(),
             seat: Default::default(),
+            state: Default::default(),
             clock,
             stopping: stopping.clone(),
             options: DispatchOptions {
--- a/crates/pool/src/placement_pass.rs
+++ b/crates/pool/src/placement_pass.rs
@@ -4,7 +4,7 @@
 
 use crate::job_run::{PlaceStage, RunProgress, TaskPlace};
 use crate::place_choice::{choose_gang, choose_row};
-use crate::pool_core::PoolCore;
+use crate::pool_core::{PoolCore, PoolTiming};
 use crate::room_search::{RoomRow, StepCounts};
 use crate::waiting_unit::WaitingUnit;
 use crate::worker_view::Occupant;
@@ -179,6 +179,8 @@
         let spec = job.spec.clone();
         if job.stage == JobStage::Queued {
             job.stage = JobStage::Running;
+            let waited_ms = now.millis_since(job.arrived_at);
+            self.timings.push(PoolTiming::FirstStart(waited_ms));
         }
         let Some(task) = job.task_mut(&name) else { return };
         task.run = gang_run.unwrap_or(task.run + 1);
--- a/crates/pool/src/pool_core.rs
+++ b/crates/pool/src/pool_core.rs
@@ -40,6 +40,15 @@
     pub workers: usize,
 }
 
+/// A time that callers notice, for histograms.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PoolTiming {
+    /// From acceptance to the first start of a job, in milliseconds.
+    FirstStart(u64),
+    /// From when work inside a guarantee could run until its room was cleared, in milliseconds.
+    Reclaim(u64),
+}
+
 /// Jobs, workers and what runs where.
 #[derive(Debug, Default)]
 pub struct PoolCore {
@@ -52,6 +61,7 @@
     worker_index: HashMap<Arc<str>, WorkerKey>,
     pub(crate) claims: Vec<RoomClaim>,
     pub(crate) orders: Vec<PoolOrder>,
+    pub(crate) timings: Vec<PoolTiming>,
     changed: BTreeSet<JobKey>,
     ended: VecDeque<(ClockTime, Arc<str>)>,
     /// Jobs whose final records are kept; a body that is read late must not start them anew.
@@ -363,6 +373,11 @@
         std::mem::take(&mut self.orders)
     }
 
+    /// Returns the times noted since the last call.
+    pub fn take_timings(&mut self) -> Vec<PoolTiming> {
+        std::mem::take(&mut self.timings)
+    }
+
     /// Returns the records that changed since the last call.
     pub fn take_changes(&mut self) -> Vec<RecordChange> {
         let mut changes = Vec::new();
--- a/crates/pool/src/room_claim.rs
+++ b/crates/pool/src/room_claim.rs
@@ -2,7 +2,7 @@
 
 use arbutuspick_model::ClockTime;
 
-use crate::pool_core::{JobKey, PoolCore};
+use crate::pool_core::{JobKey, PoolCore, PoolTiming};
 use crate::room_search::RoomRow;
 use crate::waiting_unit::WaitingUnit;
 use crate::{ResourceAmount, StopReason, TaskName, WorkerKey};
@@ -140,6 +140,9 @@
             self.start_task(unit, task, run, rows[*place].worker, claim.remote, now);
             placed.push((task, rows[*place].worker));
         }
+        if unit.rank.inside_guarantee() {
+            self.timings.push(PoolTiming::Reclaim(unit.waited_ms));
+        }
         self.log_placed(unit, &placed, claim.remote, now);
     }
 
@@ -176,6 +179,8 @@
         self.log_placed(unit, &placed, claim.remote, now);
         if !claim.workers.is_empty() {
             self.claims.push(claim);
+        } else if unit.rank.inside_guarantee() {
+            self.timings.push(PoolTiming::Reclaim(unit.waited_ms));
         }
     }
 }
--- a/crates/pool/src/room_making.rs
+++ b/crates/pool/src/room_making.rs
@@ -112,11 +112,12 @@
         });
     }
 
-    fn worker_names<I>(&self, workers: I) -> String
+    pub(crate) fn worker_names<I>(&self, workers: I) -> String
     where
         I: Iterator<Item = WorkerKey>,
     {
-        let names: Vec<&str> = workers.map(|key| self.workers[key].report.id.as_ref()).collect();
+        let views = workers.filter_map(|key| self.workers.get(key));
+        let names: Vec<&str> = views.map(|view| view.report.id.as_ref()).collect();
         names.join(",")
     }
 
--- /dev/null
+++ b/crates/pool/src/state_dump.rs
@@ -0,0 +1,82 @@
+//! Describes the whole state of the core for people on call.
+
+use std::fmt::Write;
+
+use arbutuspick_model::ClockTime;
+
+use crate::pool_core::PoolCore;
+
+impl PoolCore {
+    /// Returns one line for each worker, job and claim on room.
+    ///
+    /// ```
+    /// use arbutuspick_model::ClockTime;
+    /// use arbutuspick_pool::PoolCore;
+    /// assert!(PoolCore::default().dump(ClockTime(0)).starts_with("policy version=0"));
+    /// ```
+    pub fn dump(&self, now: ClockTime) -> String {
+        let mut text = String::new();
+        // Writing to a string cannot fail.
+        let _ = self.write_dump(&mut text, now);
+        text
+    }
+
+    fn write_dump(&self, text: &mut String, now: ClockTime) -> std::fmt::Result {
+        let mut closed: Vec<&str> = self.closed_centres.iter().map(AsRef::as_ref).collect();
+        closed.sort_unstable();
+        writeln!(
+            text,
+            "policy version={} closed_centres={}",
+            self.policy.version,
+            closed.join(",")
+        )?;
+        for view in self.workers.values() {
+            let free = view.free();
+            writeln!(
+                text,
+                "worker id={} centre={} listed={} gone={} takes_work={} slow={} doubtful={} runs={} free={}c/{}MB/{}a lease_left_ms={}",
+                view.report.id,
+                view.report.centre,
+                view.listed,
+                view.gone,
+                view.takes_work(now),
+                view.health.is_slow(now),
+                view.health.is_doubtful(now),
+                view.occupants.len(),
+                free.millicores,
+                free.memory_mb,
+                free.accelerators,
+                view.lease_bound.millis_since(now),
+            )?;
+        }
+        for job in self.jobs.values() {
+            let steps = job.occurrences.values().flat_map(|occurrence| &occurrence.steps);
+            let tasks: Vec<_> = steps.flat_map(|step| &step.tasks).collect();
+            writeln!(
+                text,
+                "job id={} queue={} account={} stage={} age_ms={} objective_ms={} waiting={} placed={} done={} failures={}",
+                job.id,
+                job.rule.name,
+                job.body.account,
+                job.stage.name(),
+                now.millis_since(job.arrived_at),
+                job.objective_ms(),
+                tasks.iter().filter(|task| task.is_waiting()).count(),
+                tasks.iter().filter(|task| task.place.is_some()).count(),
+                tasks.iter().filter(|task| task.done).count(),
+                tasks.iter().map(|task| task.failures).max().unwrap_or(0),
+            )?;
+        }
+        for claim in &self.claims {
+            let job = self.jobs.get(claim.job).map_or("", |job| job.id.as_ref());
+            writeln!(
+                text,
+                "claim job={job} step={} workers={} left_ms={}",
+                claim.step,
+                self.worker_names(claim.workers.iter().copied()),
+                claim.until.millis_since(now),
+            )?;
+        }
+        Ok(())
+    }
+}
