Count no lost work for stopped runs that checkpoint

A stop saves their progress, but up to a second of work was counted as lost, so that such runs were not preferred when room is made.

--- a/crates/pool/src/room_making.rs
+++ b/crates/pool/src/room_making.rs
@@ -31,8 +31,6 @@
 const STOP_MARGIN_MS: u64 = 700;
 /// Each earlier preemption makes stopping a run this many times dearer.
 const REPEAT_COST_FACTOR: u64 = 2;
-/// A run that saves its progress loses at most this much work, in milliseconds.
-const CHECKPOINT_LOSS_MS: u64 = 1_000;
 /// Time that a stop and a new start cost beside the work that is done again, in milliseconds.
 const RESTART_MS: u64 = 200;
 /// Cost of waiting for a run that ends soon, in worth; free room is better.
@@ -185,11 +183,8 @@
                             continue;
                         };
                         let ran_ms = now.millis_since(place.since);
-                        let lost_ms = if body.checkpoints {
-                            ran_ms.min(CHECKPOINT_LOSS_MS)
-                        } else {
-                            ran_ms
-                        };
+                        // A stop saves the progress of a run that checkpoints.
+                        let lost_ms = if body.checkpoints { 0 } else { ran_ms };
                         let repeats = u64::from(task.preemptions);
                         let lost = waste(body.amount().core_equivalents() * (lost_ms + RESTART_MS));
                         let cost = lost * (1 + repeats * REPEAT_COST_FACTOR) + delay_loss / placed.max(1);
