--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -12,6 +12,7 @@
 mod boot_clock;
 mod commit_log;
 mod front_policy;
+mod holder_feeds;
 mod holder_run;
 mod job_gate;
 mod member_list;
--- a/crates/pool/src/pool_core.rs
+++ b/crates/pool/src/pool_core.rs
@@ -4,9 +4,9 @@
 use arbutuspick_model::{ClockTime, PlatformTime};
 use slotmap::{SlotMap, new_key_type};
 
-use crate::job_run::{JobRun, OccurrenceRun, PlaceStage, TaskPlace, TaskRun};
+use crate::job_run::{JobRun, OccurrenceRun, PlaceStage, TaskRun};
 use crate::room_claim::RoomClaim;
-use crate::worker_view::{Occupant, WorkerView};
+use crate::worker_view::WorkerView;
 use crate::{
     CoreOptions, JobBody, JobRecord, JobStage, PoolOrder, PoolPolicy, QueueRule, StopOrder, StopReason,
     TaskName, WorkerKey, WorkerReport,
@@ -58,7 +58,7 @@
     pub(crate) jobs: SlotMap<JobKey, JobRun>,
     pub(crate) job_index: HashMap<Arc<str>, JobKey>,
     pub(crate) workers: SlotMap<WorkerKey, WorkerView>,
-    worker_index: HashMap<Arc<str>, WorkerKey>,
+    pub(crate) worker_index: HashMap<Arc<str>, WorkerKey>,
     pub(crate) claims: Vec<RoomClaim>,
     pub(crate) orders: Vec<PoolOrder>,
     pub(crate) timings: Vec<PoolTiming>,
@@ -145,79 +145,6 @@
         }
     }
 
-    /// Marks recorded runs as possibly present on their workers.
-    fn restore_places(
-        &mut self,
-        key: JobKey,
-        number: u32,
-        tasks: &[crate::TaskRecord],
-        now: ClockTime,
-        lost_bound: ClockTime,
-    ) {
-        let mut records = tasks.iter();
-        let steps: Vec<usize> = self.jobs[key]
-            .body
-            .steps
-            .iter()
-            .map(|step| step.count as usize)
-            .collect();
-        for (step, count) in steps.into_iter().enumerate() {
-            for index in 0..count {
-                let Some(record) = records.next() else { return };
-                if record.worker.is_empty() || record.done {
-                    continue;
-                }
-                let id: Arc<str> = record.worker.as_str().into();
-                let known = self.worker_index.get(&id).copied();
-                let worker = match known {
-                    // The process that ran it has ended, so the run has ended too.
-                    Some(worker) if self.workers[worker].report.born_ms != record.worker_born_ms => continue,
-                    Some(worker) => worker,
-                    None => self.add_lost_worker(&id, record.worker_born_ms, lost_bound),
-                };
-                let amount = self.jobs[key].body.steps[step].amount();
-                let name = self.jobs[key].task_name(number, step, index);
-                let view = &mut self.workers[worker];
-                view.lease_bound = view.lease_bound.max(lost_bound);
-                view.occupants.insert(
-                    (name.clone(), record.run),
-                    Occupant {
-                        amount,
-                        listed_from: Some(ClockTime(0)),
-                        stop_ordered_at: None,
-                    },
-                );
-                if let Some(task) = self.jobs[key].task_mut(&name) {
-                    task.place = Some(TaskPlace {
-                        worker,
-                        stage: PlaceStage::Starting,
-                        since: now,
-                        remote: false,
-                    });
-                    task.progress.resumed = true;
-                }
-            }
-        }
-    }
-
-    fn add_lost_worker(&mut self, id: &Arc<str>, born_ms: u64, lease_bound: ClockTime) -> WorkerKey {
-        let report = WorkerReport {
-            id: id.clone(),
-            born_ms,
-            address: "".into(),
-            service: "".into(),
-            centre: "".into(),
-            labels: Vec::new(),
-            capacity: Default::default(),
-            leaves_at: None,
-        };
-        let mut view = WorkerView::new(report, lease_bound);
-        view.gone = true;
-        let key = self.workers.insert(view);
-        self.worker_index.insert(id.clone(), key);
-        key
-    }
-
     fn rule_of(&self, body: &JobBody) -> Arc<QueueRule> {
         let known = self.policy.queues.get(body.queue.as_str());
         known.cloned().unwrap_or_else(|| {
