Search for runs to preempt without repeated copies

Cause: on the large fleet a decision took up to 77 ms of processor time (95th percentile, emulated load of 540 workers), three quarters of it in the search for runs to preempt: each blocked unit listed all placed runs anew, and each rack copied all candidates with their labels. The leader decided every 134 ms instead of every 25 ms.

Change: placed runs are collected once a decision, and again after a stop; victims are indexed once a unit; the search keeps the offer of each candidate and renews those that changed; racks are numbers; the median of siblings needs no sorting for each run.

Ruled out: the number of blocked units that a decision tries (40) was left as it is.

The choice of victims is the same greedy one.

--- a/crates/bench/src/pool_emulator.rs
+++ b/crates/bench/src/pool_emulator.rs
@@ -104,6 +104,8 @@
     classes: Vec<LoadClass>,
     core: PoolCore,
     now: ClockTime,
+    /// Draws arrivals only, so that policies are compared under the same ones.
+    arrival_rng: ChaCha8Rng,
     rng: ChaCha8Rng,
     workers: Vec<EmulatedWorker>,
     worker_index: HashMap<WorkerKey, usize>,
@@ -122,6 +124,7 @@
         let policy = load_policy(&classes, plan.accounts, plan.workers as u64 * 8);
         core.apply_policy(Arc::new(policy));
         let mut rng = ChaCha8Rng::seed_from_u64(plan.seed);
+        let arrival_rng = ChaCha8Rng::seed_from_u64(!plan.seed);
         let mut workers = Vec::with_capacity(plan.workers);
         for number in 0..plan.workers {
             let rack = number / RACK_SIZE;
@@ -167,6 +170,7 @@
             classes,
             core,
             now,
+            arrival_rng,
             rng,
             workers,
             jobs: HashMap::new(),
@@ -219,10 +223,15 @@
         let length_ms = self.plan.length_ms;
         let in_burst = (length_ms / 4..length_ms / 2).contains(&passed_ms);
         let factor = if in_burst { self.plan.urgent_burst } else { 1.0 };
-        let number = draw_class(&mut self.rng, &self.classes, factor);
+        let number = draw_class(&mut self.arrival_rng, &self.classes, factor);
         let wall = self.wall();
-        let body = draw_body(&mut self.rng, &self.classes[number], self.plan.accounts, wall.0);
-        let id: Arc<str> = format!("{:016x}", self.rng.random::<u64>()).into();
+        let body = draw_body(
+            &mut self.arrival_rng,
+            &self.classes[number],
+            self.plan.accounts,
+            wall.0,
+        );
+        let id: Arc<str> = format!("{:016x}", self.arrival_rng.random::<u64>()).into();
         let class = &self.classes[number];
         let step = &body.steps[0];
         let work = f64::from(step.count) * step.task_core_ms() as f64;
@@ -244,7 +253,7 @@
         self.core
             .add_job(&id, body, &JobRecord::default(), self.now, wall, self.now);
         let share = 1.0 + (factor - 1.0) * 0.67;
-        let uniform: f64 = self.rng.random_range(1e-6..1.0);
+        let uniform: f64 = self.arrival_rng.random_range(1e-6..1.0);
         (-uniform.ln() * 1_000.0 / (self.plan.arrivals_per_s * share)) as u64
     }
 
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -21,6 +21,7 @@
 mod preemption;
 mod preemption_plan;
 mod progress_check;
+mod rack_index;
 mod resource_amount;
 mod run_pace;
 mod run_release;
--- a/crates/pool/src/placement_pass.rs
+++ b/crates/pool/src/placement_pass.rs
@@ -18,7 +18,8 @@
 impl PoolCore {
     /// Places the units that fit, and frees capacity for others in the order of their rank.
     pub(crate) fn place_waiting_units(&mut self, now: ClockTime) {
-        let mut units = self.waiting_units(now);
+        let context = self.unit_context();
+        let mut units = self.waiting_units(&context, now);
         if units.is_empty() {
             self.reservations.clear();
             return;
@@ -28,6 +29,7 @@
         let pool_busy = is_busy(&candidates);
         self.serve_reservations(&mut units, &mut candidates, now);
         let mut blocked = 0;
+        let mut placed_work = None;
         for unit in &units {
             if unit.tasks.is_empty() || blocked > MAX_BLOCKED_UNITS {
                 continue;
@@ -35,7 +37,10 @@
             let unplaced = self.place_unit(unit, &mut candidates, pool_busy, now);
             if unplaced > 0 {
                 blocked += 1;
-                self.preempt_for(unit, unplaced, &mut candidates, pool_busy, now);
+                let work = placed_work.get_or_insert_with(|| self.placed_work(&candidates, &context, now));
+                if self.preempt_for(unit, unplaced, &mut candidates, work, pool_busy, now) {
+                    placed_work = None;
+                }
             }
         }
     }
@@ -48,9 +53,9 @@
             worker,
             free: view.free(),
             capacity: view.report.capacity,
-            rack: view.report.rack().cloned(),
+            rack: view.rack,
             service: view.report.service.clone(),
-            labels: view.report.labels.clone(),
+            labels: view.labels.clone(),
             suspect: view.health.is_suspect(now),
             slow: view.health.is_slow(now),
         });
--- a/crates/pool/src/placement_restore.rs
+++ b/crates/pool/src/placement_restore.rs
@@ -84,7 +84,7 @@
             capacity: Default::default(),
             leaves_at: None,
         };
-        let mut view = WorkerView::new(report, lease_expiry);
+        let mut view = WorkerView::new(report, None, lease_expiry);
         view.removed = true;
         let key = self.workers.insert(view);
         self.worker_index.insert(id.clone(), key);
--- a/crates/pool/src/pool_core.rs
+++ b/crates/pool/src/pool_core.rs
@@ -6,6 +6,7 @@
 
 use crate::capacity_reservation::CapacityReservation;
 use crate::job_entry::{JobEntry, OccurrenceEntry, PlacementStage, TaskEntry};
+use crate::rack_index::RackIndex;
 use crate::run_release::RunRelease;
 use crate::worker_view::WorkerView;
 use crate::{
@@ -60,6 +61,7 @@
     pub(crate) job_index: HashMap<Arc<str>, JobKey>,
     pub(crate) workers: SlotMap<WorkerKey, WorkerView>,
     pub(crate) worker_index: HashMap<Arc<str>, WorkerKey>,
+    pub(crate) racks: RackIndex,
     pub(crate) reservations: Vec<CapacityReservation>,
     pub(crate) orders: Vec<PoolOrder>,
     pub(crate) latency_samples: Vec<LatencySample>,
--- a/crates/pool/src/preemption.rs
+++ b/crates/pool/src/preemption.rs
@@ -10,7 +10,7 @@
 use crate::job_entry::PlacementStage;
 use crate::pool_core::{JobKey, PoolCore};
 use crate::unit_order::Lateness;
-use crate::victim_list::{PreemptionLimits, VictimList};
+use crate::victim_list::{PlacedWork, PreemptionLimits};
 use crate::waiting_unit::WaitingUnit;
 use crate::worker_choice::choose_preemption;
 use crate::worker_search::WorkerCandidate;
@@ -28,49 +28,44 @@
 
 impl PoolCore {
     /// Stops runs of lower rank, or waits for runs that end soon; outside a guarantee only if the unit gains
-    /// at least what they lose.
+    /// at least what they lose. Returns whether it stopped any.
     pub(crate) fn preempt_for(
         &mut self,
         unit: &WaitingUnit,
         unplaced: usize,
         candidates: &mut [WorkerCandidate],
+        placed_work: &PlacedWork,
         pool_busy: bool,
         now: ClockTime,
-    ) {
+    ) -> bool {
         let urgent = unit.rank.priority == 0;
         let on_time = unit.rank.lateness == Lateness::OnTime;
         let may_stop = unit.rank.inside_guarantee()
             || unit.rank.lateness != Lateness::Overdue && unit.rank.slack_ms(now) < PREEMPTION_SLACK_MS;
         let may_wait = urgent && on_time;
         if !may_stop && !may_wait {
-            return;
+            return false;
         }
         let wait_ms = if on_time {
             unit.rank.slack_ms(now).min(MAX_WAIT_MS)
         } else {
             0
         };
-        let limits = PreemptionLimits {
-            may_stop,
-            wait_ms,
-            now,
-        };
-        let VictimList {
-            groups: victims,
-            tasks,
-        } = self.list_victims(unit, candidates, limits);
+        let limits = PreemptionLimits { may_stop, wait_ms };
+        let list = placed_work.list_victims(unit, limits);
+        let victims = &list.groups;
         let Some((plan, remote)) = choose_preemption(
             unit,
             unplaced,
             candidates,
-            &victims,
+            victims,
             &self.step_counts(unit),
             pool_busy,
         ) else {
-            return;
+            return false;
         };
         if !unit.rank.inside_guarantee() && plan.cost > unit.gain() {
-            return;
+            return false;
         }
         let (awaited, stopped): (Vec<usize>, Vec<usize>) =
             plan.victims.iter().partition(|group| victims[**group].ends_soon);
@@ -86,19 +81,19 @@
             self.worker_ids(plan.candidates.iter().map(|index| candidates[*index].worker)),
         );
         for group in &stopped {
-            for (key, name) in &tasks[*group] {
-                if let Some(task) = self.jobs.get_mut(*key).and_then(|job| job.task_mut(name)) {
+            for (key, name) in list.task_names(self, *group) {
+                if let Some(task) = self.jobs.get_mut(key).and_then(|job| job.task_mut(&name)) {
                     task.preemptions += 1;
                 }
-                self.stop_task(*key, name, StopReason::Preempted, now);
+                self.stop_task(key, &name, StopReason::Preempted, now);
             }
         }
         for index in &plan.candidates {
             candidates[*index].free -= unit.need.amount;
         }
-        let awaited = awaited.iter().flat_map(|group| &tasks[*group]);
+        let awaited = awaited.iter().flat_map(|group| list.task_names(self, *group));
         let awaited = awaited
-            .filter_map(|(job, task)| self.awaited_run(*job, task))
+            .filter_map(|(job, task)| self.awaited_run(job, &task))
             .collect();
         self.reservations.push(CapacityReservation {
             awaited,
@@ -114,6 +109,7 @@
             remote,
             expires_at: now + self.stop_bound_ms().max(wait_ms + AWAITED_GRACE_MS),
         });
+        !stopped.is_empty()
     }
 
     pub(crate) fn worker_ids<I>(&self, workers: I) -> String
--- a/crates/pool/src/preemption_plan.rs
+++ b/crates/pool/src/preemption_plan.rs
@@ -4,10 +4,8 @@
 //! The runs that lose the least work for each task placed are stopped; a gang counts as a whole. Runs that
 //! end by themselves in time are waited for, which loses nothing.
 
-use std::collections::{HashMap, HashSet};
-
 use crate::ResourceAmount;
-use crate::worker_search::{StepCounts, TaskNeed, WorkerCandidate, fitting_tasks};
+use crate::worker_search::{StepCounts, TaskNeed, WorkerCandidate};
 
 /// A run or gang that may be stopped or ends soon.
 #[derive(Clone, Debug)]
@@ -28,12 +26,56 @@
     pub(crate) cost: u64,
 }
 
+/// Victim groups by candidate, built once for all racks that a unit considers.
+#[derive(Debug)]
+pub(crate) struct VictimIndex<'a> {
+    victims: &'a [VictimGroup],
+    /// For each candidate, its groups with what they free there, the cheapest first.
+    by_candidate: Vec<Vec<(usize, ResourceAmount)>>,
+}
+
+impl<'a> VictimIndex<'a> {
+    pub(crate) fn new(victims: &'a [VictimGroup], candidates: usize) -> Self {
+        let mut by_candidate: Vec<Vec<(usize, ResourceAmount)>> = vec![Vec::new(); candidates];
+        for (group, victim) in victims.iter().enumerate() {
+            for (candidate, amount) in &victim.frees {
+                match by_candidate[*candidate].last_mut() {
+                    // Several members of a gang can be placed on one candidate.
+                    Some((last, freed)) if *last == group => *freed += *amount,
+                    _ => by_candidate[*candidate].push((group, *amount)),
+                }
+            }
+        }
+        for groups in &mut by_candidate {
+            groups.sort_by_key(|(group, _)| (victims[*group].cost, *group));
+        }
+        Self {
+            victims,
+            by_candidate,
+        }
+    }
+}
+
+/// The cheapest way to place one more task on a candidate: its cost, and the number of groups, in the order of
+/// the index, that are to be stopped or waited for unless they are taken already.
+type TaskOffer = Option<(u64, usize)>;
+
+/// A candidate during the search.
+struct SearchEntry {
+    index: usize,
+    free: ResourceAmount,
+    /// Number of further tasks that the spread limit allows.
+    spread_left: usize,
+    suspect: bool,
+    offer: TaskOffer,
+}
+
 /// Returns a plan for `count` tasks on allowed candidates, or `None` if too little capacity can be freed.
 ///
 /// The search is greedy: it repeatedly takes the candidate on which one more task costs the least.
 pub(crate) fn choose_victims<F>(
     candidates: &[WorkerCandidate],
-    victims: &[VictimGroup],
+    index: &VictimIndex,
     need: &TaskNeed,
     count: usize,
     counts: &StepCounts,
@@ -42,94 +84,95 @@
 where
     F: Fn(&WorkerCandidate) -> bool,
 {
-    let mut groups_by_candidate: HashMap<usize, Vec<usize>> = HashMap::new();
-    for (group, victim) in victims.iter().enumerate() {
-        for (candidate, _) in &victim.frees {
-            let groups = groups_by_candidate.entry(*candidate).or_default();
-            // Several members of a gang can be placed on one candidate.
-            if groups.last() != Some(&group) {
-                groups.push(group);
-            }
+    let mut entries = Vec::new();
+    let mut positions = vec![usize::MAX; candidates.len()];
+    let mut possible = 0;
+    for (number, candidate) in candidates.iter().enumerate() {
+        if !allowed(candidate) || !need.allows(candidate) {
+            continue;
         }
+        let spread_left = need.spread_limit.map_or(usize::MAX, |limit| {
+            limit.saturating_sub(counts.get(&candidate.worker).copied().unwrap_or(0))
+        });
+        let mut freeable = candidate.free;
+        for (_, amount) in &index.by_candidate[number] {
+            freeable += *amount;
+        }
+        possible += freeable.count_fitting(&need.amount, count).min(spread_left);
+        positions[number] = entries.len();
+        entries.push(SearchEntry {
+            index: number,
+            free: candidate.free,
+            spread_left,
+            suspect: candidate.suspect,
+            offer: None,
+        });
+    }
+    if possible < count {
+        return None;
+    }
+    let mut taken = vec![false; index.victims.len()];
+    for entry in &mut entries {
+        entry.offer = task_offer(entry, index, &taken, need);
     }
-    let mut free = candidates.to_vec();
-    let mut counts = counts.clone();
-    let mut taken: HashSet<usize> = HashSet::new();
     let mut plan = PreemptionPlan {
-        candidates: Vec::new(),
+        candidates: Vec::with_capacity(count),
         victims: Vec::new(),
         cost: 0,
     };
     while plan.candidates.len() < count {
-        let mut best: Option<(u64, bool, usize, Vec<usize>)> = None;
-        for (index, candidate) in free.iter().enumerate() {
-            if !allowed(candidate) || !need.allows(candidate) {
+        let offers = entries.iter().enumerate();
+        let offers = offers.filter_map(|(position, entry)| {
+            let (cost, groups) = entry.offer?;
+            Some((cost, entry.suspect, position, groups))
+        });
+        let (cost, _, position, groups) = offers.min()?;
+        let number = entries[position].index;
+        let mut changed = vec![position];
+        for (group, _) in &index.by_candidate[number][..groups] {
+            if std::mem::replace(&mut taken[*group], true) {
                 continue;
             }
-            let groups = groups_by_candidate.get(&index).map_or(&[][..], Vec::as_slice);
-            let Some((cost, groups)) =
-                groups_for_task(candidate, index, victims, groups, &taken, need, &counts)
-            else {
-                continue;
-            };
-            let suspect = candidate.suspect;
-            if best
-                .as_ref()
-                .is_none_or(|(best_cost, best_suspect, _, _)| (cost, suspect) < (*best_cost, *best_suspect))
-            {
-                best = Some((cost, suspect, index, groups));
+            plan.victims.push(*group);
+            for (candidate, amount) in &index.victims[*group].frees {
+                let position = positions[*candidate];
+                if let Some(entry) = entries.get_mut(position) {
+                    entry.free += *amount;
+                    changed.push(position);
+                }
             }
         }
-        let (cost, _, index, groups) = best?;
-        for group in groups {
-            taken.insert(group);
-            plan.victims.push(group);
-            for (candidate, amount) in &victims[group].frees {
-                free[*candidate].free += *amount;
-            }
+        entries[position].free -= need.amount;
+        entries[position].spread_left -= 1;
+        changed.sort_unstable();
+        changed.dedup();
+        for position in changed {
+            entries[position].offer = task_offer(&entries[position], index, &taken, need);
         }
-        free[index].free -= need.amount;
-        *counts.entry(free[index].worker).or_default() += 1;
         plan.cost += cost;
-        plan.candidates.push(index);
+        plan.candidates.push(number);
     }
     Some(plan)
 }
 
-/// Returns the cost of one more task on the candidate and the groups to stop or wait for.
-///
-/// The groups in `taken` are in the plan already.
-fn groups_for_task(
-    candidate: &WorkerCandidate,
-    index: usize,
-    victims: &[VictimGroup],
-    groups: &[usize],
-    taken: &HashSet<usize>,
-    need: &TaskNeed,
-    counts: &StepCounts,
-) -> Option<(u64, Vec<usize>)> {
-    let mut candidate = candidate.clone();
-    if fitting_tasks(&candidate, need, counts, 1) > 0 {
-        return Some((0, Vec::new()));
+/// Returns the cheapest way to place one more task on the candidate.
+fn task_offer(entry: &SearchEntry, index: &VictimIndex, taken: &[bool], need: &TaskNeed) -> TaskOffer {
+    if entry.spread_left == 0 {
+        return None;
+    }
+    let mut free = entry.free;
+    if free.covers(&need.amount) {
+        return Some((0, 0));
     }
-    let mut remaining: Vec<usize> = groups
-        .iter()
-        .copied()
-        .filter(|group| !taken.contains(group))
-        .collect();
-    remaining.sort_by_key(|group| (victims[*group].cost, *group));
-    let mut chosen = Vec::new();
     let mut cost = 0;
-    for group in remaining {
-        for (freed_index, amount) in &victims[group].frees {
-            if *freed_index == index {
-                candidate.free += *amount;
-            }
+    for (position, (group, amount)) in index.by_candidate[entry.index].iter().enumerate() {
+        if taken[*group] {
+            continue;
         }
-        cost += victims[group].cost;
-        chosen.push(group);
-        if fitting_tasks(&candidate, need, counts, 1) > 0 {
-            return Some((cost, chosen));
+        free += *amount;
+        cost += index.victims[*group].cost;
+        if free.covers(&need.amount) {
+            return Some((cost, position + 1));
         }
     }
     None
--- a/crates/pool/src/run_pace.rs
+++ b/crates/pool/src/run_pace.rs
@@ -63,9 +63,9 @@
     Some(left.saturating_sub(now.millis_since(task.progress.reported_at)))
 }
 
-/// Total times of the tasks of a step, each with its worker.
+/// Total times of the tasks of a step, each with its worker, the shortest first.
 pub(crate) struct StepDurations {
-    totals: Vec<(WorkerKey, u64)>,
+    totals: Vec<(u64, WorkerKey)>,
 }
 
 impl StepDurations {
@@ -73,25 +73,20 @@
         let running = step.tasks.iter().filter_map(|task| {
             let placement = task.placement?;
             let factor = if placement.remote { remote_factor.max(1) } else { 1 };
-            Some((placement.worker, projected_total_ms(&task.progress)? / factor))
+            Some((projected_total_ms(&task.progress)? / factor, placement.worker))
         });
-        let finished = step.run_times.iter().copied();
-        Self {
-            totals: running.chain(finished).collect(),
-        }
+        let finished = step.run_times.iter().map(|(worker, ms)| (*ms, *worker));
+        let mut totals: Vec<(u64, WorkerKey)> = running.chain(finished).collect();
+        totals.sort_unstable();
+        Self { totals }
     }
 
     /// Returns the median total time on all workers but this one, and the number of runs behind it.
     pub(crate) fn sibling_median(&self, worker: WorkerKey) -> Option<(u64, usize)> {
-        let mut others: Vec<u64> = self
-            .totals
-            .iter()
-            .filter(|(key, _)| *key != worker)
-            .map(|(_, ms)| *ms)
-            .collect();
-        others.sort_unstable();
-        let median = others.get(others.len() / 2)?;
-        Some((*median, others.len()))
+        let others = || self.totals.iter().filter(|(_, key)| *key != worker);
+        let count = others().count();
+        let (median, _) = others().nth(count / 2)?;
+        Some((*median, count))
     }
 }
 
--- a/crates/pool/src/victim_list.rs
+++ b/crates/pool/src/victim_list.rs
@@ -10,9 +10,9 @@
 use crate::preemption_plan::VictimGroup;
 use crate::run_pace::remaining_run_ms;
 use crate::unit_order::UnitTiming;
-use crate::waiting_unit::{WaitingUnit, job_value, remaining_ms};
+use crate::waiting_unit::{UnitContext, WaitingUnit, job_value, remaining_ms};
 use crate::worker_search::WorkerCandidate;
-use crate::{StepBody, TaskName, WorkerKey};
+use crate::{ResourceAmount, StepBody, TaskName, WorkerKey};
 
 /// Multiple of the cost of lost work that each earlier preemption of the task adds.
 const PREEMPTION_COST_FACTOR: u64 = 2;
@@ -25,7 +25,28 @@
 #[derive(Default)]
 pub(crate) struct VictimList {
     pub(crate) groups: Vec<VictimGroup>,
-    pub(crate) tasks: Vec<Vec<(JobKey, TaskName)>>,
+    tasks: Vec<VictimTasks>,
+}
+
+/// Tasks of a victim group.
+struct VictimTasks {
+    key: JobKey,
+    occurrence: u32,
+    step: usize,
+    indices: Vec<usize>,
+}
+
+impl VictimList {
+    /// Returns the job of a group and the names of its tasks.
+    pub(crate) fn task_names(&self, core: &PoolCore, group: usize) -> Vec<(JobKey, TaskName)> {
+        let tasks = &self.tasks[group];
+        let job = &core.jobs[tasks.key];
+        let names = tasks
+            .indices
+            .iter()
+            .map(|index| (tasks.key, job.task_name(tasks.occurrence, tasks.step, *index)));
+        names.collect()
+    }
 }
 
 /// Limits on how a unit may obtain capacity.
@@ -35,7 +56,6 @@
     pub(crate) may_stop: bool,
     /// Longest wait for a run that ends by itself, in milliseconds.
     pub(crate) wait_ms: u64,
-    pub(crate) now: ClockTime,
 }
 
 /// How the capacity of a placed run can be freed.
@@ -46,135 +66,227 @@
     Ineligible,
 }
 
-impl PoolCore {
+/// How a placed run can end.
+#[derive(Clone, Copy, Debug)]
+enum RunOutlook {
+    /// A stop was ordered, and its bound has not passed.
+    Stopping,
+    /// A stop exceeded its bound: it was lost, or its worker does not answer.
+    StopOverdue,
+    /// The run goes on; its remaining time is known once it has reported progress.
+    Running { left_ms: Option<u64> },
+}
+
+impl RunOutlook {
+    fn victim_kind(self, limits: PreemptionLimits) -> VictimKind {
+        match self {
+            Self::Stopping => VictimKind::EndsSoon,
+            Self::StopOverdue => VictimKind::Ineligible,
+            Self::Running { left_ms } if left_ms.is_some_and(|left_ms| left_ms <= limits.wait_ms) => {
+                VictimKind::EndsSoon
+            }
+            Self::Running { .. } if limits.may_stop => VictimKind::Stoppable,
+            Self::Running { .. } => VictimKind::Ineligible,
+        }
+    }
+}
+
+/// A placed run of a step.
+#[derive(Debug)]
+struct PlacedRun {
+    index: usize,
+    /// Candidate on which it is placed; `None` if its worker takes no new work.
+    candidate: Option<usize>,
+    outlook: RunOutlook,
+    /// Value that is lost by stopping it.
+    cost: u64,
+}
+
+/// The placed runs of a step.
+#[derive(Debug)]
+struct PlacedStep {
+    key: JobKey,
+    occurrence: u32,
+    step: usize,
+    gang: bool,
+    priority: u32,
+    /// Whether the job is within the guarantee of its account.
+    guaranteed: bool,
+    amount: ResourceAmount,
+    runs: Vec<PlacedRun>,
+}
+
+/// All placed runs with what it costs to stop them, collected once and shared by the units of a decision.
+#[derive(Debug, Default)]
+pub(crate) struct PlacedWork {
+    steps: Vec<PlacedStep>,
+}
+
+impl PlacedWork {
     /// Lists the runs that the unit may preempt or wait for; a gang is one group.
-    pub(crate) fn list_victims(
+    pub(crate) fn list_victims(&self, unit: &WaitingUnit, limits: PreemptionLimits) -> VictimList {
+        let mut list = VictimList::default();
+        for step in &self.steps {
+            let lower_priority = step.priority > unit.rank.priority;
+            let borrows = unit.rank.inside_guarantee() && !step.guaranteed;
+            let limits = PreemptionLimits {
+                may_stop: limits.may_stop && (lower_priority || borrows),
+                ..limits
+            };
+            if step.gang {
+                step.add_gang(limits, &mut list);
+            } else {
+                step.add_runs(limits, &mut list);
+            }
+        }
+        list
+    }
+}
+
+impl PlacedStep {
+    /// Adds the runs one by one.
+    fn add_runs(&self, limits: PreemptionLimits, list: &mut VictimList) {
+        for run in &self.runs {
+            let kind = run.outlook.victim_kind(limits);
+            let Some(candidate) = run.candidate.filter(|_| kind != VictimKind::Ineligible) else {
+                continue;
+            };
+            let ends_soon = kind == VictimKind::EndsSoon;
+            list.groups.push(VictimGroup {
+                cost: if ends_soon { WAIT_COST } else { run.cost },
+                ends_soon,
+                frees: vec![(candidate, self.amount)],
+            });
+            list.tasks.push(self.tasks(vec![run.index]));
+        }
+    }
+
+    /// Adds the whole gang as one group.
+    fn add_gang(&self, limits: PreemptionLimits, list: &mut VictimList) {
+        let mut gang = VictimGroup {
+            cost: 0,
+            ends_soon: true,
+            frees: Vec::new(),
+        };
+        let mut members = Vec::new();
+        for run in &self.runs {
+            let kind = run.outlook.victim_kind(limits);
+            gang.ends_soon &= kind == VictimKind::EndsSoon;
+            if let Some(candidate) = run.candidate.filter(|_| kind != VictimKind::Ineligible) {
+                gang.cost += run.cost;
+                gang.frees.push((candidate, self.amount));
+                members.push(run.index);
+            }
+        }
+        if members.is_empty() || !(gang.ends_soon || limits.may_stop) {
+            return;
+        }
+        if gang.ends_soon {
+            gang.cost = WAIT_COST;
+        }
+        list.groups.push(gang);
+        list.tasks.push(self.tasks(members));
+    }
+
+    fn tasks(&self, indices: Vec<usize>) -> VictimTasks {
+        VictimTasks {
+            key: self.key,
+            occurrence: self.occurrence,
+            step: self.step,
+            indices,
+        }
+    }
+}
+
+impl PoolCore {
+    /// Collects all placed runs.
+    pub(crate) fn placed_work(
         &self,
-        unit: &WaitingUnit,
         candidates: &[WorkerCandidate],
-        limits: PreemptionLimits,
-    ) -> VictimList {
+        context: &UnitContext,
+        now: ClockTime,
+    ) -> PlacedWork {
         let candidate_index: HashMap<WorkerKey, usize> = candidates
             .iter()
             .enumerate()
             .map(|(index, candidate)| (candidate.worker, index))
             .collect();
-        let guaranteed = self.jobs_inside_guarantee();
-        let mean_work = self.mean_work();
-        let mut list = VictimList::default();
+        let mut work = PlacedWork::default();
         for (key, job) in &self.jobs {
-            let value = job_value(job, &mean_work);
-            let lower_priority = job.rule.priority > unit.rank.priority;
-            let borrows = unit.rank.inside_guarantee() && !guaranteed.contains(&key);
-            let limits = PreemptionLimits {
-                may_stop: limits.may_stop && (lower_priority || borrows),
-                ..limits
-            };
+            let value = job_value(job, &context.mean_work);
             for (number, occurrence) in &job.occurrences {
                 for step in 0..occurrence.steps.len() {
                     let step = StepContext {
-                        key,
                         job,
-                        number: *number,
                         occurrence,
                         step,
                     };
-                    self.add_victims(&step, &value, &candidate_index, limits, &mut list);
+                    let runs = self.placed_runs(&step, &value, &candidate_index, now);
+                    if runs.is_empty() {
+                        continue;
+                    }
+                    work.steps.push(PlacedStep {
+                        key,
+                        occurrence: *number,
+                        step: step.step,
+                        gang: step.body().gang,
+                        priority: job.rule.priority,
+                        guaranteed: context.guaranteed.contains(&key),
+                        amount: step.body().amount(),
+                        runs,
+                    });
                 }
             }
         }
-        list
+        work
     }
 
-    /// Adds the runs of a step, one by one or as a whole gang.
-    fn add_victims(
+    fn placed_runs(
         &self,
         step: &StepContext,
         value: &JobValue,
         candidate_index: &HashMap<WorkerKey, usize>,
-        limits: PreemptionLimits,
-        list: &mut VictimList,
-    ) {
+        now: ClockTime,
+    ) -> Vec<PlacedRun> {
         let body = step.body();
-        let tasks = &step.occurrence.steps[step.step].tasks;
-        let placed = tasks.iter().filter(|task| task.placement.is_some()).count() as u64;
-        if placed == 0 {
-            return;
-        }
-        let delay_loss = restart_loss(step, value, limits.now) / placed;
-        let mut gang = VictimGroup {
-            cost: 0,
-            ends_soon: true,
-            frees: Vec::new(),
-        };
-        let mut members = Vec::new();
-        for (index, task) in tasks.iter().enumerate() {
-            let Some(placement) = task.placement else { continue };
-            let kind = self.victim_kind(task, limits);
-            if kind == VictimKind::Ineligible {
-                gang.ends_soon = false;
-                continue;
-            }
-            let Some(candidate) = candidate_index.get(&placement.worker) else {
-                continue;
-            };
-            let ends_soon = kind == VictimKind::EndsSoon;
-            let cost = stop_cost(body, task, limits.now) + delay_loss;
-            let name = step.job.task_name(step.number, step.step, index);
-            if body.gang {
-                gang.ends_soon &= ends_soon;
-                gang.cost += cost;
-                gang.frees.push((*candidate, body.amount()));
-                members.push((step.key, name));
-            } else {
-                list.groups.push(VictimGroup {
-                    cost: if ends_soon { WAIT_COST } else { cost },
-                    ends_soon,
-                    frees: vec![(*candidate, body.amount())],
-                });
-                list.tasks.push(vec![(step.key, name)]);
-            }
-        }
-        if !members.is_empty() && (gang.ends_soon || limits.may_stop) {
-            if gang.ends_soon {
-                gang.cost = WAIT_COST;
+        let tasks = step.occurrence.steps[step.step].tasks.iter().enumerate();
+        let placed = tasks.filter_map(|(index, task)| Some((index, task, task.placement?)));
+        let mut runs: Vec<PlacedRun> = placed
+            .map(|(index, task, placement)| PlacedRun {
+                index,
+                candidate: candidate_index.get(&placement.worker).copied(),
+                outlook: self.run_outlook(task, now),
+                cost: stop_cost(body, task, now),
+            })
+            .collect();
+        if !runs.is_empty() {
+            let delay_loss = restart_loss(step, value, now) / runs.len() as u64;
+            for run in &mut runs {
+                run.cost += delay_loss;
             }
-            list.groups.push(gang);
-            list.tasks.push(members);
         }
+        runs
     }
 
-    /// Returns how the capacity of a placed run can be freed.
-    fn victim_kind(&self, task: &TaskEntry, limits: PreemptionLimits) -> VictimKind {
-        let Some(placement) = task.placement else {
-            return VictimKind::Ineligible;
-        };
-        if placement.stage == PlacementStage::Stopping {
-            // A stop that exceeded its bound was lost, or its worker does not answer.
-            let in_time = limits.now <= placement.since + self.stop_bound_ms();
-            return if in_time {
-                VictimKind::EndsSoon
-            } else {
-                VictimKind::Ineligible
-            };
-        }
-        let left_ms = remaining_run_ms(task, limits.now);
-        if left_ms.is_some_and(|left_ms| left_ms <= limits.wait_ms) {
-            VictimKind::EndsSoon
-        } else if limits.may_stop {
-            VictimKind::Stoppable
-        } else {
-            VictimKind::Ineligible
+    fn run_outlook(&self, task: &TaskEntry, now: ClockTime) -> RunOutlook {
+        match task.placement {
+            Some(placement) if placement.stage == PlacementStage::Stopping => {
+                if now <= placement.since + self.stop_bound_ms() {
+                    RunOutlook::Stopping
+                } else {
+                    RunOutlook::StopOverdue
+                }
+            }
+            _ => RunOutlook::Running {
+                left_ms: remaining_run_ms(task, now),
+            },
         }
     }
 }
 
 /// A step with its occurrence and job.
 struct StepContext<'a> {
-    key: JobKey,
     job: &'a JobEntry,
-    /// Number of the occurrence.
-    number: u32,
     occurrence: &'a OccurrenceEntry,
     step: usize,
 }
--- a/crates/pool/src/waiting_unit.rs
+++ b/crates/pool/src/waiting_unit.rs
@@ -10,7 +10,7 @@
 use crate::job_value::JobValue;
 use crate::pool_core::{JobKey, PoolCore};
 use crate::unit_order::{Lateness, UnitRank, UnitTiming, unit_rank};
-use crate::worker_search::{TaskNeed, WorkerCandidate};
+use crate::worker_search::{RackId, TaskNeed, WorkerCandidate};
 
 /// Wait after which a task may return to a suspect worker on which it failed, in milliseconds.
 const SUSPECT_WAIT_MS: u64 = 600;
@@ -79,28 +79,36 @@
     }
 }
 
+/// What the units of one decision are compared by.
+#[derive(Debug)]
+pub(crate) struct UnitContext {
+    /// Jobs within the guarantees of their accounts.
+    pub(crate) guaranteed: HashSet<JobKey>,
+    /// Mean work of the jobs of each queue, in core milliseconds.
+    pub(crate) mean_work: HashMap<Arc<str>, u64>,
+    /// Largest capacity among the workers, separately for each resource.
+    pub(crate) largest: ResourceAmount,
+}
+
 impl PoolCore {
+    pub(crate) fn unit_context(&self) -> UnitContext {
+        UnitContext {
+            guaranteed: self.jobs_inside_guarantee(),
+            mean_work: self.mean_work(),
+            largest: self.largest_capacity(),
+        }
+    }
+
     /// Collects the units that are ready to start.
-    pub(crate) fn waiting_units(&mut self, now: ClockTime) -> Vec<WaitingUnit> {
-        let mean_work = self.mean_work();
-        let largest = self.largest_capacity();
-        let guaranteed = self.jobs_inside_guarantee();
+    pub(crate) fn waiting_units(&mut self, context: &UnitContext, now: ClockTime) -> Vec<WaitingUnit> {
         let mut units = Vec::new();
         for (key, job) in &mut self.jobs {
             let numbers: Vec<u32> = job.occurrences.keys().copied().collect();
             for number in numbers {
                 for step in 0..job.body.steps.len() {
-                    let inside = guaranteed.contains(&key);
-                    let value = job_value(job, &mean_work);
-                    units.extend(waiting_unit(
-                        key,
-                        job,
-                        (number, step),
-                        value,
-                        &largest,
-                        inside,
-                        now,
-                    ));
+                    let rack = non_empty(&job.body.steps[step].data_rack);
+                    let data_rack = rack.and_then(|rack| self.racks.id(Some(&rack)));
+                    units.extend(waiting_unit(key, job, (number, step), data_rack, context, now));
                 }
             }
         }
@@ -169,12 +177,12 @@
     key: JobKey,
     job: &mut JobEntry,
     (number, step): (u32, usize),
-    value: JobValue,
-    largest: &ResourceAmount,
-    inside_guarantee: bool,
+    data_rack: Option<RackId>,
+    context: &UnitContext,
     now: ClockTime,
 ) -> Option<WaitingUnit> {
     let objective_ms = job.objective_ms();
+    let value = job_value(job, &context.mean_work);
     let occurrence = job.occurrences.get(&number)?;
     let body = &job.body.steps[step];
     let state = &occurrence.steps[step];
@@ -193,16 +201,17 @@
         amount: body.amount(),
         service: job.rule.service.clone(),
         required_label: non_empty(&body.required_label),
-        data_rack: non_empty(&body.data_rack),
+        data_rack,
         spread_limit: (body.spread_limit > 0).then_some(body.spread_limit as usize),
     };
     let remaining_ms = remaining_ms(job, step);
-    let remaining_worker_us = remaining_worker_us(job, number, largest);
+    let remaining_worker_us = remaining_worker_us(job, number, &context.largest);
     let timing = UnitTiming {
         due_at,
         objective_ms,
         remaining_ms,
     };
+    let inside_guarantee = context.guaranteed.contains(&key);
     let rank = unit_rank(now, &timing, &value, remaining_worker_us, inside_guarantee);
     let state = &mut job.occurrences.get_mut(&number)?.steps[step];
     let ready_at = *state.ready_at.get_or_insert(now);
--- a/crates/pool/src/worker_choice.rs
+++ b/crates/pool/src/worker_choice.rs
@@ -1,11 +1,11 @@
 //! Chooses workers for a unit: near its data, in one rack, or anywhere if it may run remotely.
 
-use std::sync::Arc;
-
 use crate::WorkerKey;
-use crate::preemption_plan::{PreemptionPlan, VictimGroup, choose_victims};
+use crate::preemption_plan::{PreemptionPlan, VictimGroup, VictimIndex, choose_victims};
 use crate::waiting_unit::WaitingUnit;
-use crate::worker_search::{StepCounts, WorkerCandidate, best_candidate, gang_candidates, rack_capacities};
+use crate::worker_search::{
+    RackId, StepCounts, WorkerCandidate, best_candidate, gang_candidates, rack_capacities,
+};
 
 /// One in this many workers is kept empty for urgent work and gangs while others have free capacity.
 const EMPTY_WORKER_DIVISOR: usize = 8;
@@ -77,7 +77,7 @@
     let never_local = unit.same_rack
         && !rack_capacities(candidates, &unit.need, count, |_| true)
             .iter()
-            .any(|(rack, _, empty)| unit.need.is_local_rack(rack) && *empty >= count);
+            .any(|(rack, _, empty)| unit.need.is_local_rack(*rack) && *empty >= count);
     let restricted = unit.same_rack || unit.need.data_rack.is_some();
     if !restricted || !(remote_ok || never_local) {
         return None;
@@ -103,11 +103,11 @@
     let racks = rack_capacities(candidates, &unit.need, count, &allowed);
     let local = racks
         .iter()
-        .filter(|(rack, now, _)| unit.need.is_local_rack(rack) && *now >= count);
+        .filter(|(rack, now, _)| unit.need.is_local_rack(*rack) && *now >= count);
     // Best fit: the rack with the least capacity left over, so that the other racks stay empty.
     let (tightest, _, _) = local.min_by_key(|(_, now, _)| *now)?;
     gang_candidates(candidates, &unit.need, count, |candidate| {
-        candidate.rack.as_ref() == Some(tightest) && allowed(candidate)
+        candidate.rack == Some(*tightest) && allowed(candidate)
     })
 }
 
@@ -124,22 +124,23 @@
     pool_busy: bool,
 ) -> Option<(PreemptionPlan, bool)> {
     let count = if unit.gang { unit.tasks.len() } else { unplaced };
-    let plan_for_rack = |rack: &Arc<str>| {
-        choose_victims(candidates, victims, &unit.need, count, counts, |candidate| {
-            candidate.rack.as_ref() == Some(rack) && unit.accepts(candidate)
+    let index = VictimIndex::new(victims, candidates.len());
+    let plan_for_rack = |rack: RackId| {
+        choose_victims(candidates, &index, &unit.need, count, counts, |candidate| {
+            candidate.rack == Some(rack) && unit.accepts(candidate)
         })
     };
     if unit.same_rack {
         let racks = rack_capacities(candidates, &unit.need, count, |candidate| unit.accepts(candidate));
         let local = racks
             .iter()
-            .filter(|(rack, _, empty)| *empty >= count && unit.need.is_local_rack(rack));
-        let plans = local.filter_map(|(rack, _, _)| plan_for_rack(rack));
+            .filter(|(rack, _, empty)| *empty >= count && unit.need.is_local_rack(*rack));
+        let plans = local.filter_map(|(rack, _, _)| plan_for_rack(*rack));
         if let Some(plan) = plans.min_by_key(|plan| plan.cost) {
             return Some((plan, false));
         }
     } else {
-        let local = choose_victims(candidates, victims, &unit.need, count, counts, |candidate| {
+        let local = choose_victims(candidates, &index, &unit.need, count, counts, |candidate| {
             unit.need.is_local(candidate) && unit.accepts(candidate)
         });
         if let Some(plan) = local {
@@ -150,7 +151,7 @@
     if !remote_ok {
         return None;
     }
-    let plan = choose_victims(candidates, victims, &unit.need, count, counts, |candidate| {
+    let plan = choose_victims(candidates, &index, &unit.need, count, counts, |candidate| {
         unit.accepts(candidate)
     });
     plan.map(|plan| (plan, true))
--- a/crates/pool/src/worker_restart.rs
+++ b/crates/pool/src/worker_restart.rs
@@ -25,12 +25,17 @@
                 log::info!("[worker] id={} centre={} state=leaving", report.id, report.centre);
             }
             view.removed = false;
+            if view.report.labels != report.labels {
+                view.labels = report.labels.as_slice().into();
+                view.rack = self.racks.id(report.rack());
+            }
             view.report = report;
             return key;
         }
         let id = report.id.clone();
         let born = report.started_at_ms;
-        let key = self.workers.insert(WorkerView::new(report, now));
+        let rack = self.racks.id(report.rack());
+        let key = self.workers.insert(WorkerView::new(report, rack, now));
         if let Some(previous) = known {
             log::info!(
                 "[worker] id={id} restarted old_born={} new_born={born}",
--- a/crates/pool/src/worker_search.rs
+++ b/crates/pool/src/worker_search.rs
@@ -8,15 +8,19 @@
 
 use crate::{ResourceAmount, WorkerKey};
 
+/// Number of a rack in this process.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct RackId(pub(crate) usize);
+
 /// A schedulable worker during one decision, with the resources that are still free.
 #[derive(Clone, Debug)]
 pub(crate) struct WorkerCandidate {
     pub(crate) worker: WorkerKey,
     pub(crate) free: ResourceAmount,
     pub(crate) capacity: ResourceAmount,
-    pub(crate) rack: Option<Arc<str>>,
+    pub(crate) rack: Option<RackId>,
     pub(crate) service: Arc<str>,
-    pub(crate) labels: Vec<Arc<str>>,
+    pub(crate) labels: Arc<[Arc<str>]>,
     /// Whether other workers should be preferred: a call was not answered lately, or a run failed and none
     /// has succeeded since.
     pub(crate) suspect: bool,
@@ -37,7 +41,7 @@
     pub(crate) amount: ResourceAmount,
     pub(crate) service: Arc<str>,
     pub(crate) required_label: Option<Arc<str>>,
-    pub(crate) data_rack: Option<Arc<str>>,
+    pub(crate) data_rack: Option<RackId>,
     /// Maximum number of tasks of the step on one worker.
     pub(crate) spread_limit: Option<usize>,
 }
@@ -57,8 +61,8 @@
         self.data_rack.is_none() || self.data_rack == candidate.rack
     }
 
-    pub(crate) fn is_local_rack(&self, rack: &Arc<str>) -> bool {
-        self.data_rack.as_ref().is_none_or(|data| data == rack)
+    pub(crate) fn is_local_rack(&self, rack: RackId) -> bool {
+        self.data_rack.is_none_or(|data| data == rack)
     }
 }
 
@@ -151,27 +155,26 @@
     need: &TaskNeed,
     count: usize,
     allowed: F,
-) -> Vec<(Arc<str>, usize, usize)>
+) -> Vec<(RackId, usize, usize)>
 where
     F: Fn(&WorkerCandidate) -> bool,
 {
     let counts = StepCounts::new();
-    let mut racks: HashMap<Arc<str>, (usize, usize)> = HashMap::new();
+    let mut racks: Vec<(RackId, usize, usize)> = Vec::new();
     for candidate in candidates {
-        let Some(rack) = &candidate.rack else { continue };
+        let Some(rack) = candidate.rack else { continue };
         if !need.allows(candidate) || !allowed(candidate) {
             continue;
         }
-        let entry = racks.entry(rack.clone()).or_default();
-        entry.0 += fitting_tasks(candidate, need, &counts, count);
-        entry.1 += candidate
+        for number in racks.len()..=rack.0 {
+            racks.push((RackId(number), 0, 0));
+        }
+        let entry = &mut racks[rack.0];
+        entry.1 += fitting_tasks(candidate, need, &counts, count);
+        entry.2 += candidate
             .capacity
             .count_fitting(&need.amount, need.spread_limit.unwrap_or(count).min(count));
     }
-    let mut racks: Vec<_> = racks
-        .into_iter()
-        .map(|(rack, (now, empty))| (rack, now, empty))
-        .collect();
-    racks.sort();
+    racks.retain(|(_, _, empty)| *empty > 0);
     racks
 }
--- a/crates/pool/src/worker_view.rs
+++ b/crates/pool/src/worker_view.rs
@@ -5,6 +5,7 @@
 use slotmap::new_key_type;
 
 use crate::worker_health::WorkerHealth;
+use crate::worker_search::RackId;
 use crate::{ResourceAmount, TaskName};
 
 new_key_type! {
@@ -65,6 +66,9 @@
 #[derive(Clone, Debug)]
 pub(crate) struct WorkerView {
     pub(crate) report: WorkerReport,
+    /// Labels of the report, shared with the candidates of a decision.
+    pub(crate) labels: Arc<[Arc<str>]>,
+    pub(crate) rack: Option<RackId>,
     /// Whether the runs of the worker are known from a listing.
     pub(crate) listed: bool,
     /// Whether its entry in the worker registry has been removed.
@@ -80,8 +84,10 @@
 }
 
 impl WorkerView {
-    pub(crate) fn new(report: WorkerReport, lease_expiry: ClockTime) -> Self {
+    pub(crate) fn new(report: WorkerReport, rack: Option<RackId>, lease_expiry: ClockTime) -> Self {
         Self {
+            labels: report.labels.as_slice().into(),
+            rack,
             report,
             listed: false,
             removed: false,
