Measure where the leader's loop spends its time

One log line every two seconds and a histogram by phase: waiting, applying events, deciding, storing, sending.

--- a/crates/bench/src/pool_load.rs
+++ b/crates/bench/src/pool_load.rs
@@ -1,5 +1,6 @@
 //! Load on the pool scheduler: job classes, arrivals and the outcome that callers see.
 
+use std::collections::BTreeMap;
 use std::fmt::Write as _;
 use std::sync::Arc;
 
@@ -210,8 +211,8 @@
     pub busy_accelerators: f64,
     /// Mean share of the dominant resource in use, in percent.
     pub busy_share: f64,
-    /// Work of stopped and broken runs that no checkpoint kept, in core seconds.
-    pub lost_core_s: f64,
+    /// Runs that ended early by cause, and their work that no checkpoint kept, in core seconds.
+    pub losses: BTreeMap<String, (usize, f64)>,
     /// Number of starts and stops.
     pub orders: (usize, usize),
     /// Processor times of the decisions, in microseconds.
@@ -227,6 +228,12 @@
 }
 
 impl PoolLoadOutcome {
+    pub(crate) fn add_loss(&mut self, cause: &str, core_s: f64) {
+        let (runs, sum) = self.losses.entry(cause.to_owned()).or_default();
+        *runs += 1;
+        *sum += core_s;
+    }
+
     /// Returns the value earned as a share of the value owed.
     pub fn worth(&self) -> f64 {
         let sum = |part: fn(&ClassOutcome) -> f64| self.classes.iter().map(part).sum::<f64>();
@@ -251,6 +258,9 @@
                 quantile(&mut waits, 95),
             );
         }
+        for (cause, (runs, core_s)) in &self.losses {
+            let _ = writeln!(text, "lost: {cause:18} {runs:6} runs {core_s:9.0} core s");
+        }
         let mut decisions = self.decision_us.clone();
         let _ = writeln!(
             text,
@@ -259,7 +269,7 @@
             self.worth(),
             self.busy_accelerators,
             self.busy_share,
-            self.lost_core_s,
+            self.losses.values().map(|(_, core_s)| core_s).sum::<f64>(),
             self.orders.0,
             self.orders.1,
             quantile(&mut decisions, 50),
--- a/crates/dispatch/src/leader_run.rs
+++ b/crates/dispatch/src/leader_run.rs
@@ -20,6 +20,7 @@
 use crate::leader_record::{
     CANCEL_SUFFIX, INTAKE_TABLE, LEADER_TABLE, LeaderRecord, PENDING_KEY, PROGRESS_TABLE, PendingRecord,
 };
+use crate::loop_meter::{LoopMeter, PassPhase};
 use crate::row_store::{RowEntry, RowStore, RowWrite, read_table};
 use crate::worker_client::WorkerClient;
 use crate::worker_session::{WorkerEvent, WorkerSession};
@@ -59,6 +60,7 @@
     earlier_lease_expiry: ClockTime,
     /// When the row of the earlier leader was last seen to change.
     leaderless_since: ClockTime,
+    meter: LoopMeter,
 }
 
 /// Why a leader stopped.
@@ -110,6 +112,7 @@
             committed_at: acquired_at,
             earlier_lease_expiry: context.clock.now() + wait_ms,
             leaderless_since,
+            meter: LoopMeter::new(acquired_at),
             context,
         }
     }
@@ -158,12 +161,14 @@
                 }
                 () = tick => {}
             }
+            self.meter.end_phase(PassPhase::Wait, self.context.clock.now());
             while let Ok((key, event)) = self.worker_events.try_recv() {
                 self.apply_worker_event(key, event);
             }
             while let Ok(event) = events.try_recv() {
                 self.apply_event(event);
             }
+            self.meter.end_phase(PassPhase::Apply, self.context.clock.now());
             last_decision_at = Instant::now();
             let now = self.context.clock.now();
             self.context.state_dump.answer(|| self.core.dump(now));
@@ -380,6 +385,7 @@
     }
 
     fn apply_worker_event(&mut self, key: WorkerKey, event: WorkerEvent) {
+        self.meter.count_event();
         let now = self.context.clock.now();
         match event {
             WorkerEvent::Listed(listing) => self.core.apply_listing(key, &listing, now),
@@ -438,11 +444,14 @@
             .map(|key| (*key, self.core.applied_end(*key)))
             .collect();
         let writes = self.collect_writes(changes, now);
+        let (order_count, row_count) = (orders.len(), writes.len());
+        self.meter.end_phase(PassPhase::Decide, self.context.clock.now());
         if !writes.is_empty() || now.millis_since(self.committed_at) >= MAX_COMMIT_INTERVAL_MS {
             self.writer.commit(writes).await?;
             self.committed_at = now;
             self.record_metrics(now);
         }
+        self.meter.end_phase(PassPhase::Commit, self.context.clock.now());
         for (key, end) in acknowledged {
             let needs_listing = self.core.needs_listing(key);
             if let Some(session) = self.sessions.get(&key) {
@@ -473,6 +482,10 @@
         for ((job, reason), tasks) in stop_counts {
             log::info!("[stop] job={job} tasks={tasks} reason={reason:?}");
         }
+        let now = self.context.clock.now();
+        self.meter.end_phase(PassPhase::Send, now);
+        let waiting_tasks = self.core.summary().waiting_tasks;
+        self.meter.end_pass(order_count, row_count, waiting_tasks, now);
         Ok(())
     }
 
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -20,6 +20,7 @@
 mod leader_feeds;
 mod leader_record;
 mod leader_run;
+mod loop_meter;
 mod member_list;
 mod order_sender;
 mod peer_probe;
