Let single tasks leave free capacity to gangs that wait for more of it

Change: after a gang could not be placed, single tasks of lower rank wait while more than half of their initial slack is left.

--- a/crates/bench/src/pool_emulator.rs
+++ b/crates/bench/src/pool_emulator.rs
@@ -95,6 +95,8 @@
     objective_ms: u64,
     arrived_at: ClockTime,
     body: JobBody,
+    /// Run time of its tasks, in percent of the estimate.
+    length_percent: u64,
     started: bool,
 }
 
@@ -238,7 +240,9 @@
         let work = f64::from(step.count) * step.task_core_ms() as f64;
         let tasks = class.mean_work_core_ms();
         let worth = (0.3 + 0.7 * work / tasks).min(4.0);
-        let objective_ms = (step.estimate_ms as f64 * class.stretch) as u64 + class.allowance_ms;
+        let length_percent = self.arrival_rng.random_range(80..125);
+        let length_ms = (step.estimate_ms * length_percent / 100) as f64;
+        let objective_ms = (length_ms * class.stretch) as u64 + class.allowance_ms;
         let outcome = &mut self.outcome.classes[number];
         outcome.jobs += 1;
         outcome.worth.1 += worth * class.worth.0;
@@ -248,6 +252,7 @@
             objective_ms,
             arrived_at: self.now,
             body: body.clone(),
+            length_percent,
             started: false,
         };
         self.jobs.insert(id.clone(), job);
@@ -420,7 +425,14 @@
         let step = job.body.steps[0].clone();
         let saved_ms: u64 = order.checkpoint.parse().unwrap_or(0);
         let restore_ms = if saved_ms > 0 { RESTORE_MS } else { 0 };
-        let total_ms = step.estimate_ms * 100 / self.workers[index].speed + restore_ms;
+        // Tasks of a gang work in step; single tasks of a job differ.
+        let uneven_percent = if step.gang {
+            100
+        } else {
+            self.rng.random_range(65..135)
+        };
+        let length_ms = step.estimate_ms * job.length_percent * uneven_percent / 10_000;
+        let total_ms = length_ms * 100 / self.workers[index].speed + restore_ms;
         let fails = self.rng.random_range(0..100) < self.plan.failing_percent;
         self.workers[index].runs.push(EmulatedRun {
             task: order.task.clone(),
--- a/crates/pool/src/placement_pass.rs
+++ b/crates/pool/src/placement_pass.rs
@@ -4,6 +4,7 @@
 
 use crate::job_entry::{PlacementStage, RunProgress, TaskPlacement};
 use crate::pool_core::{LatencySample, PoolCore};
+use crate::unit_order::Lateness;
 use crate::waiting_unit::WaitingUnit;
 use crate::worker_choice::{choose_gang, choose_worker};
 use crate::worker_search::{StepCounts, WorkerCandidate};
@@ -29,14 +30,19 @@
         let pool_busy = is_busy(&candidates);
         self.serve_reservations(&mut units, &mut candidates, now);
         let mut blocked = 0;
+        let mut gang_waits = false;
         let mut placed_work = None;
         for unit in &units {
             if unit.tasks.is_empty() || blocked > MAX_BLOCKED_UNITS {
                 continue;
             }
+            if gang_waits && unit.yields_to_gangs(now) {
+                continue;
+            }
             let unplaced = self.place_unit(unit, &mut candidates, pool_busy, now);
             if unplaced > 0 {
                 blocked += 1;
+                gang_waits |= unit.gang && unit.rank.lateness != Lateness::Overdue;
                 let work = placed_work.get_or_insert_with(|| self.placed_work(&candidates, &context, now));
                 if self.preempt_for(unit, unplaced, &mut candidates, work, pool_busy, now) {
                     placed_work = None;
--- a/crates/pool/src/waiting_unit.rs
+++ b/crates/pool/src/waiting_unit.rs
@@ -20,6 +20,8 @@
 const LOW_PRIORITY: u32 = 2;
 /// Wait after which low-priority work may use the last empty workers, in milliseconds.
 const EMPTY_WORKER_WAIT_MS: u64 = 4_000;
+/// Part of the initial slack above which single tasks leave free capacity to waiting gangs, in percent.
+const YIELD_SLACK_PERCENT: u64 = 50;
 /// Wait after which a unit may run remotely while less than half of the pool is in use, in milliseconds.
 const REMOTE_IDLE_WAIT_MS: u64 = 1_000;
 
@@ -69,6 +71,16 @@
         self.rank.priority >= LOW_PRIORITY && early
     }
 
+    /// Returns whether the unit leaves free capacity to gangs of higher rank that wait for more of it.
+    ///
+    /// Load pattern: wide gangs wait in a full pool, while single tasks take every share of a worker as soon as
+    /// it is free, so that whole workers never are. Single tasks with enough slack wait until a part of the
+    /// slack has passed.
+    pub(crate) fn yields_to_gangs(&self, now: ClockTime) -> bool {
+        let early = self.rank.lateness == Lateness::OnTime;
+        !self.gang && early && self.rank.slack_ms(now) * 100 > self.max_local_wait_ms * YIELD_SLACK_PERCENT
+    }
+
     /// Returns the value gained by starting the unit now instead of after its latest start.
     pub(crate) fn gain(&self) -> u64 {
         let later = match self.rank.lateness {
