--- a/crates/entry/src/requests/request_router.rs
+++ b/crates/entry/src/requests/request_router.rs
@@ -15,6 +15,12 @@
 use super::upstream_clients::UpstreamClients;
 use super::upstream_outcome::{attempt_result, is_leaving};
 
+/// Time before its deadline from which a request is no longer sent, in milliseconds.
+///
+/// Load pattern: requests with the same deadline wait for slots that become free only when other requests time
+/// out.
+const MIN_SEND_MS: u64 = 20;
+
 /// A request to a service.
 #[derive(Clone, Debug)]
 pub(crate) struct ServiceRequest {
@@ -71,6 +77,12 @@
             match lifecycle.next_action() {
                 NextAction::Acquire => {
                     let event = match self.acquire(request, &lifecycle).await {
+                        // The upstream could begin to work, but its response would come too late.
+                        Ok(_) if deadline.millis_since(self.clock.now()) < MIN_SEND_MS => {
+                            RequestEvent::Declined {
+                                reason: RefusalReason::DeadlinePassed,
+                            }
+                        }
                         Ok(acquired) => {
                             let upstream = acquired.upstream().clone();
                             permit = Some(acquired);
