--- a/crates/entry/tests/run_once.rs
+++ b/crates/entry/tests/run_once.rs
@@ -3,6 +3,8 @@
 
 mod harness;
 
+use std::collections::BTreeMap;
+
 use arbutuspick_standins::{PlatformControl, UpstreamControl, WriteDelay};
 use futures::future::join_all;
 use harness::{ApiResponse, PoolOptions, TestPool, work_body};
@@ -128,7 +130,25 @@
         ran += pool.request_runs(key);
     }
     // If few requests ran, the test would prove nothing.
-    assert!(ran as usize > keys.len() / 2, "only {ran} requests ran");
+    let waves = [&during, &repeated, &after].map(|wave| {
+        let mut reasons: BTreeMap<String, usize> = BTreeMap::new();
+        for response in wave.iter().flatten() {
+            *reasons.entry(outcome_and_reason(response)).or_default() += 1;
+        }
+        reasons
+    });
+    assert!(
+        ran as usize > keys.len() / 2,
+        "only {ran} requests ran: {waves:?}"
+    );
+}
+
+/// Returns the outcome of a call with its reason, for messages.
+fn outcome_and_reason(response: &CallResult) -> String {
+    match response {
+        Ok(response) => format!("{} {}", response.outcome(), String::from_utf8_lossy(&response.body)),
+        Err(error) => error.clone(),
+    }
 }
 
 /// Guards against a request that is retried after the upstream ran it and closed the connection.
--- a/crates/pool/tests/load_patterns.rs
+++ b/crates/pool/tests/load_patterns.rs
@@ -322,3 +322,47 @@
     pool.run_decision();
     assert_eq!(pool.running_count("third"), 1, "free capacity was left unused");
 }
+
+/// Guards against single tasks that take capacity as soon as it is free, so that a gang never finds enough of it
+/// at once.
+#[test]
+fn sweep_beside_gang() {
+    let mut pool = TestPool::new(4);
+    pool.submit("first", body("normal", "south", vec![step(2, 8)]));
+    pool.run_decision();
+    let gang = StepBody {
+        gang: true,
+        ..step(3, 8)
+    };
+    pool.submit("gang", body("normal", "south", vec![gang]));
+    pool.submit("sweep", body("bulk", "south", vec![step(12, 1)]));
+    pool.run_decision();
+    assert_eq!(
+        pool.running_count("sweep"),
+        0,
+        "single tasks took the capacity of the gang"
+    );
+    pool.advance(25);
+    pool.finish_job("first");
+    pool.run_decision();
+    assert_eq!(pool.running_count("gang"), 3);
+    assert_eq!(pool.running_count("sweep"), 8, "the rest of the pool stayed idle");
+}
+
+/// Guards against single tasks that wait for a gang until they are late themselves.
+#[test]
+fn overdue_sweep() {
+    let mut pool = TestPool::new(4);
+    pool.submit("first", body("normal", "south", vec![step(2, 8)]));
+    pool.run_decision();
+    let gang = StepBody {
+        gang: true,
+        ..step(3, 8)
+    };
+    pool.submit("gang", body("normal", "south", vec![gang]));
+    pool.submit("sweep", body("bulk", "south", vec![step(12, 1)]));
+    // The sweep may wait for 5 s in all: its objective of 7 s less its run time of 2 s.
+    pool.advance(2_600);
+    pool.run_decision();
+    assert_eq!(pool.running_count("sweep"), 12);
+}
