Place gangs on workers of one speed

Gangs on one worker took 1.12 times their estimate in the mean, those on eight workers 1.43 times: workers differ in speed by half, and a gang runs as fast as its slowest member. Change: the run times of tasks, against their siblings or their estimate, give each worker a speed tier. Urgent gangs go to fast workers first, others to usual ones, and slow workers come last.

--- a/crates/entry/tests/run_once.rs
+++ b/crates/entry/tests/run_once.rs
@@ -146,7 +146,11 @@
 /// Returns the outcome of a call with its reason, for messages.
 fn outcome_and_reason(response: &CallResult) -> String {
     match response {
-        Ok(response) => format!("{} {}", response.outcome(), String::from_utf8_lossy(&response.body)),
+        Ok(response) => format!(
+            "{} {}",
+            response.outcome(),
+            String::from_utf8_lossy(&response.body)
+        ),
         Err(error) => error.clone(),
     }
 }
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -35,6 +35,7 @@
 mod worker_listing;
 mod worker_restart;
 mod worker_search;
+mod worker_speed;
 mod worker_view;
 
 pub use core_options::CoreOptions;
--- a/crates/pool/src/listing_apply.rs
+++ b/crates/pool/src/listing_apply.rs
@@ -8,6 +8,7 @@
 use crate::job_entry::PlacementStage;
 use crate::pool_core::{JobKey, PoolCore};
 use crate::run_release::RunRelease;
+use crate::worker_speed::speed_observations;
 use crate::worker_view::RunAllocation;
 use crate::{
     EndKind, JobStage, ResourceAmount, RunEnd, RunStatus, StartAnswer, StopReason, TaskName, WorkerKey,
@@ -240,10 +241,12 @@
         let job = &mut self.jobs[key];
         let body = &job.body.steps[name.step as usize];
         let (gang, endless) = (body.gang, body.endless);
+        let remote_factor = self.options.remote_factor;
         let Some(occurrence) = job.occurrences.get_mut(&name.occurrence) else {
             return;
         };
         let step = &mut occurrence.steps[name.step as usize];
+        let observations = speed_observations(step, body, name.index as usize, remote_factor, now);
         if gang && !endless {
             for member in &mut step.tasks {
                 member.done = true;
@@ -265,7 +268,13 @@
         if occurrence.is_done() {
             job.occurrences.remove(&name.occurrence);
         }
-        if job.occurrences.is_empty() && job.released >= job.total_occurrences() {
+        let is_last = job.occurrences.is_empty() && job.released >= job.total_occurrences();
+        for observation in &observations {
+            if let Some(view) = self.workers.get_mut(observation.worker) {
+                view.speed.record(observation);
+            }
+        }
+        if is_last {
             self.end_job(key, JobStage::Completed, now);
         }
     }
--- a/crates/pool/src/placement_pass.rs
+++ b/crates/pool/src/placement_pass.rs
@@ -64,6 +64,7 @@
             labels: view.labels.clone(),
             suspect: view.health.is_suspect(now),
             slow: view.health.is_slow(now),
+            tier: view.speed.tier(),
         });
         candidates.collect()
     }
--- a/crates/pool/src/worker_choice.rs
+++ b/crates/pool/src/worker_choice.rs
@@ -1,11 +1,14 @@
 //! Chooses workers for a unit: near its data, in one rack, or anywhere if it may run remotely.
 
+use std::ops::RangeInclusive;
+
 use crate::WorkerKey;
 use crate::preemption_plan::{PreemptionPlan, VictimGroup, VictimIndex, choose_victims};
 use crate::waiting_unit::WaitingUnit;
 use crate::worker_search::{
     RackId, StepCounts, WorkerCandidate, best_candidate, gang_candidates, rack_capacities,
 };
+use crate::worker_speed::SpeedTier;
 
 /// One in this many workers is kept empty for urgent work and gangs while others have free capacity.
 const EMPTY_WORKER_DIVISOR: usize = 8;
@@ -65,7 +68,15 @@
 ) -> Option<GangChoice> {
     let count = unit.tasks.len();
     let trusted = |candidate: &WorkerCandidate| unit.accepts(candidate) && !candidate.suspect;
-    let local = local_gang(unit, candidates, trusted)
+    let in_tiers = |tiers: &RangeInclusive<SpeedTier>| {
+        local_gang(unit, candidates, |candidate| {
+            trusted(candidate) && tiers.contains(&candidate.tier)
+        })
+    };
+    let local = preferred_tiers(unit)
+        .iter()
+        .find_map(in_tiers)
+        .or_else(|| local_gang(unit, candidates, trusted))
         .or_else(|| local_gang(unit, candidates, |candidate| unit.accepts(candidate)));
     if let Some(candidates) = local {
         return Some(GangChoice {
@@ -89,6 +100,17 @@
     })
 }
 
+/// Returns the speed tiers in which a gang is placed if it fits. Urgent gangs get the fast workers; others leave
+/// these to them.
+fn preferred_tiers(unit: &WaitingUnit) -> [RangeInclusive<SpeedTier>; 2] {
+    let first = if unit.rank.priority == 0 {
+        SpeedTier::Fast
+    } else {
+        SpeedTier::Usual
+    };
+    [first..=first, SpeedTier::Fast..=SpeedTier::Usual]
+}
+
 /// Chooses candidates near the data of the gang, and in one rack if it is `same_rack`.
 fn local_gang<F>(unit: &WaitingUnit, candidates: &[WorkerCandidate], allowed: F) -> Option<Vec<usize>>
 where
--- a/crates/pool/src/worker_search.rs
+++ b/crates/pool/src/worker_search.rs
@@ -6,6 +6,7 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 
+use crate::worker_speed::SpeedTier;
 use crate::{ResourceAmount, WorkerKey};
 
 /// Number of a rack in this process.
@@ -26,6 +27,8 @@
     pub(crate) suspect: bool,
     /// Whether it is used only by units that have waited `SLOW_WAIT_MS` for other workers.
     pub(crate) slow: bool,
+    /// Speed in comparison with other workers, by the run times of earlier tasks.
+    pub(crate) tier: SpeedTier,
 }
 
 impl WorkerCandidate {
--- a/crates/pool/src/worker_view.rs
+++ b/crates/pool/src/worker_view.rs
@@ -6,6 +6,7 @@
 
 use crate::worker_health::WorkerHealth;
 use crate::worker_search::RackId;
+use crate::worker_speed::SpeedEstimate;
 use crate::{ResourceAmount, TaskName};
 
 new_key_type! {
@@ -81,6 +82,7 @@
     /// Whether it has a run whose task name cannot be read, so that its free resources are not known.
     pub(crate) has_unidentified_run: bool,
     pub(crate) health: WorkerHealth,
+    pub(crate) speed: SpeedEstimate,
 }
 
 impl WorkerView {
@@ -96,6 +98,7 @@
             allocations: HashMap::new(),
             has_unidentified_run: false,
             health: WorkerHealth::default(),
+            speed: SpeedEstimate::default(),
         }
     }
 
--- a/crates/pool/tests/load_patterns.rs
+++ b/crates/pool/tests/load_patterns.rs
@@ -366,3 +366,34 @@
     pool.run_decision();
     assert_eq!(pool.running_count("sweep"), 12);
 }
+
+/// Guards against gangs that run at the speed of one slow worker although enough fast ones are free.
+#[test]
+fn mixed_speeds() {
+    let mut pool = TestPool::new(4);
+    let slow = pool.workers[1];
+    for round in 0..8 {
+        let job = format!("single{round}");
+        pool.submit(&job, body("normal", "south", vec![step(4, 8)]));
+        pool.run_decision();
+        let runs: Vec<_> = pool.starts.iter().rev().take(4).cloned().collect();
+        pool.advance(1_600);
+        for start in runs.iter().filter(|start| start.worker != slow) {
+            pool.end_run(start.worker, &start.task, start.run, EndKind::Done);
+        }
+        pool.advance(900);
+        pool.finish_job(&job);
+        pool.run_decision();
+    }
+    let gang = StepBody {
+        gang: true,
+        ..step(3, 8)
+    };
+    pool.submit("gang", body("urgent", "north", vec![gang]));
+    pool.run_decision();
+    let members = pool.starts.iter().rev().take(3);
+    assert!(
+        members.clone().all(|start| start.worker != slow),
+        "a member was placed on the slow worker"
+    );
+}
