Survive unexpected errors in parts of a process

Cause: a panic in the dispatch loop ended scheduling in that process for good, a panic in a feed left a leader that kept its leadership without it, and a panic in a worker session left a worker that was never listed again. Change: the dispatch loop and the configuration are started again after a panic; a leader without one of its feeds resigns; a failed session is closed, its leases are waited for, and it is opened again.

--- a/crates/dispatch/src/leader_run.rs
+++ b/crates/dispatch/src/leader_run.rs
@@ -72,6 +72,8 @@
     Stopped,
     /// The leader resigned in favour of a VM with more capacity.
     HandedOver,
+    /// The leader resigned because one of its feeds had failed.
+    FeedFailed,
 }
 
 impl<S, C, W> LeaderRun<S, C, W>
@@ -155,6 +157,11 @@
                 event = events.recv() => if let Some(event) = event { self.apply_event(event); },
                 changed = policy_changes.changed() => if changed.is_ok() { self.apply_policy(); },
                 () = stopping.cancelled() => return self.resign(LeaderExit::Stopped).await,
+                Some(ended) = feeds.join_next() => {
+                    // Without one of its feeds the leader would go on with an outdated view.
+                    log::error!("[seat] a feed of the leader has failed epoch={}: {ended:?}", self.authority.epoch());
+                    return self.resign(LeaderExit::FeedFailed).await;
+                }
                 Some(vm) = stronger_peers.recv() => {
                     log::info!("[seat] handing over to vm={vm} epoch={} handicap_ms={election_delay_ms}", self.authority.epoch());
                     return self.resign(LeaderExit::HandedOver).await;
@@ -404,6 +411,13 @@
                 self.core.end_incarnation(key, now);
                 self.sessions.remove(&key);
             }
+            WorkerEvent::SessionFailed => {
+                // The session is opened again with the next read of the worker registry.
+                if let Some(session) = self.sessions.remove(&key) {
+                    self.core.extend_lease_expiry(key, session.seal());
+                }
+                self.core.mark_unreachable(key, now);
+            }
             WorkerEvent::Restarted => {
                 if let Some(report) = self.core.worker_report(key) {
                     log::info!("[worker] id={} state=restarted", report.id);
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -37,6 +37,7 @@
 mod row_store;
 mod state_dump;
 mod store_health;
+mod supervisor;
 mod worker_client;
 mod worker_clock;
 mod worker_session;
@@ -55,4 +56,5 @@
     TransactOutcome,
 };
 pub use state_dump::StateDump;
+pub use supervisor::supervise;
 pub use worker_client::{PollCall, PollReply, StartCall, StartReply, StopCall, WorkerClient, WorkerError};
--- a/crates/dispatch/src/worker_clock.rs
+++ b/crates/dispatch/src/worker_clock.rs
@@ -62,6 +62,13 @@
         state.lease_expiry
     }
 
+    /// Grants no further lease until `reopen`; returns the local time by which all granted leases have expired.
+    pub(crate) fn seal(&self) -> ClockTime {
+        let mut state = self.state.lock();
+        state.sealed = true;
+        state.lease_expiry
+    }
+
     /// Allows leases again, after the worker has listed its runs.
     pub(crate) fn reopen(&self) {
         self.state.lock().sealed = false;
--- a/crates/dispatch/src/worker_session.rs
+++ b/crates/dispatch/src/worker_session.rs
@@ -1,9 +1,11 @@
+use std::panic::AssertUnwindSafe;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::Duration;
 
 use arbutuspick_model::ClockTime;
 use arbutuspick_pool::{PoolOrder, StartAnswer, TaskName, WorkerKey, WorkerListing, WorkerReport};
+use futures::FutureExt;
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::sync::{Notify, Semaphore};
 use tokio::task::JoinSet;
@@ -44,6 +46,8 @@
     StopAnswered { task: TaskName, run: u32 },
     /// The worker is unreachable; its leases have expired by `lease_expiry`.
     Unreachable { lease_expiry: ClockTime },
+    /// The session has failed unexpectedly.
+    SessionFailed,
     /// Another process answers at the worker's address.
     Replaced,
     /// The worker has restarted under its id.
@@ -113,7 +117,14 @@
             lease_ms,
             events: events.clone(),
         };
-        tasks.spawn(listing.run());
+        let (id, failed_events) = (sender.worker.id.clone(), events.clone());
+        tasks.spawn(async move {
+            if AssertUnwindSafe(listing.run()).catch_unwind().await.is_err() {
+                log::error!("[worker] id={id} its session has failed");
+                // The leader may have stopped; the event is not needed then.
+                let _ = failed_events.send((key, WorkerEvent::SessionFailed));
+            }
+        });
         Self {
             key,
             state,
@@ -134,6 +145,11 @@
         self.sender.worker_clock.seal_expired(now)
     }
 
+    /// Ends the grants of leases; returns the time by which those granted so far have expired.
+    pub(crate) fn seal(&self) -> ClockTime {
+        self.sender.worker_clock.seal()
+    }
+
     /// Sends an order in the background; reports the result as an event.
     pub(crate) fn send(&mut self, order: PoolOrder) {
         while self.tasks.try_join_next().is_some() {}
--- a/crates/pool/src/listing_apply.rs
+++ b/crates/pool/src/listing_apply.rs
@@ -8,7 +8,7 @@
 use crate::job_entry::PlacementStage;
 use crate::pool_core::{JobKey, PoolCore};
 use crate::run_release::RunRelease;
-use crate::worker_speed::speed_observations;
+use crate::worker_speed::speed_observation;
 use crate::worker_view::RunAllocation;
 use crate::{
     EndKind, JobStage, ResourceAmount, RunEnd, RunStatus, StartAnswer, StopReason, TaskName, WorkerKey,
@@ -246,7 +246,7 @@
             return;
         };
         let step = &mut occurrence.steps[name.step as usize];
-        let observations = speed_observations(step, body, name.index as usize, remote_factor, now);
+        let observation = speed_observation(step, body, name.index as usize, remote_factor, now);
         if gang && !endless {
             for member in &mut step.tasks {
                 member.done = true;
@@ -269,10 +269,10 @@
             job.occurrences.remove(&name.occurrence);
         }
         let is_last = job.occurrences.is_empty() && job.released >= job.total_occurrences();
-        for observation in &observations {
-            if let Some(view) = self.workers.get_mut(observation.worker) {
-                view.speed.record(observation);
-            }
+        if let Some(observation) = observation
+            && let Some(view) = self.workers.get_mut(observation.worker)
+        {
+            view.speed.record(&observation);
         }
         if is_last {
             self.end_job(key, JobStage::Completed, now);
--- a/crates/pool/src/worker_speed.rs
+++ b/crates/pool/src/worker_speed.rs
@@ -71,39 +71,24 @@
     pub(crate) took_ms: u64,
 }
 
-/// Returns what the end of the task `index` shows about the speeds of workers. Resumed and remote runs show
-/// nothing.
-pub(crate) fn speed_observations(
+/// Returns what the end of the single task `index` shows about the speed of its worker. A resumed or remote run
+/// shows nothing, and neither does a gang, which runs as fast as its slowest member.
+pub(crate) fn speed_observation(
     step: &StepEntry,
     body: &StepBody,
     index: usize,
     remote_factor: u64,
     now: ClockTime,
-) -> Vec<SpeedObservation> {
-    if body.endless {
-        Vec::new()
-    } else if body.gang {
-        gang_observations(step, body.estimate_ms, now)
-    } else {
-        run_observation(step, body.estimate_ms, index, remote_factor, now)
-            .into_iter()
-            .collect()
-    }
-}
-
-fn run_observation(
-    step: &StepEntry,
-    estimate_ms: u64,
-    index: usize,
-    remote_factor: u64,
-    now: ClockTime,
 ) -> Option<SpeedObservation> {
+    if body.gang || body.endless {
+        return None;
+    }
     let task = step.tasks.get(index)?;
     let placement = fresh_placement(task)?;
     let siblings = StepDurations::from_step(step, remote_factor).sibling_median(placement.worker);
     let expected_ms = match siblings {
         Some((median_ms, count)) if count >= MIN_COMPARED_RUNS => median_ms,
-        _ => estimate_ms,
+        _ => body.estimate_ms,
     };
     Some(SpeedObservation {
         worker: placement.worker,
@@ -112,32 +97,6 @@
     })
 }
 
-/// A gang runs as fast as its slowest worker: if it was fast, all its workers are, and otherwise only a gang on
-/// a single worker shows which one was slow.
-fn gang_observations(step: &StepEntry, estimate_ms: u64, now: ClockTime) -> Vec<SpeedObservation> {
-    let mut workers: Vec<WorkerKey> = Vec::new();
-    let mut began_at = ClockTime::default();
-    for task in &step.tasks {
-        let Some(placement) = fresh_placement(task) else {
-            return Vec::new();
-        };
-        began_at = began_at.max(placement.since);
-        workers.push(placement.worker);
-    }
-    workers.sort_unstable();
-    workers.dedup();
-    let took_ms = now.millis_since(began_at);
-    if workers.len() > 1 && took_ms > estimate_ms {
-        return Vec::new();
-    }
-    let observations = workers.into_iter().map(|worker| SpeedObservation {
-        worker,
-        expected_ms: estimate_ms,
-        took_ms,
-    });
-    observations.collect()
-}
-
 /// Returns the placement of a run that is neither remote nor resumed.
 fn fresh_placement(task: &TaskEntry) -> Option<TaskPlacement> {
     let is_fresh = !task.progress.is_start_unknown;
