--- a/crates/pool/src/job_body.rs
+++ b/crates/pool/src/job_body.rs
@@ -8,6 +8,13 @@
 /// Maximum number of tasks of a job. The widest gangs have 1024, and a job record has to fit a row of the
 /// store.
 const MAX_TASKS: u32 = 1200;
+/// Largest amounts of one task: millicores, memory in MB, accelerators. No worker comes near them, and work that is
+/// computed from them does not overflow.
+const MAX_MILLICORES: u64 = 100_000_000;
+const MAX_MEMORY_MB: u64 = 1_000_000_000;
+const MAX_ACCELERATORS: u64 = 10_000;
+/// Longest estimate of a task, in milliseconds: eleven days.
+const MAX_ESTIMATE_MS: u64 = 1_000_000_000;
 /// Maximum length of a description in bytes.
 const MAX_SPEC_BYTES: usize = 4_000;
 
@@ -142,6 +149,18 @@
             if tasks > MAX_TASKS {
                 return violation("count", "must be at most 1200 in all steps together");
             }
+            if step.millicores > MAX_MILLICORES {
+                return violation("cpu", "must be at most 100000000 thousandths of a core");
+            }
+            if step.memory_mb > MAX_MEMORY_MB {
+                return violation("memory", "must be at most 1000000000 MB");
+            }
+            if step.accelerators > MAX_ACCELERATORS {
+                return violation("accelerators", "must be at most 10000");
+            }
+            if step.estimate_ms > MAX_ESTIMATE_MS {
+                return violation("estimate", "must be at most 1000000000 ms");
+            }
             if step.after.iter().any(|earlier| *earlier as usize >= number) {
                 return violation("after", "must name earlier steps");
             }
--- a/crates/pool/src/pool_core.rs
+++ b/crates/pool/src/pool_core.rs
@@ -485,7 +485,8 @@
     if body.occurrences == 0 {
         return body.accepted_at_ms;
     }
-    body.first_due_ms + body.interval_ms * u64::from(number)
+    let passed_ms = body.interval_ms.saturating_mul(u64::from(number));
+    body.first_due_ms.saturating_add(passed_ms)
 }
 
 /// Returns when an occurrence was due, on the clock of this process.
--- a/crates/pool/src/resource_amount.rs
+++ b/crates/pool/src/resource_amount.rs
@@ -46,7 +46,13 @@
 
     /// Returns the largest share of `total` that any of the resources takes, in thousandths.
     pub fn dominant_share(&self, total: &Self) -> i64 {
-        let share = |part: i64, total: i64| if total <= 0 { 0 } else { part.max(0) * 1000 / total };
+        let share = |part: i64, total: i64| {
+            if total <= 0 {
+                0
+            } else {
+                part.max(0).saturating_mul(1000) / total
+            }
+        };
         share(self.millicores, total.millicores)
             .max(share(self.memory_mb, total.memory_mb))
             .max(share(self.accelerators, total.accelerators))
--- a/crates/pool/src/waiting_unit.rs
+++ b/crates/pool/src/waiting_unit.rs
@@ -146,7 +146,7 @@
         let mut sums: HashMap<Arc<str>, (u64, u64)> = HashMap::new();
         for job in self.jobs.values() {
             let (sum, count) = sums.entry(job.rule.name.clone()).or_default();
-            *sum += job.work_core_ms;
+            *sum = sum.saturating_add(job.work_core_ms);
             *count += 1;
         }
         sums.into_iter()
