--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -50,6 +50,7 @@
 pub use leader_record::LeaderRecord;
 pub use peer_probe::PeerProbe;
 pub use policy_cache::{PolicyCache, PolicyRows, PolicyView, follow_policy};
+pub use registry_watch::RegistryWatch;
 pub use relayed_store::{RelayOptions, RelayedStore};
 pub use row_store::{
     FollowOutcome, RowCondition, RowEntry, RowPage, RowStore, RowTransaction, RowWrite, StoreError,
@@ -58,3 +59,4 @@
 pub use state_dump::StateDump;
 pub use supervisor::supervise;
 pub use worker_client::{PollCall, PollReply, StartCall, StartReply, StopCall, WorkerClient, WorkerError};
+pub use worker_clock::WorkerClock;
--- a/crates/dispatch/src/registry_watch.rs
+++ b/crates/dispatch/src/registry_watch.rs
@@ -20,7 +20,7 @@
 /// entry when its worker leaves, and also after a time of silence. An entry that is gone sooner after its
 /// latest change than silence alone explains was removed by its worker, so its runs have ended.
 #[derive(Debug, Default)]
-pub(crate) struct RegistryWatch {
+pub struct RegistryWatch {
     entries: HashMap<Arc<str>, EntryChange>,
     /// When the latest complete read was sent.
     read_at: Option<ClockTime>,
@@ -29,7 +29,8 @@
 }
 
 impl RegistryWatch {
-    pub(crate) fn new(silence_ms: u64) -> Self {
+    /// Returns a watch of a registry that drops entries after `silence_ms` without a change.
+    pub fn new(silence_ms: u64) -> Self {
         Self {
             silence_ms,
             ..Self::default()
@@ -38,19 +39,14 @@
 
     /// Forgets what earlier reads have shown, because a read failed: the registry may have been without news
     /// of its workers in the meantime.
-    pub(crate) fn reset(&mut self) {
+    pub fn reset(&mut self) {
         self.entries.clear();
         self.read_at = None;
     }
 
     /// Applies a complete read of the registry, as ids and versions; returns the workers that have shut down
     /// since the read before it.
-    pub(crate) fn observe<'a, I>(
-        &mut self,
-        rows: I,
-        sent_at: ClockTime,
-        received_at: ClockTime,
-    ) -> Vec<Arc<str>>
+    pub fn observe<'a, I>(&mut self, rows: I, sent_at: ClockTime, received_at: ClockTime) -> Vec<Arc<str>>
     where
         I: Iterator<Item = (&'a Arc<str>, u64)>,
     {
--- a/crates/dispatch/src/worker_clock.rs
+++ b/crates/dispatch/src/worker_clock.rs
@@ -9,7 +9,7 @@
 /// The estimate never runs ahead of the worker's clock, even if that clock is slow and has not been read for
 /// minutes, so a lease never lasts longer than its recorded end.
 #[derive(Debug, Default)]
-pub(crate) struct WorkerClock {
+pub struct WorkerClock {
     state: Mutex<ClockState>,
 }
 
@@ -34,7 +34,7 @@
 
 impl WorkerClock {
     /// Updates the estimate with the clock of a reply that arrived at `now`.
-    pub(crate) fn update(&self, clock: WorkerTime, now: ClockTime) {
+    pub fn update(&self, clock: WorkerTime, now: ClockTime) {
         let mut state = self.state.lock();
         // Replies may overtake each other; the highest lower bound is the best one.
         if state.earliest_time(now).is_none_or(|earliest| earliest < clock.0) {
@@ -43,7 +43,7 @@
     }
 
     /// Returns the end of a lease on the worker's clock and records its latest end on the local clock.
-    pub(crate) fn lease_until(&self, now: ClockTime, lease_ms: u64) -> Option<WorkerTime> {
+    pub fn lease_until(&self, now: ClockTime, lease_ms: u64) -> Option<WorkerTime> {
         let mut state = self.state.lock();
         if lease_ms == 0 || state.sealed {
             return None;
@@ -56,26 +56,26 @@
 
     /// Returns the local time by which all granted leases have expired. If that time has passed, no further
     /// lease is granted until `reopen`.
-    pub(crate) fn seal_expired(&self, now: ClockTime) -> ClockTime {
+    pub fn seal_expired(&self, now: ClockTime) -> ClockTime {
         let mut state = self.state.lock();
         state.sealed |= state.lease_expiry < now;
         state.lease_expiry
     }
 
     /// Grants no further lease until `reopen`; returns the local time by which all granted leases have expired.
-    pub(crate) fn seal(&self) -> ClockTime {
+    pub fn seal(&self) -> ClockTime {
         let mut state = self.state.lock();
         state.sealed = true;
         state.lease_expiry
     }
 
     /// Allows leases again, after the worker has listed its runs.
-    pub(crate) fn reopen(&self) {
+    pub fn reopen(&self) {
         self.state.lock().sealed = false;
     }
 
     /// Returns the local time by which all granted leases have expired.
-    pub(crate) fn lease_expiry(&self) -> ClockTime {
+    pub fn lease_expiry(&self) -> ClockTime {
         self.state.lock().lease_expiry
     }
 }
