--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -1,5 +1,6 @@
-//! Benchmarks of the placement core and the routing table.
+//! Benchmarks of the placement core, the pool scheduler and the routing table.
 //!
+//! `pool_load` emulates a load on the pool scheduler in virtual time and prints what its callers get.
 //! `measure` simulates the placement core and a first-come, first-served baseline on the same seeded
 //! workload in virtual time; `slopes` measures how decision time, memory and encoded sizes grow with the size of
 //! the state.
