--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# Jobs that can never be done keep all others waiting.
+# A zone is evacuated while a new leader reads its tables.
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run. TROUBLE=0: no disruption.
 cd "$(dirname "$0")/../.." || exit 2
-exec target/review/release/review-standin blocked review/3/record.txt
+exec target/review/release/review-standin evacuation review/3/record.txt
--- a/review/standin/src/deployment.rs
+++ b/review/standin/src/deployment.rs
@@ -32,6 +32,7 @@
 pub struct Edge {
     pub name: String,
     child: Child,
+    metrics: SocketAddr,
     pub front: SocketAddr,
     pub ready: SocketAddr,
 }
@@ -179,6 +180,7 @@
         self.edges.push(Edge {
             name,
             child,
+            metrics: addresses[3],
             front,
             ready,
         });
@@ -199,6 +201,21 @@
         })
     }
 
+    /// Returns the number of the edge process that leads, as the state dump of one of them names it.
+    pub fn leader(&self) -> Option<usize> {
+        let dumps = self
+            .edges
+            .iter()
+            .map(|edge| call(edge.metrics, "GET", "/state", &[], "", Duration::from_secs(1)));
+        let mut holders = dumps.filter_map(|dump| {
+            let (_, text) = dump.ok()?;
+            let holder = text.split("seat holder=").nth(1)?.split(' ').next()?;
+            self.edges.iter().position(|edge| edge.name == holder)
+        });
+        // The first process that answers has read the leader row within the last second.
+        holders.next()
+    }
+
     /// Sends a client's request for a job to an edge process and records it; `path` is the prefix and the id.
     pub fn client(&self, edge: usize, method: &str, path: &str, body: &str) -> Result<(u16, String), String> {
         let deadline = CLIENT_TIMEOUT_MS.to_string();
--- a/review/standin/src/main.rs
+++ b/review/standin/src/main.rs
@@ -5,7 +5,7 @@
 
 mod case_blocked;
 mod case_ends;
-mod case_pending;
+mod case_evacuation;
 mod case_restart;
 mod case_row;
 mod deployment;
@@ -44,7 +44,7 @@
     let verdict = match case.as_str() {
         "blocked" => case_blocked::run(record.clone()),
         "ends" => case_ends::run(record.clone()),
-        "pending" => case_pending::run(record.clone()),
+        "evacuation" => case_evacuation::run(record.clone()),
         "restart" => case_restart::run(record.clone()),
         "row" => case_row::run(record.clone()),
         _ => Verdict::NotRun(format!("unknown case {case}")),
--- a/review/standin/src/minion.rs
+++ b/review/standin/src/minion.rs
@@ -118,8 +118,6 @@
     /// Highest run of each task that was stopped or has ended here.
     barred: HashMap<String, u64>,
     next_end: u64,
-    /// Until when calls are refused with 503.
-    refuses_until: Instant,
 }
 
 /// What a minion is, as it registers itself.
@@ -188,6 +186,10 @@
         &self.shared.setup.id
     }
 
+    pub fn zone(&self) -> &str {
+        &self.shared.setup.zone
+    }
+
     /// Lets the write of the next heartbeat be performed `late` after it was sent, and waits until it is sent.
     pub fn lose_beat(&self, late: Duration) {
         self.shared.state.lock().unwrap().late_beat = Some(late);
@@ -200,11 +202,6 @@
     pub fn crash(&self, down: Duration) {
         self.shared.crash(down);
     }
-
-    /// Refuses all calls for a time; what runs goes on.
-    pub fn refuse(&self, time: Duration) {
-        self.shared.state.lock().unwrap().refuses_until = Instant::now() + time;
-    }
 }
 
 impl State {
@@ -225,7 +222,6 @@
             ended: Vec::new(),
             barred: HashMap::new(),
             next_end: 1,
-            refuses_until: Instant::now(),
         }
     }
 }
@@ -355,9 +351,6 @@
             if state.down_until.is_some() {
                 return None;
             }
-            if state.refuses_until > Instant::now() {
-                return Some((503, String::new()));
-            }
         }
         if request
             .header("x-arbutuspick-target-instance")
--- a/review/standin/src/store.rs
+++ b/review/standin/src/store.rs
@@ -7,7 +7,7 @@
 
 use serde_json::{Value, json};
 
-use crate::http::{Reply, Request, serve};
+use crate::http::{Reply, Request, serve, spawn};
 
 /// Maximum size of a value in bytes (`row_bytes`).
 const ROW_BYTES: usize = 65_536;
@@ -21,6 +21,8 @@
 const MAX_PAGE_BYTES: usize = 1_000_000;
 /// Time that an answer takes (`txn_ms`).
 const ANSWER_TIME: Duration = Duration::from_millis(4);
+/// Time that an answer takes while the store is slow, 60 times as long.
+const SLOW_ANSWER_TIME: Duration = Duration::from_millis(240);
 /// Time for which changes can be followed (`history_s`).
 const HISTORY: Duration = Duration::from_secs(20);
 
@@ -30,6 +32,8 @@
     Up,
     /// Answers 503 and does nothing.
     Busy,
+    /// Takes 60 times as long for an answer.
+    Slow,
 }
 
 struct Row {
@@ -38,7 +42,11 @@
     changed_at: Instant,
 }
 
+/// Work to do once, when a table is read from its first row.
+type ReadHook = (&'static str, Box<dyn FnOnce() + Send>);
+
 struct State {
+    read_hook: Option<ReadHook>,
     rows: BTreeMap<(String, String), Row>,
     version: u64,
     mode: Mode,
@@ -57,6 +65,7 @@
 impl Store {
     pub fn start() -> Self {
         let state = State {
+            read_hook: None,
             rows: BTreeMap::new(),
             version: 0,
             mode: Mode::Up,
@@ -73,6 +82,14 @@
         self.state.0.lock().unwrap().mode = mode;
     }
 
+    /// Starts `work` in a thread when a process next begins to read a whole table.
+    pub fn on_table_read<F>(&self, table: &'static str, work: F)
+    where
+        F: FnOnce() + Send + 'static,
+    {
+        self.state.0.lock().unwrap().read_hook = Some((table, Box::new(work)));
+    }
+
     /// Writes a row as the operator or a minion does; returns false while the store is down.
     pub fn put(&self, table: &str, key: &str, value: &Value) -> bool {
         let text = encode(value.to_string().as_bytes());
@@ -81,7 +98,7 @@
 
     fn write(&self, table: &str, key: &str, value: Option<String>) -> bool {
         let mut state = self.state.0.lock().unwrap();
-        if state.mode != Mode::Up {
+        if state.mode == Mode::Busy {
             return false;
         }
         state.version += 1;
@@ -103,7 +120,13 @@
 }
 
 fn answer(state: &(Mutex<State>, Condvar), request: &Request) -> Reply {
-    std::thread::sleep(ANSWER_TIME);
+    let mode = state.0.lock().unwrap().mode;
+    run_read_hook(&state.0, request);
+    std::thread::sleep(if mode == Mode::Slow {
+        SLOW_ANSWER_TIME
+    } else {
+        ANSWER_TIME
+    });
     if state.0.lock().unwrap().mode == Mode::Busy {
         return Some((503, String::new()));
     }
@@ -121,6 +144,24 @@
     Some((status, body.to_string()))
 }
 
+fn run_read_hook(state: &Mutex<State>, request: &Request) {
+    let mut state = state.lock().unwrap();
+    let reads_table = |table: &str| {
+        request.path == "/rows-get"
+            && request.parameter("table") == table
+            && request.parameter("from").is_empty()
+            && request.parameter("limit") != "1"
+    };
+    if state
+        .read_hook
+        .as_ref()
+        .is_some_and(|(table, _)| reads_table(table))
+        && let Some((_, work)) = state.read_hook.take()
+    {
+        spawn(work);
+    }
+}
+
 fn name(entry: &Value, field: &str) -> String {
     entry[field].as_str().unwrap_or_default().to_owned()
 }
