Let the worker's own answer decide whether it has restarted

Cause: update_worker released the runs of the present incarnation for any other start time in the registry. Trace of the leader: "restarted old_born=..73885 new_born=..68126" at 18.267, six placements elsewhere at 18.268, and the answer of the worker itself with ..73885 at 18.294.

Change: an entry with another start time adds a successor with its own session. The successor replaces the present incarnation when the worker answers as it, and is dropped when the worker answers as the present one. Heartbeats of one process are ordered by their number, so that an old one no longer hides that a worker leaves. The removal of an entry counts as a departure only if the worker has announced it.

Ruled out: comparing start times, as clocks of workers may jump; the versions of the rows, as they follow the order in which writes are carried out; waiting for the next heartbeat.

listed_before_restart demanded a release on the word of the registry alone. It now demands that there is none before the new process was listed, and one afterwards.

--- a/crates/bench/src/pool_emulator.rs
+++ b/crates/bench/src/pool_emulator.rs
@@ -134,6 +134,7 @@
             let report = WorkerReport {
                 id: format!("w{number}").into(),
                 started_at_ms: 1,
+                heartbeat: 0,
                 address: "127.0.0.1:1".into(),
                 service: "maps".into(),
                 centre: format!("dc{}", rack % 5).into(),
--- a/crates/dispatch/src/leader_run.rs
+++ b/crates/dispatch/src/leader_run.rs
@@ -333,10 +333,18 @@
     }
 
     /// Ends the workers that have shut down; a run on them cannot go on.
+    ///
+    /// A worker announces that it leaves before it removes its entry. The removal of the entry of another
+    /// worker may be one that an earlier incarnation ordered, carried out late.
     fn end_departed(&mut self, departed: &[Arc<str>]) {
         let now = self.context.clock.now();
         for id in departed {
-            if let Some(key) = self.core.worker_key(id) {
+            let key = self.core.worker_key(id);
+            let leaving = key.filter(|key| {
+                let report = self.core.worker_report(*key);
+                report.is_some_and(|report| report.leaves_at.is_some())
+            });
+            if let Some(key) = leaving {
                 log::info!("[worker] id={id} state=departed");
                 self.core.end_incarnation(key, now);
                 self.sessions.remove(&key);
@@ -348,18 +356,19 @@
         let now = self.context.clock.now();
         let mut present = HashSet::new();
         for report in reports {
-            present.insert(self.core.update_worker(report, now));
+            present.insert(report.id.clone());
+            self.core.update_worker(report, now);
         }
         if removes_missing {
             for key in self.core.worker_keys() {
-                if !present.contains(&key) {
-                    if let Some(report) = self.core.worker_report(key) {
-                        log::info!(
-                            "[worker] id={} centre={} state=removed from the list",
-                            report.id,
-                            report.centre
-                        );
-                    }
+                if let Some(report) = self.core.worker_report(key)
+                    && !present.contains(&report.id)
+                {
+                    log::info!(
+                        "[worker] id={} centre={} state=removed from the list",
+                        report.id,
+                        report.centre
+                    );
                     self.core.mark_removed(key);
                 }
             }
--- a/crates/dispatch/tests/support/faulty_fleet.rs
+++ b/crates/dispatch/tests/support/faulty_fleet.rs
@@ -1,6 +1,6 @@
 //! Workers with drifting clocks behind a faulty network, which check that no task runs twice.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -24,6 +24,10 @@
 const STOP_MS: u64 = 300;
 /// Delay after which an order without an answer takes effect, in milliseconds.
 const LATE_MS: std::ops::Range<u64> = 2_000..12_000;
+/// Delay of a registry write that gets no answer, in milliseconds.
+const LATE_WRITE_MS: std::ops::Range<u64> = 1_000..6_000;
+/// Share of the registry writes that get no answer and are carried out late, in percent.
+const LATE_WRITE_PERCENT: u32 = 12;
 /// Data centres of the workers; only data centre 0 can be cut off.
 pub(crate) const CENTRES: usize = 2;
 
@@ -48,6 +52,8 @@
     /// When a leaving worker shuts down.
     departs_at: Option<ClockTime>,
     heartbeat_at: ClockTime,
+    /// Number of the latest heartbeat of this incarnation.
+    heartbeat: u64,
     epoch: u64,
     lease_until: u64,
     runs: Vec<ActiveRun>,
@@ -68,7 +74,7 @@
         self.up_from = now + down_ms;
         self.started_at = self.up_from;
         (self.epoch, self.lease_until, self.next_end, self.void_end) = (0, 0, 0, 0);
-        (self.leaving, self.departs_at) = (false, None);
+        (self.leaving, self.departs_at, self.heartbeat) = (false, None, 0);
         self.runs.clear();
         self.ends.clear();
         self.ended_runs.clear();
@@ -122,6 +128,8 @@
     violations: Vec<String>,
     /// Runs whose worker reported them as done and was told that this is stored.
     acknowledged: HashMap<TaskName, u32>,
+    /// Tasks that were started again after a run of them had ended as done, though that was not acknowledged.
+    restarted_done: HashSet<(TaskName, u32)>,
 }
 
 impl FleetState {
@@ -135,8 +143,13 @@
             .values_mut()
             .filter(|worker| worker.id.as_ref() != id);
         let mut elsewhere = None;
+        let mut done_runs = Vec::new();
         for other in others {
             other.end_runs(now);
+            let done = other.ends.iter().filter(|end| {
+                end.kind == EndKind::Done && end.task.as_ref() == Some(&call.task) && end.run != call.run
+            });
+            done_runs.extend(done.map(|end| (call.task.clone(), end.run)));
             let found = other.runs.iter().any(|run| run.task == call.task);
             elsewhere = elsewhere.or(found.then(|| other.id.clone()));
         }
@@ -181,6 +194,7 @@
             stopped_at: None,
         });
         self.starts += 1;
+        self.restarted_done.extend(done_runs);
         if let Some(other) = elsewhere {
             self.violations.push(format!(
                 "{now} {}/{} on {id} runs on {other}",
@@ -219,6 +233,7 @@
                 leaving: false,
                 departs_at: None,
                 heartbeat_at: now,
+                heartbeat: 0,
                 epoch: 0,
                 lease_until: 0,
                 runs: Vec::new(),
@@ -238,6 +253,7 @@
             starts: 0,
             violations: Vec::new(),
             acknowledged: HashMap::new(),
+            restarted_done: HashSet::new(),
         };
         Self {
             state: Arc::new(Mutex::new(state)),
@@ -289,28 +305,57 @@
         self.with(|state, _| state.violations.clone())
     }
 
-    /// Keeps the registry: heartbeats, entries of leaving workers, and entries that expire.
+    /// Keeps the registry: heartbeats, entries of leaving workers, entries that expire, and writes that are
+    /// carried out late, even after the next incarnation of the worker has begun.
     pub(crate) async fn run_registry(self, store: FakeStore) {
         let mut stored_at: BTreeMap<Arc<str>, ClockTime> = BTreeMap::new();
+        // Late writes: when each is carried out, the id and the entry, `None` for a removal.
+        let mut late_writes: Vec<(ClockTime, Arc<str>, Option<String>)> = Vec::new();
         loop {
             self.with(|state, now| {
+                for (_, id, value) in late_writes.extract_if(.., |(at, _, _)| *at <= now) {
+                    match value {
+                        Some(value) => {
+                            store.put(WORKER_TABLE, &id, value.as_bytes());
+                            stored_at.insert(id, now);
+                        }
+                        None => store.remove(WORKER_TABLE, &id),
+                    }
+                }
                 let cut_until = state.cut_until;
+                let rng = &mut state.rng;
+                let mut late_at = || {
+                    let is_late = rng.random_range(0..100) < LATE_WRITE_PERCENT;
+                    is_late.then(|| now + rng.random_range(LATE_WRITE_MS))
+                };
                 for worker in state.workers.values_mut() {
                     let is_cut = worker.centre == 0 && now < cut_until;
                     if worker.departs_at.is_some_and(|at| at <= now) {
                         worker.restart(now, 4_000);
-                        if !is_cut {
-                            store.remove(WORKER_TABLE, &worker.id);
-                            stored_at.remove(&worker.id);
+                        match late_at() {
+                            _ if is_cut => {}
+                            Some(at) => late_writes.push((at, worker.id.clone(), None)),
+                            None => {
+                                store.remove(WORKER_TABLE, &worker.id);
+                                stored_at.remove(&worker.id);
+                            }
                         }
                     }
                     let is_up = now >= worker.up_from;
                     if is_up && !is_cut && (now >= worker.heartbeat_at || !stored_at.contains_key(&worker.id))
                     {
                         worker.heartbeat_at = now + HEARTBEAT_MS;
-                        let value = format!("{} {} {}", worker.born, worker.leaving, worker.centre);
-                        store.put(WORKER_TABLE, &worker.id, value.as_bytes());
-                        stored_at.insert(worker.id.clone(), now);
+                        worker.heartbeat += 1;
+                        let value = format!(
+                            "{} {} {} {}",
+                            worker.born, worker.leaving, worker.centre, worker.heartbeat
+                        );
+                        if let Some(at) = late_at() {
+                            late_writes.push((at, worker.id.clone(), Some(value)));
+                        } else {
+                            store.put(WORKER_TABLE, &worker.id, value.as_bytes());
+                            stored_at.insert(worker.id.clone(), now);
+                        }
                     }
                 }
                 stored_at.retain(|id, at| {
@@ -441,6 +486,10 @@
                 let acknowledged = own.ends.iter().filter(|end| counted.contains(&end.number));
                 for end in acknowledged.filter(|end| end.kind == EndKind::Done) {
                     let task = end.task.clone().expect("no task");
+                    if state.restarted_done.contains(&(task.clone(), end.run)) {
+                        let violation = format!("{now} {task}/{} started again, then acknowledged", end.run);
+                        state.violations.push(violation);
+                    }
                     state.acknowledged.insert(task, end.run);
                 }
                 own.ends.retain(|end| end.number > call.acknowledged);
@@ -478,6 +527,7 @@
         Some(WorkerReport {
             id: row.key.clone(),
             started_at_ms: parts.first()?.parse().ok()?,
+            heartbeat: parts.get(3)?.parse().ok()?,
             address: "127.0.0.1:1".into(),
             service: "maps".into(),
             centre: format!("dc{}", parts.get(2)?).into(),
--- a/crates/dispatch/tests/support/mod.rs
+++ b/crates/dispatch/tests/support/mod.rs
@@ -505,6 +505,7 @@
     let reports = live_rows.map(|row| WorkerReport {
         id: row.key.clone(),
         started_at_ms: 1,
+        heartbeat: 0,
         address: "127.0.0.1:1".into(),
         service: "maps".into(),
         centre: "trent".into(),
--- a/crates/pool/src/listing_apply.rs
+++ b/crates/pool/src/listing_apply.rs
@@ -20,6 +20,7 @@
 impl PoolCore {
     /// Applies a listing of this incarnation of the worker.
     pub fn apply_listing(&mut self, worker: WorkerKey, listing: &WorkerListing, now: ClockTime) {
+        self.confirm_incarnation(worker, listing.asked_at, now);
         let Some(view) = self.workers.get_mut(worker) else {
             return;
         };
--- a/crates/pool/src/placement_restore.rs
+++ b/crates/pool/src/placement_restore.rs
@@ -36,9 +36,8 @@
                 let known = self.worker_index.get(&id).copied();
                 // A worker may have restarted before the recorded start reached it, so a listing decides in any
                 // case whether the run is present.
-                let worker = known.unwrap_or_else(|| {
-                    self.add_unknown_worker(&id, record.worker_started_at_ms, lease_expiry)
-                });
+                let worker =
+                    known.unwrap_or_else(|| self.add_unknown_worker(&id, record.worker_started_at_ms, now));
                 let amount = self.jobs[key].body.steps[step].amount();
                 let name = self.jobs[key].task_name(number, step, index);
                 let view = &mut self.workers[worker];
@@ -68,15 +67,11 @@
 
     /// Adds the incarnation of a recorded run that the worker registry does not contain; it is kept until its
     /// lease has expired.
-    fn add_unknown_worker(
-        &mut self,
-        id: &Arc<str>,
-        started_at_ms: u64,
-        lease_expiry: ClockTime,
-    ) -> WorkerKey {
+    fn add_unknown_worker(&mut self, id: &Arc<str>, started_at_ms: u64, now: ClockTime) -> WorkerKey {
         let report = WorkerReport {
             id: id.clone(),
             started_at_ms,
+            heartbeat: 0,
             address: "".into(),
             service: "".into(),
             centre: "".into(),
@@ -84,7 +79,7 @@
             capacity: Default::default(),
             leaves_at: None,
         };
-        let mut view = WorkerView::new(report, None, lease_expiry);
+        let mut view = WorkerView::new(report, None, now);
         view.removed = true;
         let key = self.workers.insert(view);
         self.worker_index.insert(id.clone(), key);
--- a/crates/pool/src/pool_core.rs
+++ b/crates/pool/src/pool_core.rs
@@ -199,7 +199,7 @@
         self.workers.get(key).map(|view| &view.report)
     }
 
-    /// Returns the key of the newest known incarnation of a worker.
+    /// Returns the key of the present incarnation of a worker.
     pub fn worker_key(&self, id: &str) -> Option<WorkerKey> {
         self.worker_index.get(id).copied()
     }
@@ -210,10 +210,10 @@
         present.map(|(key, _)| key).collect()
     }
 
-    /// Returns whether the worker must be listed: its runs are not known, or it has any.
+    /// Returns whether the worker must be listed: its runs are not known, it has any, or it may have restarted.
     pub fn needs_listing(&self, key: WorkerKey) -> bool {
         let view = self.workers.get(key);
-        view.is_some_and(|view| !view.listed || !view.allocations.is_empty() || view.has_unidentified_run)
+        view.is_some_and(|view| !view.listed || view.successor.is_some() || view.is_occupied())
     }
 
     /// Returns whether the runs of the worker are held until its lease expires, since it cannot be listed.
--- a/crates/pool/src/progress_check.rs
+++ b/crates/pool/src/progress_check.rs
@@ -39,15 +39,26 @@
 
 impl PoolCore {
     /// Releases unreachable workers whose leases must have expired.
+    ///
+    /// A run that was not listed may have reached the successor, with a lease that began later.
     pub(crate) fn check_leases(&mut self, now: ClockTime) {
-        let expired = self.workers.iter().filter(|(_, view)| {
-            !view.listed && view.lease_expiry < now && (view.is_occupied() || view.removed)
+        let expired = self.workers.iter().filter(|(key, view)| {
+            let is_present = self.worker_index.get(&view.report.id) == Some(key);
+            let is_expired = !view.listed && view.lease_expiry < now;
+            is_present && is_expired && (view.is_occupied() || view.removed)
         });
-        let expired: Vec<(WorkerKey, bool)> = expired.map(|(key, view)| (key, view.removed)).collect();
-        for (key, removed) in expired {
+        let expired: Vec<(WorkerKey, bool, Option<WorkerKey>)> = expired
+            .map(|(key, view)| (key, view.removed, view.successor))
+            .collect();
+        for (key, removed, successor) in expired {
             if let Some(report) = self.worker_report(key) {
                 log::warn!("[worker] id={} state=lapsed removed={removed}", report.id);
             }
+            if let Some(successor) = successor {
+                self.release_runs(key, |allocation| allocation.listed, RunRelease::LeaseExpired, now);
+                self.replace_incarnation(key, successor, now);
+                continue;
+            }
             self.release_worker(key, RunRelease::LeaseExpired, now);
             if removed {
                 self.forget_worker(key);
--- a/crates/pool/src/worker_restart.rs
+++ b/crates/pool/src/worker_restart.rs
@@ -13,39 +13,132 @@
 const RESTARTED_LEASE_MS: u64 = 24_000;
 
 impl PoolCore {
-    /// Adds or updates a worker. A new incarnation under a known id ends the runs that the previous one
-    /// listed.
+    /// Adds or updates a worker from its registry entry; returns the key of the incarnation that the entry names.
+    ///
+    /// Entries may be written late, so an entry of another incarnation than the one that answers calls proves
+    /// nothing: it adds a successor, which replaces the present incarnation once the worker itself answers as
+    /// the successor. Heartbeats older than the latest one of the same incarnation are ignored.
     pub fn update_worker(&mut self, report: WorkerReport, now: ClockTime) -> WorkerKey {
-        let known = self.worker_index.get(&report.id).copied();
-        if let Some(key) = known
-            && self.workers[key].report.started_at_ms == report.started_at_ms
-        {
-            let view = &mut self.workers[key];
-            if view.report.leaves_at.is_none() && report.leaves_at.is_some() {
-                log::info!("[worker] id={} centre={} state=leaving", report.id, report.centre);
-            }
-            view.removed = false;
-            if view.report.labels != report.labels {
-                view.labels = report.labels.as_slice().into();
-                view.rack = self.racks.id(report.rack());
-            }
-            view.report = report;
-            return key;
+        let Some(present) = self.worker_index.get(&report.id).copied() else {
+            return self.add_incarnation(report, now);
+        };
+        let view = &self.workers[present];
+        if view.report.started_at_ms == report.started_at_ms {
+            self.drop_successor(present);
+            self.refresh_report(present, report);
+            return present;
+        }
+        if view.outdated_start == Some(report.started_at_ms) {
+            return present;
         }
+        if view.has_answered {
+            return self.update_successor(present, report, now);
+        }
+        let key = self.add_incarnation(report, now);
+        self.replace_incarnation(present, key, now);
+        key
+    }
+
+    fn add_incarnation(&mut self, report: WorkerReport, now: ClockTime) -> WorkerKey {
         let id = report.id.clone();
-        let born = report.started_at_ms;
         let rack = self.racks.id(report.rack());
         let key = self.workers.insert(WorkerView::new(report, rack, now));
-        if let Some(previous) = known {
-            log::info!(
-                "[worker] id={id} restarted old_born={} new_born={born}",
-                self.workers[previous].report.started_at_ms,
+        self.worker_index.entry(id).or_insert(key);
+        key
+    }
+
+    /// Applies a registry entry of this incarnation, unless a later heartbeat has been seen.
+    fn refresh_report(&mut self, key: WorkerKey, report: WorkerReport) {
+        let view = &mut self.workers[key];
+        view.removed = false;
+        if report.heartbeat < view.report.heartbeat {
+            log::debug!(
+                "[worker] id={} ignored heartbeat={} latest={}",
+                report.id,
+                report.heartbeat,
+                view.report.heartbeat
             );
-            self.move_unlisted_runs(previous, key, now);
-            self.end_incarnation(previous, now);
+            return;
+        }
+        if view.report.leaves_at.is_none() && report.leaves_at.is_some() {
+            log::info!("[worker] id={} centre={} state=leaving", report.id, report.centre);
+        }
+        if view.report.labels != report.labels {
+            view.labels = report.labels.as_slice().into();
+            view.rack = self.racks.id(report.rack());
+        }
+        view.report = report;
+    }
+
+    /// Adds or updates the incarnation that may have replaced `present`.
+    fn update_successor(&mut self, present: WorkerKey, report: WorkerReport, now: ClockTime) -> WorkerKey {
+        if let Some(successor) = self.workers[present].successor
+            && self.workers[successor].report.started_at_ms == report.started_at_ms
+        {
+            self.refresh_report(successor, report);
+            return successor;
         }
+        self.drop_successor(present);
+        log::info!(
+            "[worker] id={} state=maybe restarted born={} registered_born={}",
+            report.id,
+            self.workers[present].report.started_at_ms,
+            report.started_at_ms,
+        );
+        let successor = self.add_incarnation(report, now);
+        self.workers[present].successor = Some(successor);
+        successor
+    }
+
+    /// Forgets the incarnation that may have replaced `present`; it was never listed, so it has no runs.
+    fn drop_successor(&mut self, present: WorkerKey) {
+        if let Some(successor) = self
+            .workers
+            .get_mut(present)
+            .and_then(|view| view.successor.take())
+        {
+            self.workers.remove(successor);
+        }
+    }
+
+    /// Replaces an incarnation, whose listed runs have ended with it.
+    pub(crate) fn replace_incarnation(&mut self, previous: WorkerKey, key: WorkerKey, now: ClockTime) {
+        let (Some(old), Some(new)) = (self.workers.get(previous), self.workers.get(key)) else {
+            return;
+        };
+        let id = new.report.id.clone();
+        log::info!(
+            "[worker] id={id} restarted old_born={} new_born={}",
+            old.report.started_at_ms,
+            new.report.started_at_ms,
+        );
+        self.move_unlisted_runs(previous, key, now);
+        self.end_incarnation(previous, now);
         self.worker_index.insert(id, key);
-        key
+    }
+
+    /// Records that the worker itself has answered a call of `asked_at` as this incarnation.
+    pub(crate) fn confirm_incarnation(&mut self, key: WorkerKey, asked_at: ClockTime, now: ClockTime) {
+        let Some(view) = self.workers.get_mut(key) else {
+            return;
+        };
+        view.has_answered = true;
+        let (id, successor) = (view.report.id.clone(), view.successor);
+        if let Some(present) = self.worker_index.get(&id).copied()
+            && present != key
+        {
+            self.replace_incarnation(present, key, now);
+        }
+        if let Some(successor) = successor
+            && let Some(other) = self.workers.get(successor)
+            && other.added_at <= asked_at
+        {
+            // The entry was written before this answer, so it is one of an earlier incarnation.
+            let start = other.report.started_at_ms;
+            log::info!("[worker] id={id} state=not restarted outdated_born={start}");
+            self.drop_successor(key);
+            self.workers[key].outdated_start = Some(start);
+        }
     }
 
     /// Marks a worker as removed from the worker registry. Its runs may go on until its lease expires.
@@ -60,17 +153,24 @@
     /// Runs that the previous incarnation listed have ended. A start that was not listed may have reached the
     /// new incarnation, so it is kept until that one is listed.
     pub fn mark_restarted(&mut self, key: WorkerKey, now: ClockTime) {
-        let listed = self.run_names(key, |allocation| allocation.listed);
-        for (name, run) in listed {
-            self.requeue_task(&name, run, key, RunRelease::IncarnationEnded, now);
-        }
+        self.release_runs(
+            key,
+            |allocation| allocation.listed,
+            RunRelease::IncarnationEnded,
+            now,
+        );
         let Some(view) = self.workers.get_mut(key) else {
             return;
         };
+        if let Some(successor) = view.successor {
+            self.replace_incarnation(key, successor, now);
+            return;
+        }
         if view.allocations.is_empty() {
             self.end_incarnation(key, now);
             return;
         }
+        view.has_answered = false;
         view.listed = false;
         view.removed = true;
         view.has_unidentified_run = false;
@@ -84,9 +184,19 @@
     }
 
     pub(crate) fn forget_worker(&mut self, key: WorkerKey) {
-        if let Some(view) = self.workers.remove(key)
-            && self.worker_index.get(&view.report.id) == Some(&key)
-        {
+        let Some(view) = self.workers.remove(key) else {
+            return;
+        };
+        let Some(present) = self.worker_index.get(&view.report.id).copied() else {
+            return;
+        };
+        if present != key {
+            if let Some(present) = self.workers.get_mut(present) {
+                present.successor = present.successor.filter(|successor| *successor != key);
+            }
+        } else if let Some(successor) = view.successor {
+            self.worker_index.insert(view.report.id, successor);
+        } else {
             self.worker_index.remove(&view.report.id);
         }
     }
@@ -139,11 +249,23 @@
 
     /// Releases all allocations on a worker; their unfinished tasks wait again.
     pub(crate) fn release_worker(&mut self, worker: WorkerKey, release: RunRelease, now: ClockTime) {
-        let names = self.run_names(worker, |_| true);
         if let Some(view) = self.workers.get_mut(worker) {
             view.has_unidentified_run = false;
         }
-        for (name, run) in names {
+        self.release_runs(worker, |_| true, release, now);
+    }
+
+    /// Releases the allocations on a worker that match; their unfinished tasks wait again.
+    pub(crate) fn release_runs<F>(
+        &mut self,
+        worker: WorkerKey,
+        matches: F,
+        release: RunRelease,
+        now: ClockTime,
+    ) where
+        F: Fn(&RunAllocation) -> bool,
+    {
+        for (name, run) in self.run_names(worker, matches) {
             self.requeue_task(&name, run, worker, release, now);
         }
     }
--- a/crates/pool/src/worker_view.rs
+++ b/crates/pool/src/worker_view.rs
@@ -21,6 +21,8 @@
     pub id: Arc<str>,
     /// Unix milliseconds at which its process started; identifies the incarnation.
     pub started_at_ms: u64,
+    /// Number of the heartbeat that wrote the entry; rises within an incarnation, 0 if unknown.
+    pub heartbeat: u64,
     /// Address on which it serves calls.
     pub address: Arc<str>,
     /// Service that it serves.
@@ -70,6 +72,14 @@
     /// Labels of the report, shared with the candidates of a decision.
     pub(crate) labels: Arc<[Arc<str>]>,
     pub(crate) rack: Option<RackId>,
+    /// When this incarnation was first seen.
+    pub(crate) added_at: ClockTime,
+    /// Whether the worker itself has answered as this incarnation.
+    pub(crate) has_answered: bool,
+    /// Incarnation that the worker registry names instead of this one, until the worker answers as either.
+    pub(crate) successor: Option<WorkerKey>,
+    /// Start time of an earlier incarnation whose registry entry was written late.
+    pub(crate) outdated_start: Option<u64>,
     /// Whether the runs of the worker are known from a listing.
     pub(crate) listed: bool,
     /// Whether its entry in the worker registry has been removed.
@@ -86,14 +96,18 @@
 }
 
 impl WorkerView {
-    pub(crate) fn new(report: WorkerReport, rack: Option<RackId>, lease_expiry: ClockTime) -> Self {
+    pub(crate) fn new(report: WorkerReport, rack: Option<RackId>, added_at: ClockTime) -> Self {
         Self {
             labels: report.labels.as_slice().into(),
             rack,
             report,
+            added_at,
+            has_answered: false,
+            successor: None,
+            outdated_start: None,
             listed: false,
             removed: false,
-            lease_expiry,
+            lease_expiry: added_at,
             applied_end: 0,
             allocations: HashMap::new(),
             has_unidentified_run: false,
@@ -128,6 +142,7 @@
 
     /// Returns whether new work may be placed on the worker.
     pub(crate) fn is_schedulable(&self, now: ClockTime) -> bool {
-        self.listed && !self.removed && self.report.leaves_at.is_none() && self.health.is_schedulable(now)
+        let is_identified = self.listed && !self.removed && self.successor.is_none();
+        is_identified && self.report.leaves_at.is_none() && self.health.is_schedulable(now)
     }
 }
--- a/crates/pool/tests/run_once.rs
+++ b/crates/pool/tests/run_once.rs
@@ -121,7 +121,14 @@
 fn listed_before_restart() {
     let (mut pool, worker) = pool_with_run();
     let (report, now) = (restarted_report(&pool, worker), pool.now);
-    pool.core.update_worker(report, now);
+    let restarted = pool.core.update_worker(report, now);
+    pool.run_decision();
+    assert_eq!(
+        pool.starts.len(),
+        1,
+        "started again before the new process was listed"
+    );
+    list(&mut pool, restarted);
     pool.run_decision();
     assert_eq!(pool.starts.len(), 2);
 }
--- a/crates/pool/tests/support/mod.rs
+++ b/crates/pool/tests/support/mod.rs
@@ -88,6 +88,7 @@
     WorkerReport {
         id: format!("w{number}").into(),
         started_at_ms: 1,
+        heartbeat: 0,
         address: "127.0.0.1:1".into(),
         service: "maps".into(),
         centre: centre.into(),
