Store records that outgrow a row in several rows

Cause: one row held the tasks of all open occurrences, whose number had no limit. The leader repeated the refused commit for ever, and each next leader came to the same record.

Change: ProgressRows splits a record that does not fit into a main row and parts with a fixed number of tasks, ordered so that any prefix of the commits is valid; only changed parts are written. The limit comes from the settings. A job opens no further occurrence while 10,000 of its tasks are open.

Ruled out: holding occurrences back until one row holds them, which would leave capacity idle; skipping the refused row, as orders may only follow a stored decision; one transaction for all parts, as it has a limit as well.

--- a/crates/dispatch/src/dispatch_loop.rs
+++ b/crates/dispatch/src/dispatch_loop.rs
@@ -38,6 +38,8 @@
     pub registry_silence_ms: u64,
     /// Wait of this VM before it tries to become leader, in milliseconds; 0 on a VM with enough capacity.
     pub election_delay_ms: u64,
+    /// Maximum size of the value of a row, in bytes.
+    pub max_row_bytes: usize,
     /// Options of the scheduler core.
     pub core: CoreOptions,
 }
--- a/crates/dispatch/src/job_intake.rs
+++ b/crates/dispatch/src/job_intake.rs
@@ -23,6 +23,8 @@
     pub max_unanswered: u32,
     /// Number of refusals by the store after which a submission is rejected, if all calls were answered.
     pub max_refusals: u32,
+    /// Maximum size of a stored job body, in bytes.
+    pub max_body_bytes: usize,
 }
 
 impl Default for IntakeOptions {
@@ -32,6 +34,7 @@
             retry_delay_ms: 60,
             max_unanswered: 2,
             max_refusals: 2,
+            max_body_bytes: 65_536,
         }
     }
 }
@@ -46,6 +49,8 @@
     },
     /// A job with this id but a different body exists.
     BodyMismatch,
+    /// The body does not fit a row of the store, so the job is never stored.
+    TooLarge,
     /// This request has not stored the job and will not store it later.
     NotStored,
     /// The job may have been stored; the same request can safely be repeated.
@@ -105,6 +110,9 @@
     /// The transaction requires that the job has no record, so a retry after a lost answer stores it only
     /// once.
     pub async fn submit(&self, id: &str, body: &JobBody, deadline: ClockTime) -> SubmitOutcome {
+        if body.encoded_len() > self.options.max_body_bytes {
+            return SubmitOutcome::TooLarge;
+        }
         let transaction = submit_transaction(id, body);
         let mut unanswered = 0;
         let mut refusals = 0;
--- a/crates/dispatch/src/leader_record.rs
+++ b/crates/dispatch/src/leader_record.rs
@@ -1,3 +1,7 @@
+use std::cmp::Reverse;
+use std::collections::HashMap;
+use std::sync::Arc;
+
 use prost::Message;
 
 /// The row that names the leader. Every commit of the leader rewrites it.
@@ -24,9 +28,35 @@
 #[derive(Clone, PartialEq, Eq, Message)]
 pub(crate) struct PendingRecord {
     #[prost(map = "string, uint64", tag = "1")]
-    pub(crate) queues: std::collections::HashMap<String, u64>,
+    pub(crate) queues: HashMap<String, u64>,
+}
+
+impl PendingRecord {
+    /// Returns the counts of as many queues as fit a row, the largest counts first.
+    pub(crate) fn new(pending: &HashMap<Arc<str>, u64>, max_row_bytes: usize) -> Self {
+        let mut counts: Vec<(&Arc<str>, u64)> =
+            pending.iter().map(|(queue, count)| (queue, *count)).collect();
+        counts.sort_by_key(|(queue, count)| (Reverse(*count), (*queue).clone()));
+        let mut bytes = 0;
+        let stored = counts.iter().take_while(|(queue, _)| {
+            bytes += queue.len() + MAX_COUNT_BYTES;
+            bytes <= max_row_bytes
+        });
+        let queues: HashMap<String, u64> = stored.map(|(queue, count)| (queue.to_string(), *count)).collect();
+        if queues.len() < counts.len() {
+            log::warn!(
+                "[store] counts of pending jobs left out queues={} stored={}",
+                counts.len() - queues.len(),
+                queues.len()
+            );
+        }
+        Self { queues }
+    }
 }
 
+/// Maximum encoded size of a count with its field headers, in bytes.
+const MAX_COUNT_BYTES: usize = 24;
+
 /// Table of the [`LeaderRecord`] and the [`PendingRecord`]. Stored names and logs call leadership a seat.
 pub(crate) const LEADER_TABLE: &str = "seat";
 /// Key of the [`LeaderRecord`].
--- a/crates/dispatch/src/leader_run.rs
+++ b/crates/dispatch/src/leader_run.rs
@@ -21,6 +21,7 @@
     CANCEL_SUFFIX, INTAKE_TABLE, LEADER_TABLE, LeaderRecord, PENDING_KEY, PROGRESS_TABLE, PendingRecord,
 };
 use crate::loop_meter::{LoopMeter, PassPhase};
+use crate::progress_rows::ProgressRows;
 use crate::row_store::{RowEntry, RowStore, RowWrite, read_table};
 use crate::worker_client::WorkerClient;
 use crate::worker_session::{WorkerEvent, WorkerSession};
@@ -49,8 +50,9 @@
     cancel_rows: HashSet<Arc<str>>,
     /// Jobs with a body in the store.
     body_rows: HashSet<Arc<str>>,
-    /// Intake rows to remove with the next commit.
-    intake_removals: Vec<RowWrite>,
+    /// Rows to remove with the next commit.
+    row_removals: Vec<RowWrite>,
+    progress_rows: ProgressRows,
     /// Numbers of pending jobs by queue, as last stored.
     pending: HashMap<Arc<str>, u64>,
     pending_stored_at: ClockTime,
@@ -108,7 +110,8 @@
             worker_event_sender,
             cancel_rows: HashSet::new(),
             body_rows: HashSet::new(),
-            intake_removals: Vec::new(),
+            row_removals: Vec::new(),
+            progress_rows: ProgressRows::new(context.options.max_row_bytes),
             pending: HashMap::new(),
             pending_stored_at: acquired_at,
             committed_at: acquired_at,
@@ -217,17 +220,11 @@
         for report in (self.context.decode_workers)(&workers, now) {
             self.core.update_worker(report, now);
         }
-        let mut records: HashMap<Arc<str>, JobRecord> = HashMap::new();
-        for row in progress {
-            let Some(value) = row.value else { continue };
-            match JobRecord::decode(value) {
-                Ok(record) => {
-                    if record.stage().is_final() {
-                        self.core.track_final_record(&row.key, now);
-                    }
-                    records.insert(row.key, record);
-                }
-                Err(error) => log::error!("[seat] job={} cannot decode its record: {error}", row.key),
+        let (records, stale_rows) = self.progress_rows.load(progress);
+        self.row_removals.extend(stale_rows);
+        for (job, record) in &records {
+            if record.stage().is_final() {
+                self.core.track_final_record(job, now);
             }
         }
         self.apply_intake(intake, &records);
@@ -324,10 +321,10 @@
 
     fn remove_intake(&mut self, job: &Arc<str>) {
         if self.body_rows.remove(job) {
-            self.intake_removals.push(row_removal(INTAKE_TABLE, job.clone()));
+            self.row_removals.push(row_removal(INTAKE_TABLE, job.clone()));
         }
         if self.cancel_rows.remove(job) {
-            self.intake_removals
+            self.row_removals
                 .push(row_removal(INTAKE_TABLE, format!("{job}{CANCEL_SUFFIX}").into()));
         }
     }
@@ -522,23 +519,15 @@
             if ended {
                 self.remove_intake(&change.job);
             }
-            writes.push(RowWrite {
-                table: PROGRESS_TABLE,
-                key: change.job,
-                value: change.record.map(|record| record.encode_to_vec().into()),
-            });
+            self.progress_rows
+                .append_writes(change.job, change.record, &mut writes);
         }
-        writes.append(&mut self.intake_removals);
+        writes.append(&mut self.row_removals);
         let pending = self.core.pending_by_queue();
         if pending != self.pending
             && now.millis_since(self.pending_stored_at) >= MIN_PENDING_UPDATE_INTERVAL_MS
         {
-            let record = PendingRecord {
-                queues: pending
-                    .iter()
-                    .map(|(queue, count)| (queue.to_string(), *count))
-                    .collect(),
-            };
+            let record = PendingRecord::new(&pending, self.context.options.max_row_bytes);
             writes.push(RowWrite {
                 table: LEADER_TABLE,
                 key: PENDING_KEY.into(),
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -25,6 +25,7 @@
 mod order_sender;
 mod peer_probe;
 mod policy_cache;
+mod progress_rows;
 mod registry_watch;
 mod relay_client;
 #[allow(
@@ -50,6 +51,7 @@
 pub use leader_record::LeaderRecord;
 pub use peer_probe::PeerProbe;
 pub use policy_cache::{PolicyCache, PolicyRows, PolicyView, follow_policy};
+pub use progress_rows::ProgressRows;
 pub use registry_watch::RegistryWatch;
 pub use relayed_store::{RelayOptions, RelayedStore};
 pub use row_store::{
--- a/crates/dispatch/tests/leader_handover.rs
+++ b/crates/dispatch/tests/leader_handover.rs
@@ -54,6 +54,7 @@
             worker_table: WORKER_TABLE,
             registry_silence_ms: 4_500,
             election_delay_ms,
+            max_row_bytes: support::MAX_ROW_BYTES,
             core: CoreOptions::default(),
         },
     });
--- a/crates/dispatch/tests/random_faults.rs
+++ b/crates/dispatch/tests/random_faults.rs
@@ -50,6 +50,7 @@
             worker_table: WORKER_TABLE,
             registry_silence_ms: SILENCE_MS,
             election_delay_ms: 0,
+            max_row_bytes: 65_536,
             core: CoreOptions::default(),
         },
     });
--- a/crates/dispatch/tests/support/mod.rs
+++ b/crates/dispatch/tests/support/mod.rs
@@ -26,6 +26,11 @@
 pub(crate) const WORKER_TABLE: &str = "workers";
 pub(crate) const CONFIG_TABLE: &str = "config";
 
+/// Limits of the store: bytes of a value, entries of a transaction, bytes of its values.
+pub(crate) const MAX_ROW_BYTES: usize = 65_536;
+const MAX_ENTRIES: usize = 100;
+const MAX_TRANSACTION_BYTES: usize = 750_000;
+
 /// Fault injected into the calls of one process to the store.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum StoreMode {
@@ -140,6 +145,21 @@
     }
 }
 
+/// Refuses transactions beyond the limits of the store.
+fn check_size(transaction: &RowTransaction) -> Result<(), StoreError> {
+    let entries = transaction.conditions.len() + transaction.writes.len();
+    let values = transaction.writes.iter().filter_map(|write| write.value.as_ref());
+    let (largest, total) = values.fold((0, 0), |(largest, total), value| {
+        (value.len().max(largest), total + value.len())
+    });
+    if largest <= MAX_ROW_BYTES && entries <= MAX_ENTRIES && total <= MAX_TRANSACTION_BYTES {
+        return Ok(());
+    }
+    Err(StoreError::NotExecuted {
+        message: format!("too large: {entries} entries, a value of {largest} bytes, {total} bytes in total"),
+    })
+}
+
 fn apply(state: &mut StoreState, transaction: &RowTransaction) -> TransactOutcome {
     let live_row = |state: &StoreState, table: &str, key: &str| {
         let row = state.rows.get(&(table.into(), key.into()));
@@ -177,6 +197,7 @@
         deadline: ClockTime,
     ) -> Result<TransactOutcome, StoreError> {
         self.check_mode(deadline).await?;
+        check_size(transaction)?;
         match self.mode() {
             StoreMode::LoseAnswers => {
                 apply(&mut lock(&self.state), transaction);
@@ -576,6 +597,7 @@
                 worker_table: WORKER_TABLE,
                 registry_silence_ms: 4_500,
                 election_delay_ms: 0,
+                max_row_bytes: MAX_ROW_BYTES,
                 core: CoreOptions::default(),
             },
         });
--- a/crates/dispatch/tests/unexpected_errors.rs
+++ b/crates/dispatch/tests/unexpected_errors.rs
@@ -99,6 +99,7 @@
             worker_table: WORKER_TABLE,
             registry_silence_ms: 4_500,
             election_delay_ms: 0,
+            max_row_bytes: 65_536,
             core: CoreOptions::default(),
         },
     });
--- a/crates/pool/src/job_entry.rs
+++ b/crates/pool/src/job_entry.rs
@@ -196,6 +196,15 @@
         self.body.occurrences.max(1)
     }
 
+    /// Returns the number of tasks of created occurrences that are not done.
+    pub(crate) fn open_tasks(&self) -> usize {
+        let occurrences = self.occurrences.values();
+        let tasks = occurrences
+            .flat_map(|occurrence| &occurrence.steps)
+            .flat_map(|step| &step.tasks);
+        tasks.filter(|task| !task.done).count()
+    }
+
     /// Returns whether any task has been started.
     pub(crate) fn has_started(&self) -> bool {
         self.stage != JobStage::Queued
@@ -236,6 +245,7 @@
             record.occurrences.push(OccurrenceRecord {
                 number: *number,
                 tasks,
+                first_task: 0,
             });
         }
         record
--- a/crates/pool/src/job_record.rs
+++ b/crates/pool/src/job_record.rs
@@ -63,11 +63,20 @@
     /// Number of the occurrence.
     #[prost(uint32, tag = "1")]
     pub number: u32,
-    /// Tasks of all steps, ordered by step.
+    /// Tasks of all steps, ordered by step, from `first_task` on.
     #[prost(message, repeated, tag = "2")]
     pub tasks: Vec<TaskRecord>,
+    /// Index of the first task, if the occurrence is stored in parts.
+    #[prost(uint32, tag = "3")]
+    pub first_task: u32,
 }
 
+/// Maximum length of a checkpoint in bytes; a worker that reports a longer one keeps the one before.
+pub(crate) const MAX_CHECKPOINT_BYTES: usize = 1_024;
+
+/// Maximum encoded size of a [`TaskRecord`] in bytes, with a worker id of up to 200 bytes.
+pub const MAX_TASK_RECORD_BYTES: usize = MAX_CHECKPOINT_BYTES + 256;
+
 /// The stored progress of one task.
 #[derive(Clone, PartialEq, Message)]
 pub struct TaskRecord {
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -40,7 +40,7 @@
 
 pub use core_options::CoreOptions;
 pub use job_body::{BodyError, JobBody, StepBody};
-pub use job_record::{JobRecord, JobStage, OccurrenceRecord, TaskRecord};
+pub use job_record::{JobRecord, JobStage, MAX_TASK_RECORD_BYTES, OccurrenceRecord, TaskRecord};
 pub use pool_core::{CoreSummary, LatencySample, PoolCore, RecordChange};
 pub use pool_order::{PoolOrder, StartOrder, StopOrder, StopReason};
 pub use pool_policy::{AccountGuarantee, PoolPolicy, QueueRule};
--- a/crates/pool/src/listing_apply.rs
+++ b/crates/pool/src/listing_apply.rs
@@ -6,6 +6,7 @@
 
 use crate::WorkerListing;
 use crate::job_entry::PlacementStage;
+use crate::job_record::MAX_CHECKPOINT_BYTES;
 use crate::pool_core::{JobKey, PoolCore};
 use crate::run_release::RunRelease;
 use crate::worker_speed::speed_observation;
@@ -17,6 +18,18 @@
 /// Maximum number of run times kept for a step.
 const MAX_RUN_TIMES: usize = 16;
 
+/// Returns whether a worker reported a checkpoint that a record can hold.
+fn is_storable(task: &TaskName, checkpoint: &str) -> bool {
+    let fits = checkpoint.len() <= MAX_CHECKPOINT_BYTES;
+    if !fits {
+        log::warn!(
+            "[run] task={task} ignored checkpoint of {} bytes, at most {MAX_CHECKPOINT_BYTES} are stored",
+            checkpoint.len()
+        );
+    }
+    fits && !checkpoint.is_empty()
+}
+
 impl PoolCore {
     /// Applies a listing of this incarnation of the worker.
     pub fn apply_listing(&mut self, worker: WorkerKey, listing: &WorkerListing, now: ClockTime) {
@@ -101,7 +114,7 @@
             self.stop_unexpected(worker, name, status.run, now);
             return;
         };
-        if !status.checkpoint.is_empty() {
+        if is_storable(name, &status.checkpoint) {
             task.checkpoint = status.checkpoint.clone();
         }
         let Some(placement) = &mut task.placement else {
@@ -213,7 +226,8 @@
         let Some((key, task)) = self.current_task(name, end.run, worker) else {
             return;
         };
-        if !end.checkpoint.is_empty() {
+        let has_checkpoint = is_storable(name, &end.checkpoint);
+        if has_checkpoint {
             task.checkpoint = end.checkpoint.clone();
         }
         let level = if end.kind == EndKind::Done {
@@ -226,9 +240,8 @@
             EndKind::Done => self.finish_task(key, name, now),
             EndKind::Failed => self.fail_task(key, name, worker, now),
             _ => {
-                let checkpoint = end.checkpoint.clone();
-                if !checkpoint.is_empty() {
-                    self.share_checkpoint(key, name, &checkpoint);
+                if has_checkpoint {
+                    self.share_checkpoint(key, name, &end.checkpoint);
                 }
                 self.requeue_task(name, end.run, worker, RunRelease::Ended, now);
             }
--- a/crates/pool/src/pool_core.rs
+++ b/crates/pool/src/pool_core.rs
@@ -14,6 +14,9 @@
     TaskName, WorkerKey, WorkerReport,
 };
 
+/// Number of open tasks of a job from which on its further occurrences wait until some of them are done.
+const MAX_OPEN_TASKS: usize = 10_000;
+
 new_key_type! {
     pub(crate) struct JobKey;
 }
@@ -320,7 +323,7 @@
         self.changed_jobs.insert(key);
     }
 
-    /// Creates the occurrences that are due.
+    /// Creates the occurrences that are due, as long as the open tasks of the job are within their limit.
     fn release_occurrences(&mut self, now: ClockTime, wall: PlatformTime) {
         let mut released = Vec::new();
         for (key, job) in &mut self.jobs {
@@ -330,6 +333,9 @@
                 if job.body.occurrences > 0 && due_unix_ms > wall.0 {
                     break;
                 }
+                if number > 0 && job.open_tasks() >= MAX_OPEN_TASKS {
+                    break;
+                }
                 let due_at = occurrence_due_at(job, number, now, wall);
                 let entry = OccurrenceEntry::new(&job.body, due_at);
                 job.occurrences.insert(number, entry);
