Conclude nothing from a listing that shows only the first ends

Cause: a run that is neither active nor among the listed ends counted as gone, although its end stood on the next page.

Change: a listing says whether it is complete, and only a complete one is evidence of absence or leads to the stop of an unconfirmed start. The stand-ins of the tests list ends in pages.

Ruled out: asking for all ends before any is applied, which would hold acknowledgements back; a listing without any end as the only evidence, as busy workers end a run in each listing.

--- a/crates/bench/src/pool_emulator.rs
+++ b/crates/bench/src/pool_emulator.rs
@@ -326,6 +326,7 @@
                         kind,
                         checkpoint: checkpoint.into(),
                     }],
+                    is_complete: true,
                 };
                 worker.next_end += 1;
                 self.core.apply_listing(worker.key, &listing, now);
@@ -366,6 +367,7 @@
                 asked_at: now,
                 running: list_runs(worker, now),
                 ended: Vec::new(),
+                is_complete: true,
             };
             self.core.apply_listing(worker.key, &listing, now);
         }
--- a/crates/dispatch/src/worker_client.rs
+++ b/crates/dispatch/src/worker_client.rs
@@ -70,8 +70,10 @@
     pub born_ms: Option<u64>,
     /// Active runs.
     pub running: Vec<RunStatus>,
-    /// Ended runs that are not acknowledged.
+    /// Ended runs that are not acknowledged, or the first of them.
     pub ended: Vec<RunEnd>,
+    /// Whether these are all ended runs that are not acknowledged.
+    pub is_complete: bool,
 }
 
 /// Error of a call to a worker.
--- a/crates/dispatch/src/worker_session.rs
+++ b/crates/dispatch/src/worker_session.rs
@@ -290,6 +290,7 @@
             asked_at: sent_at,
             running: reply.running,
             ended: reply.ended,
+            is_complete: reply.is_complete,
         })
     }
 
--- a/crates/dispatch/tests/support/faulty_fleet.rs
+++ b/crates/dispatch/tests/support/faulty_fleet.rs
@@ -20,6 +20,8 @@
 pub(crate) const SILENCE_MS: u64 = 3 * HEARTBEAT_MS;
 /// Longest lease that a worker grants, in milliseconds on its clock.
 const MAX_LEASE_MS: u64 = 10_000;
+/// Number of ends that a worker lists at a time.
+const ENDS_PER_LISTING: usize = 2;
 /// Time that a stop takes, in milliseconds.
 const STOP_MS: u64 = 300;
 /// Delay after which an order without an answer takes effect, in milliseconds.
@@ -506,7 +508,8 @@
                     clock: WorkerTime(own.clock(now)),
                     born_ms: Some(own.born),
                     running: running.collect(),
-                    ended: own.ends.clone(),
+                    ended: own.ends.iter().take(ENDS_PER_LISTING).cloned().collect(),
+                    is_complete: own.ends.len() < ENDS_PER_LISTING,
                 }))
             });
             match reply {
--- a/crates/dispatch/tests/support/mod.rs
+++ b/crates/dispatch/tests/support/mod.rs
@@ -31,6 +31,9 @@
 const MAX_ENTRIES: usize = 100;
 const MAX_TRANSACTION_BYTES: usize = 750_000;
 
+/// Number of ends that a worker lists at a time.
+const ENDS_PER_LISTING: usize = 500;
+
 /// Fault injected into the calls of one process to the store.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum StoreMode {
@@ -512,7 +515,8 @@
                         clock: WorkerTime(now.0),
                         born_ms: Some(1),
                         running: running.collect(),
-                        ended: own.ends.clone(),
+                        ended: own.ends.iter().take(ENDS_PER_LISTING).cloned().collect(),
+                        is_complete: own.ends.len() < ENDS_PER_LISTING,
                     });
                 }
             }
--- a/crates/pool/src/listing_apply.rs
+++ b/crates/pool/src/listing_apply.rs
@@ -53,8 +53,8 @@
         let Some(view) = self.workers.get(worker) else {
             return;
         };
-        if view.has_unidentified_run {
-            // Any run may be the unreadable one, so none counts as absent.
+        if view.has_unidentified_run || !listing.is_complete {
+            // Any run may be the unreadable one, or have an end that is listed later, so none counts as absent.
             return;
         }
         let absent = view.allocations.iter().filter(|(name, allocation)| {
--- a/crates/pool/src/worker_listing.rs
+++ b/crates/pool/src/worker_listing.rs
@@ -56,8 +56,10 @@
     pub asked_at: ClockTime,
     /// Runs that are present.
     pub running: Vec<RunStatus>,
-    /// Ends that have not been acknowledged.
+    /// Ends that have not been acknowledged, or the first of them.
     pub ended: Vec<RunEnd>,
+    /// Whether these are all ends; otherwise a run that is not listed may have ended.
+    pub is_complete: bool,
 }
 
 /// Result of an order to start a run.
--- a/crates/pool/tests/support/mod.rs
+++ b/crates/pool/tests/support/mod.rs
@@ -217,6 +217,7 @@
             asked_at: self.now,
             running: running.collect(),
             ended: Vec::new(),
+            is_complete: true,
         }
     }
 
@@ -249,5 +250,6 @@
         asked_at: now,
         running: Vec::new(),
         ended: Vec::new(),
+        is_complete: true,
     }
 }
--- a/crates/pool/tests/support/pool_simulation.rs
+++ b/crates/pool/tests/support/pool_simulation.rs
@@ -68,6 +68,8 @@
 const DETECTION_MS: u64 = 700;
 /// Time that members of a gang wait for each other, in milliseconds.
 const GANG_WAIT_MS: u64 = 3_000;
+/// Number of ends that a worker lists at a time.
+const ENDS_PER_LISTING: usize = 2;
 /// Lease that the scheduler grants, in milliseconds.
 const LEASE_MS: u64 = 9_000;
 
@@ -318,9 +320,11 @@
                 continue;
             }
             if worker.lease_until >= self.now {
-                delivered.extend(worker.ends.iter().cloned());
+                delivered.extend(worker.ends.iter().take(ENDS_PER_LISTING).cloned());
             }
             worker.lease_until = self.now + LEASE_MS;
+            let later = worker.ends.split_off(worker.ends.len().min(ENDS_PER_LISTING));
+            let ended = std::mem::replace(&mut worker.ends, later);
             let listing = WorkerListing {
                 asked_at: self.now,
                 running: worker
@@ -333,7 +337,8 @@
                         percent: 50,
                     })
                     .collect(),
-                ended: std::mem::take(&mut worker.ends),
+                is_complete: ended.len() < ENDS_PER_LISTING,
+                ended,
             };
             self.core.apply_listing(worker.key, &listing, self.now);
         }
