Follow the policy from before a new leader reads its tables

Cause: the leader read the policy before the tables and subscribed to its changes after them; a new subscription counts the present value as seen. Evidence: "[config] applied" between "elected leader" and "ready" of the same process, followed by placements in the closed data centre.

Change: the leader subscribes first, and looks for a change right before each decision.

Ruled out: reading the policy again after the tables, which leaves a gap before the subscription; a receiver that counts as changed at once, as the first decision could still precede the change.

Before: closed_centres failed for a data centre closed at 320 ms.

--- a/crates/dispatch/src/leader_run.rs
+++ b/crates/dispatch/src/leader_run.rs
@@ -124,6 +124,8 @@
 
     /// Runs until leadership is lost or handed over, or the process stops.
     pub(crate) async fn run(mut self) -> LeaderExit {
+        // Subscribed before the policy is first read, so that a change while the tables are read is seen.
+        let mut policy_changes = self.context.policy_cache.subscribe();
         let (intake_after, started) = match self.load_state().await {
             Ok(state) => state,
             Err(LeadershipLost) => return LeaderExit::Lost,
@@ -146,7 +148,6 @@
         let election_delay_ms = self.context.options.election_delay_ms;
         let (stronger_sender, mut stronger_peers) = channel(1);
         feeds.spawn(watch_stronger_peers(self.context.clone(), stronger_sender));
-        let mut policy_changes = self.context.policy_cache.subscribe();
         let stopping = self.context.stopping.clone();
         let mut last_decision_at = Instant::now();
         loop {
@@ -178,6 +179,11 @@
             while let Ok(event) = events.try_recv() {
                 self.apply_event(event);
             }
+            // No decision is made with a policy that has already been replaced.
+            if policy_changes.has_changed().unwrap_or(false) {
+                policy_changes.mark_unchanged();
+                self.apply_policy();
+            }
             self.meter.end_phase(PassPhase::Apply, self.context.clock.now());
             last_decision_at = Instant::now();
             let now = self.context.clock.now();
--- a/crates/dispatch/tests/support/mod.rs
+++ b/crates/dispatch/tests/support/mod.rs
@@ -25,6 +25,8 @@
 
 pub(crate) const WORKER_TABLE: &str = "workers";
 pub(crate) const CONFIG_TABLE: &str = "config";
+/// Prefix of the rows that take a data centre out of service.
+pub(crate) const CLOSED_PREFIX: &str = "closed/";
 
 /// Limits of the store: bytes of a value, entries of a transaction, bytes of its values.
 pub(crate) const MAX_ROW_BYTES: usize = 65_536;
@@ -47,6 +49,8 @@
     LoseAnswers,
     /// Executes transactions two seconds later and never answers them.
     DelayWrites,
+    /// Answers reads of whole tables after 300 ms.
+    SlowReads,
 }
 
 #[derive(Debug, Default)]
@@ -226,6 +230,9 @@
         deadline: ClockTime,
     ) -> Result<RowPage, StoreError> {
         self.check_mode(deadline).await?;
+        if self.mode() == StoreMode::SlowReads {
+            tokio::time::sleep(Duration::from_millis(300)).await;
+        }
         let state = lock(&self.state);
         let rows = state
             .rows
@@ -557,7 +564,10 @@
             pool: Arc::new(pool),
             ..FrontendPolicy::default()
         })),
-        centres: Vec::new(),
+        centres: rows
+            .iter()
+            .filter_map(|row| Some((row.key.strip_prefix(CLOSED_PREFIX)?.into(), row.value.is_some())))
+            .collect(),
     }
 }
 
