Send acknowledgements only on the connection of the answer before

A task that is done could run again, with its first end acknowledged: a worker that restarts under its id numbers its ends anew, and drops those up to a number that was meant for the process before.

The stand-in had let a call in flight go on with the next process; it closes such calls now, as a connection ends with its process. What remained in the code is an acknowledgement on a new connection.

Change: PollCall names the connection of the answer before. HttpClient::call_on sends on it or not at all; the worker is then listed again first. After three losses in a row any connection will do, as a worker may close each after an answer. Listings have their own connections.

Ruled out: the instance header, which carries the id and so does not tell a restart; an acknowledgement after a second listing, which leaves the same gap.

--- a/crates/clients/src/http_client.rs
+++ b/crates/clients/src/http_client.rs
@@ -1,4 +1,5 @@
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -20,6 +21,13 @@
 /// Maximum number of idle connections in the pool of one address.
 const MAX_IDLE_CONNECTIONS: usize = 64;
 
+/// Number of the next connection of this process.
+static NEXT_CONNECTION: AtomicU64 = AtomicU64::new(1);
+
+/// Identifies a connection within this process; never used again for another one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ConnectionId(pub u64);
+
 /// A complete HTTP response.
 #[derive(Debug)]
 pub struct HttpResponse {
@@ -29,11 +37,14 @@
     pub headers: HeaderMap,
     /// Body.
     pub body: Bytes,
+    /// Connection on which the response arrived.
+    pub connection: ConnectionId,
 }
 
 /// A connection that carries one request at a time; closed on drop.
 #[derive(Debug)]
 struct PooledConnection {
+    id: ConnectionId,
     sender: SendRequest<Full<Bytes>>,
     driver: AbortHandle,
     idle_since: Instant,
@@ -92,13 +103,7 @@
         if Instant::now() >= deadline {
             return Err(CallError::not_sent("the deadline has passed"));
         }
-        let host = self
-            .host
-            .as_ref()
-            .map_or_else(|| self.address.to_string(), ToString::to_string);
-        let host =
-            HeaderValue::try_from(host).map_err(|e| CallError::not_sent(format!("invalid host: {e}")))?;
-        request.headers_mut().insert(HOST, host);
+        self.insert_host(&mut request)?;
         // If an idle connection turns out to be closed, the unsent request is tried on the next one.
         loop {
             let (mut connection, is_new) = match self.take_idle() {
@@ -106,11 +111,7 @@
                 None => (self.connect(deadline).await?, true),
             };
             match send(&mut connection, request, deadline).await {
-                Ok(response) => {
-                    let response = self.read_response(response, deadline).await?;
-                    self.return_idle(connection);
-                    return Ok(response);
-                }
+                Ok(response) => return self.finish_call(connection, response, deadline).await,
                 Err(SendError::NotSent(unsent_request, _)) if !is_new && Instant::now() < deadline => {
                     request = *unsent_request;
                 }
@@ -124,6 +125,61 @@
         }
     }
 
+    /// Sends the request on this connection only, so that it reaches the process that answered on it before, or
+    /// none.
+    ///
+    /// The request is not sent if the connection has been closed or carries another request.
+    pub async fn call_on(
+        &self,
+        connection: ConnectionId,
+        mut request: Request<Full<Bytes>>,
+        deadline: Instant,
+    ) -> Result<HttpResponse, CallError> {
+        self.insert_host(&mut request)?;
+        let Some(mut connection) = self.take_connection(connection) else {
+            return Err(CallError::not_sent("the connection has been closed"));
+        };
+        match send(&mut connection, request, deadline).await {
+            Ok(response) => self.finish_call(connection, response, deadline).await,
+            Err(SendError::NotSent(_, message)) => Err(CallError::not_sent(message)),
+            Err(SendError::Ambiguous(message)) => Err(CallError::ambiguous(message)),
+        }
+    }
+
+    fn insert_host(&self, request: &mut Request<Full<Bytes>>) -> Result<(), CallError> {
+        let host = self
+            .host
+            .as_ref()
+            .map_or_else(|| self.address.to_string(), ToString::to_string);
+        let host =
+            HeaderValue::try_from(host).map_err(|e| CallError::not_sent(format!("invalid host: {e}")))?;
+        request.headers_mut().insert(HOST, host);
+        Ok(())
+    }
+
+    /// Reads the response and keeps the connection for further calls.
+    async fn finish_call(
+        &self,
+        connection: PooledConnection,
+        response: Response<Incoming>,
+        deadline: Instant,
+    ) -> Result<HttpResponse, CallError> {
+        let response = self.read_response(connection.id, response, deadline).await?;
+        self.return_idle(connection);
+        Ok(response)
+    }
+
+    fn take_connection(&self, id: ConnectionId) -> Option<PooledConnection> {
+        let now = Instant::now();
+        let mut idle = self.lock_idle();
+        let index = idle.iter().position(|connection| {
+            let is_usable =
+                !connection.sender.is_closed() && now.duration_since(connection.idle_since) < IDLE_TIMEOUT;
+            connection.id == id && is_usable
+        })?;
+        Some(idle.remove(index))
+    }
+
     fn lock_idle(&self) -> MutexGuard<'_, Vec<PooledConnection>> {
         self.idle.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -162,6 +218,7 @@
             let _ = driver.await;
         });
         Ok(PooledConnection {
+            id: ConnectionId(NEXT_CONNECTION.fetch_add(1, Ordering::Relaxed)),
             sender,
             driver: task.abort_handle(),
             idle_since: Instant::now(),
@@ -170,6 +227,7 @@
 
     async fn read_response(
         &self,
+        connection: ConnectionId,
         response: Response<Incoming>,
         deadline: Instant,
     ) -> Result<HttpResponse, CallError> {
@@ -184,6 +242,7 @@
             status: parts.status,
             headers: parts.headers,
             body,
+            connection,
         })
     }
 }
--- a/crates/clients/src/lib.rs
+++ b/crates/clients/src/lib.rs
@@ -34,7 +34,7 @@
 pub use call_error::CallError;
 pub use call_priority::CallPriority;
 pub use client_options::ClientOptions;
-pub use http_client::{HttpClient, HttpResponse};
+pub use http_client::{ConnectionId, HttpClient, HttpResponse};
 pub use object_client::ObjectClient;
 pub use process_clock::ProcessClock;
 pub use table_client::TableClient;
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -60,5 +60,7 @@
 };
 pub use state_dump::StateDump;
 pub use supervisor::supervise;
-pub use worker_client::{PollCall, PollReply, StartCall, StartReply, StopCall, WorkerClient, WorkerError};
+pub use worker_client::{
+    ConnectionId, PollCall, PollReply, StartCall, StartReply, StopCall, WorkerClient, WorkerError,
+};
 pub use worker_clock::WorkerClock;
--- a/crates/dispatch/src/worker_client.rs
+++ b/crates/dispatch/src/worker_client.rs
@@ -5,6 +5,10 @@
 use arbutuspick_pool::{RunEnd, RunStatus, TaskName, WorkerReport};
 use snafu::Snafu;
 
+/// Identifies a connection to a worker.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ConnectionId(pub u64);
+
 /// Call that starts one run of a task.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct StartCall {
@@ -40,6 +44,8 @@
     pub epoch: u64,
     /// Ended runs up to this number are acknowledged.
     pub acknowledged: u64,
+    /// Connection on which alone the call may be sent; otherwise it fails as not sent.
+    pub only_on: Option<ConnectionId>,
     /// New end of the lease on the worker's clock; `None` leaves the lease unchanged.
     pub lease_until: Option<WorkerTime>,
     /// Maximum wait for a run to end, in milliseconds.
@@ -72,6 +78,8 @@
     pub running: Vec<RunStatus>,
     /// Ended runs that are not acknowledged, or the first of them.
     pub ended: Vec<RunEnd>,
+    /// Connection on which the reply arrived; it ends with the process of the worker.
+    pub connection: Option<ConnectionId>,
     /// Whether these are all ended runs that are not acknowledged.
     pub is_complete: bool,
 }
--- a/crates/dispatch/src/worker_session.rs
+++ b/crates/dispatch/src/worker_session.rs
@@ -13,7 +13,7 @@
 use crate::BootClock;
 use crate::leader_authority::LeaderAuthority;
 use crate::order_sender::{OrderSender, START_LEASE_MS};
-use crate::worker_client::{PollCall, WorkerClient, WorkerError};
+use crate::worker_client::{ConnectionId, PollCall, WorkerClient, WorkerError};
 
 /// Wait of a listing call for a run to end, in milliseconds; also the interval at which progress is reported
 /// and leases are renewed.
@@ -28,6 +28,9 @@
 const MAX_BACKOFF_MS: u64 = 800;
 /// Maximum wait for the commit of ended runs before they are listed again, in milliseconds.
 const COMMIT_WAIT_MS: u64 = 1_000;
+/// Acknowledgements in a row that were not sent because their connection had been closed, after which they are sent
+/// on any connection.
+const MAX_LOST_CONNECTIONS: u32 = 3;
 /// Maximum number of concurrent orders to one worker.
 const MAX_CONCURRENT_ORDERS: usize = 4;
 
@@ -200,8 +203,9 @@
     async fn run(self) {
         let mut acknowledged_to_worker = 0;
         let mut is_reachable = false;
-        // Whether the latest call was answered by the incarnation of this session.
-        let mut is_verified = false;
+        // The connection on which the incarnation of this session answered the latest call.
+        let mut verified = None;
+        let mut lost_connections = 0;
         let mut failures = 0;
         loop {
             let needs_listing = self.state.needs_listing.load(Ordering::Acquire);
@@ -211,14 +215,21 @@
                 continue;
             }
             // A restarted worker numbers its ends anew and would drop those up to the acknowledged number, so
-            // the number is sent once, right after an answer of the same incarnation.
-            let is_due = is_verified && acknowledged > acknowledged_to_worker;
+            // the number is sent once, right after an answer of the same incarnation, and on the connection of
+            // that answer. Some workers may close each connection after an answer.
+            let is_due = verified.is_some() && acknowledged > acknowledged_to_worker;
             let sent = if is_due { acknowledged } else { 0 };
-            match self.list(sent, is_reachable && needs_listing).await {
-                Ok(listing) => {
+            let only_on = verified
+                .flatten()
+                .filter(|_| is_due && lost_connections < MAX_LOST_CONNECTIONS);
+            match self.list(sent, only_on, is_reachable && needs_listing).await {
+                Ok((listing, connection)) => {
                     failures = 0;
                     is_reachable = true;
-                    is_verified = true;
+                    verified = Some(connection);
+                    if is_due {
+                        lost_connections = 0;
+                    }
                     acknowledged_to_worker = acknowledged_to_worker.max(sent);
                     let newest = listing.ended.iter().map(|end| end.number).max();
                     if self
@@ -244,9 +255,17 @@
                     let _ = self.events.send((self.key, WorkerEvent::Fenced));
                     return;
                 }
+                Err(WorkerError::NotSent { message }) if only_on.is_some() => {
+                    log::debug!(
+                        "[worker] id={} lists again before ends are acknowledged: {message}",
+                        self.sender.worker.id
+                    );
+                    lost_connections += 1;
+                    verified = None;
+                }
                 Err(error) => {
                     failures += 1;
-                    is_verified = false;
+                    verified = None;
                     self.report_failure(failures, &error);
                     if failures >= UNREACHABLE_AFTER_FAILURES {
                         is_reachable = false;
@@ -258,7 +277,12 @@
         }
     }
 
-    async fn list(&self, acknowledged: u64, wait: bool) -> Result<WorkerListing, WorkerError> {
+    async fn list(
+        &self,
+        acknowledged: u64,
+        only_on: Option<ConnectionId>,
+        wait: bool,
+    ) -> Result<(WorkerListing, Option<ConnectionId>), WorkerError> {
         let sender = &self.sender;
         let sent_at = sender.clock.now();
         let lease_ms = sender.authority.max_lease_ms(sent_at, self.lease_ms);
@@ -273,6 +297,7 @@
         let call = PollCall {
             epoch: sender.authority.epoch(),
             acknowledged,
+            only_on,
             lease_until,
             wait_ms,
         };
@@ -286,12 +311,13 @@
         }
         sender.worker_clock.update(reply.clock, sender.clock.now());
         sender.worker_clock.reopen();
-        Ok(WorkerListing {
+        let listing = WorkerListing {
             asked_at: sent_at,
             running: reply.running,
             ended: reply.ended,
             is_complete: reply.is_complete,
-        })
+        };
+        Ok((listing, reply.connection))
     }
 
     fn report_failure(&self, failures: u32, error: &WorkerError) {
--- a/crates/dispatch/tests/support/faulty_fleet.rs
+++ b/crates/dispatch/tests/support/faulty_fleet.rs
@@ -5,7 +5,8 @@
 use std::time::Duration;
 
 use arbutuspick_dispatch::{
-    BootClock, PollCall, PollReply, RowEntry, StartCall, StartReply, StopCall, WorkerClient, WorkerError,
+    BootClock, ConnectionId, PollCall, PollReply, RowEntry, StartCall, StartReply, StopCall, WorkerClient,
+    WorkerError,
 };
 use arbutuspick_model::{ClockTime, WorkerTime};
 use arbutuspick_pool::{EndKind, ResourceAmount, RunEnd, RunStatus, TaskName, WorkerReport};
@@ -468,9 +469,22 @@
         call: &PollCall,
         deadline: ClockTime,
     ) -> Result<PollReply, WorkerError> {
+        // The process to which the connection of this call leads; it ends with the process.
+        let mut born = call.only_on.map(|connection| connection.0);
+        let mut is_sent = false;
         let (lost, _) = self.transmit(&worker.id, deadline).await?;
         let until = self.clock.now() + call.wait_ms;
         loop {
+            let present = self.with(|state, _| state.workers[&worker.id].born);
+            if born.replace(present).is_some_and(|earlier| earlier != present) {
+                let message = "the connection was closed".into();
+                return Err(if is_sent {
+                    WorkerError::Indeterminate { message }
+                } else {
+                    WorkerError::NotSent { message }
+                });
+            }
+            is_sent = true;
             let reply = self.with(|state, now| {
                 if state.is_cut(&state.workers[&worker.id], now) {
                     return None;
@@ -509,6 +523,7 @@
                     born_ms: Some(own.born),
                     running: running.collect(),
                     ended: own.ends.iter().take(ENDS_PER_LISTING).cloned().collect(),
+                    connection: Some(ConnectionId(own.born)),
                     is_complete: own.ends.len() < ENDS_PER_LISTING,
                 }))
             });
--- a/crates/dispatch/tests/support/mod.rs
+++ b/crates/dispatch/tests/support/mod.rs
@@ -9,9 +9,9 @@
 use std::time::Duration;
 
 use arbutuspick_dispatch::{
-    BootClock, DispatchContext, DispatchOptions, FollowOutcome, FrontendPolicy, IntakeOptions, JobIntake,
-    PolicyCache, PolicyRows, PollCall, PollReply, RowEntry, RowPage, RowStore, RowTransaction, StartCall,
-    StartReply, StopCall, StoreError, TransactOutcome, WorkerClient, WorkerError, follow_policy,
+    BootClock, ConnectionId, DispatchContext, DispatchOptions, FollowOutcome, FrontendPolicy, IntakeOptions,
+    JobIntake, PolicyCache, PolicyRows, PollCall, PollReply, RowEntry, RowPage, RowStore, RowTransaction,
+    StartCall, StartReply, StopCall, StoreError, TransactOutcome, WorkerClient, WorkerError, follow_policy,
     run_dispatch,
 };
 use arbutuspick_model::{ClockTime, WorkerTime};
@@ -309,6 +309,13 @@
     duplicated_tasks: Vec<TaskName>,
     expired_leases: usize,
     run_ms: u64,
+    /// Present connection to all workers; calls meant for another one are not sent.
+    connection: u64,
+    /// Whether workers close the connection after each reply.
+    closes_connections: bool,
+    /// Number of acknowledgements, and of those that were sent on any connection.
+    acknowledgements: usize,
+    unpinned_acknowledgements: usize,
 }
 
 /// The shared workers, as accessed by one process.
@@ -352,6 +359,18 @@
         lock(&self.state).duplicated_tasks.clone()
     }
 
+    pub(crate) fn close_connections(&self, after_each_reply: bool) {
+        let mut state = lock(&self.state);
+        state.connection += 1;
+        state.closes_connections = after_each_reply;
+    }
+
+    /// Returns the number of acknowledgements, and of those that were sent on any connection.
+    pub(crate) fn acknowledgements(&self) -> (usize, usize) {
+        let state = lock(&self.state);
+        (state.acknowledgements, state.unpinned_acknowledgements)
+    }
+
     pub(crate) fn expired_leases(&self) -> usize {
         lock(&self.state).expired_leases
     }
@@ -498,12 +517,25 @@
         call: &PollCall,
         deadline: ClockTime,
     ) -> Result<PollReply, WorkerError> {
+        {
+            let mut state = lock(&self.state);
+            if call.only_on.is_some_and(|only_on| only_on.0 != state.connection) {
+                return Err(WorkerError::NotSent {
+                    message: "the connection was closed".into(),
+                });
+            }
+            let acknowledges = call.acknowledged > 0;
+            state.acknowledgements += usize::from(acknowledges);
+            state.unpinned_acknowledgements += usize::from(acknowledges && call.only_on.is_none());
+        }
         let until = self.clock.now() + call.wait_ms;
         loop {
             self.check_connection(deadline).await?;
             {
                 let now = self.clock.now();
                 let mut state = lock(&self.state);
+                let connection = ConnectionId(state.connection);
+                state.connection += u64::from(state.closes_connections);
                 let run_ms = state.run_ms.max(1);
                 let own = state.workers.entry(worker.id.clone()).or_default();
                 own.check_epoch(call.epoch)?;
@@ -523,6 +555,7 @@
                         born_ms: Some(1),
                         running: running.collect(),
                         ended: own.ends.iter().take(ENDS_PER_LISTING).cloned().collect(),
+                        connection: Some(connection),
                         is_complete: own.ends.len() < ENDS_PER_LISTING,
                     });
                 }
