--- a/crates/dispatch/src/worker_client.rs
+++ b/crates/dispatch/src/worker_client.rs
@@ -79,7 +79,7 @@
     /// Ended runs that are not acknowledged, or the first of them.
     pub ended: Vec<RunEnd>,
     /// Connection on which the reply arrived; it ends with the process of the worker.
-    pub connection: Option<ConnectionId>,
+    pub connection: ConnectionId,
     /// Whether these are all ended runs that are not acknowledged.
     pub is_complete: bool,
 }
--- a/crates/dispatch/src/worker_session.rs
+++ b/crates/dispatch/src/worker_session.rs
@@ -219,9 +219,7 @@
             // that answer. Some workers may close each connection after an answer.
             let is_due = verified.is_some() && acknowledged > acknowledged_to_worker;
             let sent = if is_due { acknowledged } else { 0 };
-            let only_on = verified
-                .flatten()
-                .filter(|_| is_due && lost_connections < MAX_LOST_CONNECTIONS);
+            let only_on = verified.filter(|_| is_due && lost_connections < MAX_LOST_CONNECTIONS);
             match self.list(sent, only_on, is_reachable && needs_listing).await {
                 Ok((listing, connection)) => {
                     failures = 0;
@@ -282,7 +280,7 @@
         acknowledged: u64,
         only_on: Option<ConnectionId>,
         wait: bool,
-    ) -> Result<(WorkerListing, Option<ConnectionId>), WorkerError> {
+    ) -> Result<(WorkerListing, ConnectionId), WorkerError> {
         let sender = &self.sender;
         let sent_at = sender.clock.now();
         let lease_ms = sender.authority.max_lease_ms(sent_at, self.lease_ms);
--- a/crates/dispatch/tests/support/faulty_fleet.rs
+++ b/crates/dispatch/tests/support/faulty_fleet.rs
@@ -523,7 +523,7 @@
                     born_ms: Some(own.born),
                     running: running.collect(),
                     ended: own.ends.iter().take(ENDS_PER_LISTING).cloned().collect(),
-                    connection: Some(ConnectionId(own.born)),
+                    connection: ConnectionId(own.born),
                     is_complete: own.ends.len() < ENDS_PER_LISTING,
                 }))
             });
--- a/crates/dispatch/tests/support/mod.rs
+++ b/crates/dispatch/tests/support/mod.rs
@@ -555,7 +555,7 @@
                         born_ms: Some(1),
                         running: running.collect(),
                         ended: own.ends.iter().take(ENDS_PER_LISTING).cloned().collect(),
-                        connection: Some(connection),
+                        connection,
                         is_complete: own.ends.len() < ENDS_PER_LISTING,
                     });
                 }
--- a/crates/pool/tests/late_heartbeats.rs
+++ b/crates/pool/tests/late_heartbeats.rs
@@ -6,22 +6,6 @@
 use support::{TestPool, body, step};
 use yare::parameterized;
 
-/// Returns a pool with one task, which runs on a worker that has listed it.
-fn pool_with_run() -> (TestPool, WorkerKey) {
-    let mut pool = TestPool::new(4);
-    pool.submit("job", body("normal", "south", vec![step(1, 8)]));
-    pool.run_decision();
-    let worker = pool.starts[0].worker;
-    pool.advance(200);
-    list(&mut pool, worker);
-    (pool, worker)
-}
-
-fn list(pool: &mut TestPool, worker: WorkerKey) {
-    let (listing, now) = (pool.listing(worker, 10), pool.now);
-    pool.core.apply_listing(worker, &listing, now);
-}
-
 /// Applies an entry of the worker's process that started at `started_at_ms`.
 fn register(pool: &mut TestPool, worker: WorkerKey, started_at_ms: u64) -> WorkerKey {
     let report = pool.core.worker_report(worker).expect("unknown worker").clone();
@@ -40,13 +24,13 @@
     later_clock = { 7_000 },
 )]
 fn earlier_incarnation(started_at_ms: u64) {
-    let (mut pool, worker) = pool_with_run();
+    let (mut pool, worker) = TestPool::with_run();
     for _ in 0..3 {
         register(&mut pool, worker, started_at_ms);
         pool.advance(100);
         pool.run_decision();
         assert_eq!(pool.starts.len(), 1, "started again although it is still listed");
-        list(&mut pool, worker);
+        pool.list(worker);
     }
     register(&mut pool, worker, 1);
     pool.submit("next", body("normal", "south", vec![step(4, 8)]));
@@ -63,11 +47,11 @@
     clock_set_back = { 0 },
 )]
 fn answered_restart(started_at_ms: u64) {
-    let (mut pool, worker) = pool_with_run();
+    let (mut pool, worker) = TestPool::with_run();
     let restarted = register(&mut pool, worker, started_at_ms);
     pool.run_decision();
     assert_eq!(pool.starts.len(), 1, "started again on the word of the registry");
-    list(&mut pool, restarted);
+    pool.list(restarted);
     pool.run_decision();
     assert_eq!(
         pool.starts.len(),
@@ -83,7 +67,7 @@
     call_first = { false },
 )]
 fn restart_by_call(registry_first: bool) {
-    let (mut pool, worker) = pool_with_run();
+    let (mut pool, worker) = TestPool::with_run();
     let now = pool.now;
     if registry_first {
         register(&mut pool, worker, 2);
@@ -97,7 +81,7 @@
         ..report
     };
     let restarted = pool.core.update_worker(report, now);
-    list(&mut pool, restarted);
+    pool.list(restarted);
     assert_eq!(pool.core.worker_keys().len(), 4, "an incarnation was left over");
     pool.finish_job("job");
     pool.run_decision();
@@ -107,7 +91,7 @@
 /// Guards against runs of a restarted worker that are held for ever when neither process answers.
 #[test]
 fn unanswered_restart() {
-    let (mut pool, worker) = pool_with_run();
+    let (mut pool, worker) = TestPool::with_run();
     let now = pool.now;
     pool.core.extend_lease_expiry(worker, now + 9_000);
     pool.core.mark_unreachable(worker, now);
@@ -171,7 +155,7 @@
     );
     let successor = register(&mut pool, successor, 2);
     pool.runs.insert(successor, vec![(start.task.clone(), 1)]);
-    list(&mut pool, successor);
+    pool.list(successor);
     pool.finish_job("job");
     pool.run_decision();
     assert_eq!(pool.starts.len(), 1);
--- a/crates/pool/tests/run_once.rs
+++ b/crates/pool/tests/run_once.rs
@@ -6,22 +6,6 @@
 use arbutuspick_pool::{EndKind, JobRecord, PoolOrder, RunStatus, StartAnswer, WorkerKey, WorkerReport};
 use support::{TestPool, body, report, step};
 
-/// Returns a pool with one task, which runs on a worker that has listed it.
-fn pool_with_run() -> (TestPool, WorkerKey) {
-    let mut pool = TestPool::new(4);
-    pool.submit("job", body("normal", "south", vec![step(1, 8)]));
-    pool.run_decision();
-    let worker = pool.starts[0].worker;
-    pool.advance(200);
-    list(&mut pool, worker);
-    (pool, worker)
-}
-
-fn list(pool: &mut TestPool, worker: WorkerKey) {
-    let (listing, now) = (pool.listing(worker, 10), pool.now);
-    pool.core.apply_listing(worker, &listing, now);
-}
-
 fn worker_report(pool: &TestPool, worker: WorkerKey) -> WorkerReport {
     pool.core.worker_report(worker).expect("unknown worker").clone()
 }
@@ -39,7 +23,7 @@
 /// the scheduler: its registry entry expires although it goes on with its runs.
 #[test]
 fn silent_leaver() {
-    let (mut pool, worker) = pool_with_run();
+    let (mut pool, worker) = TestPool::with_run();
     let now = pool.now;
     let leaving = WorkerReport {
         leaves_at: Some(now + 2_000),
@@ -84,7 +68,7 @@
             1,
             "started again before the new process was listed"
         );
-        list(&mut pool, restarted);
+        pool.list(restarted);
         pool.run_decision();
         assert!(pool.stops.is_empty(), "the run on the new process was stopped");
         pool.finish_job("job");
@@ -106,12 +90,12 @@
     let report = restarted_report(&pool, start.worker);
     let restarted = pool.core.update_worker(report, now);
     pool.advance(50);
-    list(&mut pool, restarted);
+    pool.list(restarted);
     pool.run_decision();
     assert_eq!(pool.starts.len(), 1, "a late start was not ruled out");
     assert_eq!(pool.stops.len(), 1, "the late start was not prevented");
     pool.advance(50);
-    list(&mut pool, restarted);
+    pool.list(restarted);
     pool.run_decision();
     assert_eq!(pool.starts.len(), 2);
 }
@@ -119,7 +103,7 @@
 /// Guards against runs that are held although the restart of their worker has ended them.
 #[test]
 fn listed_before_restart() {
-    let (mut pool, worker) = pool_with_run();
+    let (mut pool, worker) = TestPool::with_run();
     let (report, now) = (restarted_report(&pool, worker), pool.now);
     let restarted = pool.core.update_worker(report, now);
     pool.run_decision();
@@ -128,7 +112,7 @@
         1,
         "started again before the new process was listed"
     );
-    list(&mut pool, restarted);
+    pool.list(restarted);
     pool.run_decision();
     assert_eq!(pool.starts.len(), 2);
 }
@@ -148,7 +132,7 @@
     assert_eq!(pool.starts.len(), 1);
     let restarted = pool.core.update_worker(report, now);
     pool.runs.insert(restarted, vec![(start.task.clone(), 1)]);
-    list(&mut pool, restarted);
+    pool.list(restarted);
     pool.run_decision();
     pool.finish_job("job");
     assert_eq!(pool.starts.len(), 1);
@@ -157,7 +141,7 @@
 /// Guards against a second run of a task that a malformed row of a listing hides.
 #[test]
 fn unreadable_row() {
-    let (mut pool, worker) = pool_with_run();
+    let (mut pool, worker) = TestPool::with_run();
     let mut listing = pool.listing(worker, 10);
     listing.running = vec![RunStatus {
         task: None,
@@ -173,7 +157,7 @@
         1,
         "started again although the run may be the unreadable one"
     );
-    list(&mut pool, worker);
+    pool.list(worker);
     pool.run_decision();
     let task = pool.starts[0].task.clone();
     pool.end_run(worker, &task, 1, EndKind::Done);
@@ -209,7 +193,7 @@
         "started again before the worker was listed"
     );
     second.advance(50);
-    list(&mut second, worker);
+    second.list(worker);
     second.run_decision();
     assert_eq!(second.starts.len(), 1);
 }
--- a/crates/pool/tests/support/mod.rs
+++ b/crates/pool/tests/support/mod.rs
@@ -127,6 +127,23 @@
         }
     }
 
+    /// Returns a pool with one task, which runs on a worker that has listed it.
+    pub(crate) fn with_run() -> (Self, WorkerKey) {
+        let mut pool = Self::new(4);
+        pool.submit("job", body("normal", "south", vec![step(1, 8)]));
+        pool.run_decision();
+        let worker = pool.starts[0].worker;
+        pool.advance(200);
+        pool.list(worker);
+        (pool, worker)
+    }
+
+    /// Applies a listing of a worker with all its runs.
+    pub(crate) fn list(&mut self, worker: WorkerKey) {
+        let (listing, now) = (self.listing(worker, 10), self.now);
+        self.core.apply_listing(worker, &listing, now);
+    }
+
     pub(crate) fn wall(&self) -> PlatformTime {
         PlatformTime(WALL_START_MS + self.now.0 - 100_000)
     }
