Count the open tasks of a job once for each decision

Cause: release_occurrences counted the open tasks of a job again for each occurrence that it opened, so that 10,000 due occurrences of one task took 10,000 counts of up to 10,000 tasks. Found by reading the change for its cost. Change: the count is taken when the first occurrence is due, and raised with each one opened.

--- a/crates/pool/src/pool_core.rs
+++ b/crates/pool/src/pool_core.rs
@@ -327,15 +327,20 @@
     fn release_occurrences(&mut self, now: ClockTime, wall: PlatformTime) {
         let mut released = Vec::new();
         for (key, job) in &mut self.jobs {
+            let tasks_per_occurrence: usize = job.body.steps.iter().map(|step| step.count as usize).sum();
+            // Counted only if an occurrence is due.
+            let mut open_tasks = None;
             while job.released < job.total_occurrences() {
                 let number = job.released;
                 let due_unix_ms = due_unix_ms(&job.body, number);
                 if job.body.occurrences > 0 && due_unix_ms > wall.0 {
                     break;
                 }
-                if number > 0 && job.open_tasks() >= MAX_OPEN_TASKS {
+                let open_before = *open_tasks.get_or_insert_with(|| job.open_tasks());
+                if number > 0 && open_before >= MAX_OPEN_TASKS {
                     break;
                 }
+                open_tasks = Some(open_before + tasks_per_occurrence);
                 let due_at = occurrence_due_at(job, number, now, wall);
                 let entry = OccurrenceEntry::new(&job.body, due_at);
                 job.occurrences.insert(number, entry);
