Offer free capacity to every waiting unit in each decision

Cause: a decision tried no further unit after 41 units without a placement (MAX_BLOCKED_UNITS), so the first 41 units in the order of rank excluded all others.

Change: the limit is gone. What made it necessary, the cost of a unit without a placement, is reduced instead: - units with the same need share one answer, which holds until the end of a decision, as free capacity only shrinks in it; - bounds of the free capacity by label rule out most units without a look at each worker; labels are compared by number; - the costly part, searches for runs to preempt, has a limit of its own. A decision that reaches it is continued by the next one, so that each unit has its turn whatever its rank. Free capacity is not affected by it. - the task that must avoid a worker no longer keeps the other tasks of its step from that worker. Names of racks and labels that only jobs use are no longer kept by the scheduler.

Ruled out: a filter for jobs that can never run (scarce labels have the same effect, and a worker may come in an hour), a larger limit.

--- a/crates/bench/src/bin/slopes.rs
+++ b/crates/bench/src/bin/slopes.rs
@@ -4,8 +4,8 @@
 use std::process::ExitCode;
 
 use arbutuspick_bench::{
-    due_queue_slopes, encoded_sizes, gang_slopes, memory_slopes, queue_slopes, route_slopes, running_slopes,
-    worker_slopes,
+    blocked_unit_slopes, due_queue_slopes, encoded_sizes, gang_slopes, memory_slopes, queue_slopes,
+    route_slopes, running_slopes, worker_slopes,
 };
 use getopts::Options;
 
@@ -35,6 +35,9 @@
                 measure().iter().for_each(|series| println!("{series}"));
             }
         }
+        "blocked" => blocked_unit_slopes()
+            .iter()
+            .for_each(|series| println!("{series}")),
         "route" => {
             for threads in [1, 4] {
                 println!("{threads} threads:\n\n{}", route_slopes(threads));
@@ -45,12 +48,12 @@
 }
 
 fn main() -> ExitCode {
-    let parts = ["memory", "placement", "route", "sizes"];
+    let parts = ["memory", "placement", "blocked", "route", "sizes"];
     let mut options = Options::new();
     options.optopt(
         "",
         "part",
-        "memory, placement, route or sizes (default: all)",
+        "memory, placement, blocked, route or sizes (default: all)",
         "NAME",
     );
     options.optflag("h", "help", "print this text");
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod arrival_generator;
 mod attempt_lifecycle;
+mod blocked_units;
 mod centre_policy;
 mod comparison_report;
 mod core_fixture;
@@ -31,6 +32,7 @@
 mod slope_series;
 
 pub use arrival_generator::ArrivalGenerator;
+pub use blocked_units::blocked_unit_slopes;
 pub use centre_policy::PolicyKind;
 pub use comparison_report::ComparisonReport;
 pub use deployment_plan::DeploymentPlan;
--- a/crates/pool/src/capacity_reservation.rs
+++ b/crates/pool/src/capacity_reservation.rs
@@ -1,5 +1,7 @@
 //! Reserves capacity for a unit while the runs that occupy it are stopped or about to end.
 
+use std::collections::HashMap;
+
 use arbutuspick_model::ClockTime;
 
 use crate::pool_core::{JobKey, LatencySample, PoolCore};
@@ -42,24 +44,29 @@
         candidates: &mut [WorkerCandidate],
         now: ClockTime,
     ) {
+        if self.reservations.is_empty() {
+            return;
+        }
+        let numbered = units.iter().enumerate();
+        let unit_index: HashMap<(JobKey, u32, usize), usize> = numbered
+            .map(|(index, unit)| ((unit.key, unit.occurrence, unit.step), index))
+            .collect();
+        let numbered = candidates.iter().enumerate();
+        let candidate_index: HashMap<WorkerKey, usize> = numbered
+            .map(|(index, candidate)| (candidate.worker, index))
+            .collect();
         for mut reservation in std::mem::take(&mut self.reservations) {
-            let unit = units.iter_mut().find(|unit| {
-                unit.key == reservation.job
-                    && unit.occurrence == reservation.occurrence
-                    && unit.step == reservation.step
-            });
-            let Some(unit) = unit else { continue };
+            let step = (reservation.job, reservation.occurrence, reservation.step);
+            let Some(unit) = unit_index.get(&step).and_then(|index| units.get_mut(*index)) else {
+                continue;
+            };
             if unit.rank.inside_guarantee() && now > reservation.awaited_until {
                 self.stop_awaited(&mut reservation, now);
             }
             let indices: Vec<usize> = reservation
                 .workers
                 .iter()
-                .filter_map(|worker| {
-                    candidates
-                        .iter()
-                        .position(|candidate| candidate.worker == *worker)
-                })
+                .filter_map(|worker| candidate_index.get(worker).copied())
                 .collect();
             if indices.len() < reservation.workers.len()
                 || now > reservation.expires_at
--- a/crates/pool/src/job_entry.rs
+++ b/crates/pool/src/job_entry.rs
@@ -103,6 +103,8 @@
     pub(crate) ready_at: Option<ClockTime>,
     /// Workers and run times in milliseconds of the first finished runs, at most `MAX_RUN_TIMES`.
     pub(crate) run_times: Vec<(WorkerKey, u64)>,
+    /// Round of the latest search for runs to preempt.
+    pub(crate) search_round: u64,
 }
 
 impl StepEntry {
@@ -124,6 +126,7 @@
             tasks: vec![TaskEntry::default(); step.count as usize],
             ready_at: None,
             run_times: Vec::new(),
+            search_round: 0,
         });
         Self {
             due_at,
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -6,12 +6,15 @@
 //!
 //! An order may be sent only after the records that were taken together with it are stored.
 
+mod blocked_needs;
 mod capacity_reservation;
 mod core_options;
+mod free_bounds;
 mod job_body;
 mod job_entry;
 mod job_record;
 mod job_value;
+mod label_index;
 mod listing_apply;
 mod placement_pass;
 mod placement_restore;
@@ -25,6 +28,7 @@
 mod resource_amount;
 mod run_pace;
 mod run_release;
+mod search_budget;
 mod state_dump;
 mod task_name;
 mod unit_order;
--- a/crates/pool/src/placement_pass.rs
+++ b/crates/pool/src/placement_pass.rs
@@ -2,8 +2,11 @@
 
 use arbutuspick_model::ClockTime;
 
+use crate::blocked_needs::{BlockedNeeds, PlacementNeed};
 use crate::job_entry::{PlacementStage, RunProgress, TaskPlacement};
 use crate::pool_core::{LatencySample, PoolCore};
+use crate::preemption::PreemptionOutcome;
+use crate::search_budget::SearchBudget;
 use crate::unit_order::Lateness;
 use crate::waiting_unit::WaitingUnit;
 use crate::worker_choice::{choose_gang, choose_worker};
@@ -13,8 +16,6 @@
 
 /// Time after which an order to start must not be sent, in milliseconds.
 const START_SEND_LIMIT_MS: u64 = 2_000;
-/// Number of units without a placement after which a decision tries no further units.
-const MAX_BLOCKED_UNITS: usize = 40;
 
 impl PoolCore {
     /// Places the units that fit, and frees capacity for others in the order of their rank.
@@ -29,25 +30,44 @@
         let mut candidates = self.worker_candidates(now);
         let pool_busy = is_busy(&candidates);
         self.serve_reservations(&mut units, &mut candidates, now);
-        let mut blocked = 0;
-        let mut gang_waits = false;
+        let mut blocked = BlockedNeeds::default();
+        let mut searches = SearchBudget::new(self.search_round);
         let mut placed_work = None;
+        let mut gang_waits = false;
         for unit in &units {
-            if unit.tasks.is_empty() || blocked > MAX_BLOCKED_UNITS {
+            if unit.tasks.is_empty() || gang_waits && unit.yields_to_gangs {
                 continue;
             }
-            if gang_waits && unit.yields_to_gangs(now) {
+            let unplaced = self.place_unit(unit, &mut candidates, &mut blocked, pool_busy, now);
+            if unplaced == 0 {
                 continue;
             }
-            let unplaced = self.place_unit(unit, &mut candidates, pool_busy, now);
-            if unplaced > 0 {
-                blocked += 1;
-                gang_waits |= unit.gang && unit.rank.lateness != Lateness::Overdue;
+            gang_waits |= unit.gang && unit.rank.lateness != Lateness::Overdue;
+            let mut outcome = PreemptionOutcome::Excluded;
+            if searches.allows(self.search_round_of(unit)) {
                 let work = placed_work.get_or_insert_with(|| self.placed_work(&candidates, &context, now));
-                if self.preempt_for(unit, unplaced, &mut candidates, work, pool_busy, now) {
-                    placed_work = None;
-                }
+                outcome = self.preempt_for(unit, unplaced, &mut candidates, work, pool_busy, now);
             }
+            if outcome != PreemptionOutcome::Excluded {
+                searches.count();
+                self.set_search_round(unit, searches.round);
+            }
+            if outcome == PreemptionOutcome::Stopped {
+                placed_work = None;
+            }
+        }
+        self.search_round = searches.next_round();
+    }
+
+    /// Returns the round of the latest search for runs to preempt for the unit.
+    fn search_round_of(&self, unit: &WaitingUnit) -> u64 {
+        let occurrence = self.jobs[unit.key].occurrences.get(&unit.occurrence);
+        occurrence.map_or(0, |occurrence| occurrence.steps[unit.step].search_round)
+    }
+
+    fn set_search_round(&mut self, unit: &WaitingUnit, round: u64) {
+        if let Some(occurrence) = self.jobs[unit.key].occurrences.get_mut(&unit.occurrence) {
+            occurrence.steps[unit.step].search_round = round;
         }
     }
 
@@ -74,11 +94,17 @@
         &mut self,
         unit: &WaitingUnit,
         candidates: &mut [WorkerCandidate],
+        blocked: &mut BlockedNeeds,
         pool_busy: bool,
         now: ClockTime,
     ) -> usize {
+        let need = PlacementNeed::of_unit(unit, pool_busy);
+        if blocked.contains(unit, &need, candidates) {
+            return unit.tasks.len();
+        }
         if unit.gang {
             let Some(choice) = choose_gang(unit, candidates, pool_busy) else {
+                blocked.insert(need, &StepCounts::new(), false);
                 return unit.tasks.len();
             };
             let run = self.next_gang_run(unit);
@@ -98,6 +124,11 @@
             let avoided_worker = self.avoided_worker(unit, *task);
             let Some((index, remote)) = choose_worker(unit, candidates, &counts, avoided_worker, pool_busy)
             else {
+                blocked.insert(need.clone(), &counts, avoided_worker.is_some());
+                if avoided_worker.is_some() {
+                    // The other tasks may run there.
+                    continue;
+                }
                 break;
             };
             candidates[index].free -= unit.need.amount;
--- a/crates/pool/src/placement_restore.rs
+++ b/crates/pool/src/placement_restore.rs
@@ -79,7 +79,7 @@
             capacity: Default::default(),
             leaves_at: None,
         };
-        let mut view = WorkerView::new(report, None, now);
+        let mut view = WorkerView::new(report, Arc::default(), None, now);
         view.removed = true;
         let key = self.workers.insert(view);
         self.worker_index.insert(id.clone(), key);
--- a/crates/pool/src/pool_core.rs
+++ b/crates/pool/src/pool_core.rs
@@ -6,6 +6,7 @@
 
 use crate::capacity_reservation::CapacityReservation;
 use crate::job_entry::{JobEntry, OccurrenceEntry, PlacementStage, TaskEntry};
+use crate::label_index::LabelIndex;
 use crate::rack_index::RackIndex;
 use crate::run_release::RunRelease;
 use crate::worker_view::WorkerView;
@@ -65,7 +66,10 @@
     pub(crate) workers: SlotMap<WorkerKey, WorkerView>,
     pub(crate) worker_index: HashMap<Arc<str>, WorkerKey>,
     pub(crate) racks: RackIndex,
+    pub(crate) labels: LabelIndex,
     pub(crate) reservations: Vec<CapacityReservation>,
+    /// Round of searches for runs to preempt; every waiting unit has at most one in a round.
+    pub(crate) search_round: u64,
     pub(crate) orders: Vec<PoolOrder>,
     pub(crate) latency_samples: Vec<LatencySample>,
     /// Jobs whose records have changed since `take_changes`.
--- a/crates/pool/src/preemption.rs
+++ b/crates/pool/src/preemption.rs
@@ -6,11 +6,12 @@
 
 use arbutuspick_model::ClockTime;
 
+use crate::blocked_needs::PlacementNeed;
 use crate::capacity_reservation::{AwaitedRun, CapacityReservation};
 use crate::job_entry::PlacementStage;
 use crate::pool_core::{JobKey, PoolCore};
 use crate::unit_order::Lateness;
-use crate::victim_list::{PlacedWork, PreemptionLimits};
+use crate::victim_list::{PlacedWork, PreemptionLimits, PreemptionRight, PreemptionSearch};
 use crate::waiting_unit::WaitingUnit;
 use crate::worker_choice::choose_preemption;
 use crate::worker_search::WorkerCandidate;
@@ -20,53 +21,86 @@
 const PREEMPTION_SLACK_MS: u64 = 1_600;
 /// Longest wait for runs that end by themselves, in milliseconds.
 const MAX_WAIT_MS: u64 = 600;
+/// Steps in which the wait for runs that end by themselves varies, in milliseconds, so that units share the lists of
+/// these runs.
+const WAIT_STEP_MS: u64 = 100;
 /// Time beyond its expected end for which an awaited run is still waited for, in milliseconds: progress is
 /// reported in whole percents, and an end is listed a little later.
 const AWAITED_GRACE_MS: u64 = 200;
 /// Time beyond the stop bound of workers after which a stop counts as lost, in milliseconds.
 const STOP_MARGIN_MS: u64 = 700;
 
+/// Result of the search for capacity that can be freed for a unit.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum PreemptionOutcome {
+    /// The unit may free nothing, or nothing can be freed for it at its gain; found without a search.
+    Excluded,
+    /// A search found nothing.
+    NotFound,
+    /// Capacity is reserved, and all runs that occupy it end by themselves.
+    Awaited,
+    /// Capacity is reserved, and runs were stopped.
+    Stopped,
+}
+
 impl PoolCore {
     /// Stops runs of lower rank, or waits for runs that end soon; outside a guarantee only if the unit gains
-    /// at least what they lose. Returns whether it stopped any.
+    /// at least what they lose.
     pub(crate) fn preempt_for(
         &mut self,
         unit: &WaitingUnit,
         unplaced: usize,
         candidates: &mut [WorkerCandidate],
-        placed_work: &PlacedWork,
+        placed_work: &mut PlacedWork,
         pool_busy: bool,
         now: ClockTime,
-    ) -> bool {
+    ) -> PreemptionOutcome {
         let urgent = unit.rank.priority == 0;
         let on_time = unit.rank.lateness == Lateness::OnTime;
         let may_stop = unit.rank.inside_guarantee()
             || unit.rank.lateness != Lateness::Overdue && unit.rank.slack_ms(now) < PREEMPTION_SLACK_MS;
         let may_wait = urgent && on_time;
         if !may_stop && !may_wait {
-            return false;
+            return PreemptionOutcome::Excluded;
         }
         let wait_ms = if on_time {
-            unit.rank.slack_ms(now).min(MAX_WAIT_MS)
+            unit.rank.slack_ms(now).min(MAX_WAIT_MS) / WAIT_STEP_MS * WAIT_STEP_MS
         } else {
             0
         };
-        let limits = PreemptionLimits { may_stop, wait_ms };
-        let list = placed_work.list_victims(unit, limits);
-        let victims = &list.groups;
-        let Some((plan, remote)) = choose_preemption(
-            unit,
-            unplaced,
-            candidates,
-            victims,
-            &self.step_counts(unit),
-            pool_busy,
-        ) else {
-            return false;
+        let count = if unit.gang { unit.tasks.len() } else { unplaced };
+        let search = PreemptionSearch {
+            need: PlacementNeed::of_unit(unit, pool_busy),
+            count,
+            right: PreemptionRight {
+                priority: unit.rank.priority,
+                inside_guarantee: unit.rank.inside_guarantee(),
+                limits: PreemptionLimits { may_stop, wait_ms },
+            },
+            gain: unit.gain(),
         };
-        if !unit.rank.inside_guarantee() && plan.cost > unit.gain() {
-            return false;
+        if placed_work.has_failed(&search) {
+            return PreemptionOutcome::Excluded;
         }
+        let counts = self.step_counts(unit);
+        let list = placed_work.victims(search.right);
+        if !list
+            .index
+            .may_free(candidates, &unit.need, count, |candidate| unit.accepts(candidate))
+        {
+            placed_work.record_failed(search);
+            return PreemptionOutcome::Excluded;
+        }
+        let plan = choose_preemption(unit, unplaced, candidates, &list.index, &counts, pool_busy);
+        let worthwhile = plan.filter(|(plan, _)| unit.rank.inside_guarantee() || plan.cost <= unit.gain());
+        let Some((plan, remote)) = worthwhile else {
+            // Where the step runs already decides only for this unit.
+            if counts.is_empty() {
+                placed_work.record_failed(search);
+            }
+            return PreemptionOutcome::NotFound;
+        };
+        let victims = &list.index.victims;
         let (awaited, stopped): (Vec<usize>, Vec<usize>) =
             plan.victims.iter().partition(|group| victims[**group].ends_soon);
         log::info!(
@@ -109,7 +143,11 @@
             remote,
             expires_at: now + self.stop_bound_ms().max(wait_ms + AWAITED_GRACE_MS),
         });
-        !stopped.is_empty()
+        if stopped.is_empty() {
+            PreemptionOutcome::Awaited
+        } else {
+            PreemptionOutcome::Stopped
+        }
     }
 
     pub(crate) fn worker_ids<I>(&self, workers: I) -> String
--- a/crates/pool/src/preemption_plan.rs
+++ b/crates/pool/src/preemption_plan.rs
@@ -5,6 +5,7 @@
 //! end by themselves in time are waited for, which loses nothing.
 
 use crate::ResourceAmount;
+use crate::free_bounds::LabelBounds;
 use crate::worker_search::{StepCounts, TaskNeed, WorkerCandidate};
 
 /// A run or gang that may be stopped or ends soon.
@@ -26,16 +27,20 @@
     pub(crate) cost: u64,
 }
 
-/// Victim groups by candidate, built once for all racks that a unit considers.
+/// Victim groups by candidate, built once for all units that may free the same runs.
 #[derive(Debug)]
-pub(crate) struct VictimIndex<'a> {
-    victims: &'a [VictimGroup],
+pub(crate) struct VictimIndex {
+    pub(crate) victims: Vec<VictimGroup>,
     /// For each candidate, its groups with what they free there, the cheapest first.
     by_candidate: Vec<Vec<(usize, ResourceAmount)>>,
+    /// For each candidate, what its groups free there together.
+    freeable: Vec<ResourceAmount>,
+    /// Capacity that is free or can be freed.
+    bounds: LabelBounds,
 }
 
-impl<'a> VictimIndex<'a> {
-    pub(crate) fn new(victims: &'a [VictimGroup], candidates: usize) -> Self {
+impl VictimIndex {
+    pub(crate) fn new(victims: Vec<VictimGroup>, candidates: usize) -> Self {
         let mut by_candidate: Vec<Vec<(usize, ResourceAmount)>> = vec![Vec::new(); candidates];
         for (group, victim) in victims.iter().enumerate() {
             for (candidate, amount) in &victim.frees {
@@ -49,11 +54,49 @@
         for groups in &mut by_candidate {
             groups.sort_by_key(|(group, _)| (victims[*group].cost, *group));
         }
+        let freeable = by_candidate.iter().map(|groups| {
+            let amounts = groups.iter().map(|(_, amount)| *amount);
+            amounts.fold(ResourceAmount::default(), |sum, amount| sum + amount)
+        });
         Self {
+            freeable: freeable.collect(),
+            bounds: LabelBounds::default(),
             victims,
             by_candidate,
         }
     }
+
+    /// Returns whether `count` tasks would fit on allowed candidates if all groups were freed, wherever the data
+    /// is and however many tasks of the step each worker may have.
+    pub(crate) fn may_free<F>(
+        &mut self,
+        candidates: &[WorkerCandidate],
+        need: &TaskNeed,
+        count: usize,
+        allowed: F,
+    ) -> bool
+    where
+        F: Fn(&WorkerCandidate) -> bool,
+    {
+        let freeable = &self.freeable;
+        let may_cover = self.bounds.may_cover(need, candidates, |index, candidate| {
+            candidate.free + freeable[index]
+        });
+        if !may_cover {
+            return false;
+        }
+        let mut possible = 0;
+        for (candidate, freeable) in candidates.iter().zip(&self.freeable) {
+            let free = candidate.free + *freeable;
+            if free.covers(&need.amount) && need.allows(candidate) && allowed(candidate) {
+                possible += free.count_fitting(&need.amount, count);
+                if possible >= count {
+                    return true;
+                }
+            }
+        }
+        false
+    }
 }
 
 /// The cheapest way to place one more task on a candidate: its cost, and the number of groups, in the order of
@@ -94,10 +137,7 @@
         let spread_left = need.spread_limit.map_or(usize::MAX, |limit| {
             limit.saturating_sub(counts.get(&candidate.worker).copied().unwrap_or(0))
         });
-        let mut freeable = candidate.free;
-        for (_, amount) in &index.by_candidate[number] {
-            freeable += *amount;
-        }
+        let freeable = candidate.free + index.freeable[number];
         possible += freeable.count_fitting(&need.amount, count).min(spread_left);
         positions[number] = entries.len();
         entries.push(SearchEntry {
--- a/crates/pool/src/rack_index.rs
+++ b/crates/pool/src/rack_index.rs
@@ -15,4 +15,11 @@
         let next = RackId(self.ids.len());
         Some(*self.ids.entry(name?.clone()).or_insert(next))
     }
+
+    /// Looks up the rack where the data of a step is; empty for none. Racks that only jobs name are not added, so
+    /// that the index grows with the workers only.
+    pub(crate) fn data_rack(&self, name: &str) -> Option<RackId> {
+        let known = || self.ids.get(name).copied().unwrap_or(RackId::UNKNOWN);
+        (!name.is_empty()).then(known)
+    }
 }
--- a/crates/pool/src/resource_amount.rs
+++ b/crates/pool/src/resource_amount.rs
@@ -11,7 +11,7 @@
 /// let task = ResourceAmount { millicores: 1000, memory_mb: 512, accelerators: 1 };
 /// assert!((free - task).covers(&task));
 /// ```
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
 pub struct ResourceAmount {
     /// Thousandths of a processor core.
     pub millicores: i64,
--- a/crates/pool/src/victim_list.rs
+++ b/crates/pool/src/victim_list.rs
@@ -1,16 +1,17 @@
 //! Lists the runs that a unit of higher rank may preempt or wait for, with the cost of each.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 
 use arbutuspick_model::ClockTime;
 
+use crate::blocked_needs::PlacementNeed;
 use crate::job_entry::{JobEntry, OccurrenceEntry, PlacementStage, TaskEntry};
 use crate::job_value::{JobValue, lost_work_cost};
 use crate::pool_core::{JobKey, PoolCore};
-use crate::preemption_plan::VictimGroup;
+use crate::preemption_plan::{VictimGroup, VictimIndex};
 use crate::run_pace::remaining_run_ms;
 use crate::unit_order::UnitTiming;
-use crate::waiting_unit::{UnitContext, WaitingUnit, job_value, remaining_ms};
+use crate::waiting_unit::{UnitContext, job_value, remaining_ms};
 use crate::worker_search::WorkerCandidate;
 use crate::{ResourceAmount, StepBody, TaskName, WorkerKey};
 
@@ -22,13 +23,14 @@
 const WAIT_COST: u64 = 1;
 
 /// Runs and gangs that may be stopped or end soon; `tasks` holds the tasks of the group with the same index.
-#[derive(Default)]
+#[derive(Debug)]
 pub(crate) struct VictimList {
-    pub(crate) groups: Vec<VictimGroup>,
+    pub(crate) index: VictimIndex,
     tasks: Vec<VictimTasks>,
 }
 
 /// Tasks of a victim group.
+#[derive(Debug)]
 struct VictimTasks {
     key: JobKey,
     occurrence: u32,
@@ -50,7 +52,7 @@
 }
 
 /// Limits on how a unit may obtain capacity.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub(crate) struct PreemptionLimits {
     /// Whether it may stop runs of lower rank.
     pub(crate) may_stop: bool,
@@ -116,36 +118,90 @@
     runs: Vec<PlacedRun>,
 }
 
-/// All placed runs with what it costs to stop them, collected once and shared by the units of a decision.
+/// What decides which runs a unit may preempt or wait for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub(crate) struct PreemptionRight {
+    pub(crate) priority: u32,
+    pub(crate) inside_guarantee: bool,
+    pub(crate) limits: PreemptionLimits,
+}
+
+/// A search for runs to preempt. Units with the same search share its answer.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub(crate) struct PreemptionSearch {
+    pub(crate) need: PlacementNeed,
+    pub(crate) count: usize,
+    pub(crate) right: PreemptionRight,
+    pub(crate) gain: u64,
+}
+
+/// All placed runs with what it costs to stop them, collected once and shared by the units of a decision until runs
+/// are stopped.
 #[derive(Debug, Default)]
 pub(crate) struct PlacedWork {
     steps: Vec<PlacedStep>,
+    /// Number of candidates.
+    candidates: usize,
+    lists: HashMap<PreemptionRight, VictimList>,
+    /// Searches that found nothing.
+    failed: HashSet<PreemptionSearch>,
 }
 
 impl PlacedWork {
-    /// Lists the runs that the unit may preempt or wait for; a gang is one group.
-    pub(crate) fn list_victims(&self, unit: &WaitingUnit, limits: PreemptionLimits) -> VictimList {
-        let mut list = VictimList::default();
-        for step in &self.steps {
-            let lower_priority = step.priority > unit.rank.priority;
-            let borrows = unit.rank.inside_guarantee() && !step.guaranteed;
-            let limits = PreemptionLimits {
-                may_stop: limits.may_stop && (lower_priority || borrows),
-                ..limits
-            };
-            if step.gang {
-                step.add_gang(limits, &mut list);
-            } else {
-                step.add_runs(limits, &mut list);
-            }
+    pub(crate) fn has_failed(&self, search: &PreemptionSearch) -> bool {
+        self.failed.contains(search)
+    }
+
+    pub(crate) fn record_failed(&mut self, search: PreemptionSearch) {
+        self.failed.insert(search);
+    }
+
+    /// Returns the runs that units with this right may preempt or wait for.
+    pub(crate) fn victims(&mut self, right: PreemptionRight) -> &mut VictimList {
+        let Self {
+            steps,
+            candidates,
+            lists,
+            ..
+        } = self;
+        lists
+            .entry(right)
+            .or_insert_with(|| list_victims(steps, right, *candidates))
+    }
+}
+
+/// Lists the runs that units with this right may preempt or wait for; a gang is one group.
+fn list_victims(steps: &[PlacedStep], right: PreemptionRight, candidates: usize) -> VictimList {
+    let mut list = GroupList::default();
+    for step in steps {
+        let lower_priority = step.priority > right.priority;
+        let borrows = right.inside_guarantee && !step.guaranteed;
+        let limits = PreemptionLimits {
+            may_stop: right.limits.may_stop && (lower_priority || borrows),
+            ..right.limits
+        };
+        if step.gang {
+            step.add_gang(limits, &mut list);
+        } else {
+            step.add_runs(limits, &mut list);
         }
-        list
+    }
+    VictimList {
+        index: VictimIndex::new(list.groups, candidates),
+        tasks: list.tasks,
     }
 }
 
+/// Victim groups and their tasks while they are collected.
+#[derive(Debug, Default)]
+struct GroupList {
+    groups: Vec<VictimGroup>,
+    tasks: Vec<VictimTasks>,
+}
+
 impl PlacedStep {
     /// Adds the runs one by one.
-    fn add_runs(&self, limits: PreemptionLimits, list: &mut VictimList) {
+    fn add_runs(&self, limits: PreemptionLimits, list: &mut GroupList) {
         for run in &self.runs {
             let kind = run.outlook.victim_kind(limits);
             let Some(candidate) = run.candidate.filter(|_| kind != VictimKind::Ineligible) else {
@@ -162,7 +218,7 @@
     }
 
     /// Adds the whole gang as one group.
-    fn add_gang(&self, limits: PreemptionLimits, list: &mut VictimList) {
+    fn add_gang(&self, limits: PreemptionLimits, list: &mut GroupList) {
         let mut gang = VictimGroup {
             cost: 0,
             ends_soon: true,
@@ -211,7 +267,10 @@
             .enumerate()
             .map(|(index, candidate)| (candidate.worker, index))
             .collect();
-        let mut work = PlacedWork::default();
+        let mut work = PlacedWork {
+            candidates: candidates.len(),
+            ..PlacedWork::default()
+        };
         for (key, job) in &self.jobs {
             let value = job_value(job, &context.mean_work);
             for (number, occurrence) in &job.occurrences {
--- a/crates/pool/src/waiting_unit.rs
+++ b/crates/pool/src/waiting_unit.rs
@@ -8,6 +8,7 @@
 use crate::ResourceAmount;
 use crate::job_entry::JobEntry;
 use crate::job_value::JobValue;
+use crate::label_index::RequiredLabel;
 use crate::pool_core::{JobKey, PoolCore};
 use crate::unit_order::{Lateness, UnitRank, UnitTiming, unit_rank};
 use crate::worker_search::{RackId, TaskNeed, WorkerCandidate};
@@ -39,6 +40,8 @@
     pub(crate) waited_ms: u64,
     /// Longest wait for a local worker that still meets the objective, in milliseconds.
     pub(crate) max_local_wait_ms: u64,
+    /// Whether the unit leaves free capacity to gangs of higher rank that wait for more of it.
+    pub(crate) yields_to_gangs: bool,
 }
 
 impl WaitingUnit {
@@ -60,9 +63,14 @@
         self.waited_ms > SUSPECT_WAIT_MS
     }
 
+    /// Returns whether the unit has waited long enough to use a slow worker.
+    pub(crate) fn accepts_slow(&self) -> bool {
+        self.waited_ms > SLOW_WAIT_MS
+    }
+
     /// Returns whether the unit may use the worker; a slow one only after a wait.
     pub(crate) fn accepts(&self, candidate: &WorkerCandidate) -> bool {
-        !candidate.slow || self.waited_ms > SLOW_WAIT_MS
+        !candidate.slow || self.accepts_slow()
     }
 
     /// Returns whether the unit leaves the last empty workers to others: its priority is low and it has time.
@@ -71,16 +79,6 @@
         self.rank.priority >= LOW_PRIORITY && early
     }
 
-    /// Returns whether the unit leaves free capacity to gangs of higher rank that wait for more of it.
-    ///
-    /// Load pattern: wide gangs wait in a full pool, while single tasks take every share of a worker as soon as
-    /// it is free, so that whole workers never are. Single tasks with enough slack wait until a part of the
-    /// slack has passed.
-    pub(crate) fn yields_to_gangs(&self, now: ClockTime) -> bool {
-        let early = self.rank.lateness == Lateness::OnTime;
-        !self.gang && early && self.rank.slack_ms(now) * 100 > self.max_local_wait_ms * YIELD_SLACK_PERCENT
-    }
-
     /// Returns the value gained by starting the unit now instead of after its latest start.
     pub(crate) fn gain(&self) -> u64 {
         let later = match self.rank.lateness {
@@ -91,6 +89,13 @@
     }
 }
 
+/// Where the tasks of a step may or should run.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct PlaceNeed {
+    pub(crate) data_rack: Option<RackId>,
+    pub(crate) required_label: RequiredLabel,
+}
+
 /// What the units of one decision are compared by.
 #[derive(Debug)]
 pub(crate) struct UnitContext {
@@ -118,9 +123,12 @@
             let numbers: Vec<u32> = job.occurrences.keys().copied().collect();
             for number in numbers {
                 for step in 0..job.body.steps.len() {
-                    let rack = non_empty(&job.body.steps[step].data_rack);
-                    let data_rack = rack.and_then(|rack| self.racks.id(Some(&rack)));
-                    units.extend(waiting_unit(key, job, (number, step), data_rack, context, now));
+                    let body = &job.body.steps[step];
+                    let place = PlaceNeed {
+                        data_rack: self.racks.data_rack(&body.data_rack),
+                        required_label: self.labels.required(&body.required_label),
+                    };
+                    units.extend(waiting_unit(key, job, (number, step), place, context, now));
                 }
             }
         }
@@ -189,7 +197,7 @@
     key: JobKey,
     job: &mut JobEntry,
     (number, step): (u32, usize),
-    data_rack: Option<RackId>,
+    place: PlaceNeed,
     context: &UnitContext,
     now: ClockTime,
 ) -> Option<WaitingUnit> {
@@ -212,8 +220,8 @@
     let need = TaskNeed {
         amount: body.amount(),
         service: job.rule.service.clone(),
-        required_label: non_empty(&body.required_label),
-        data_rack,
+        required_label: place.required_label,
+        data_rack: place.data_rack,
         spread_limit: (body.spread_limit > 0).then_some(body.spread_limit as usize),
     };
     let remaining_ms = remaining_ms(job, step);
@@ -225,6 +233,7 @@
     };
     let inside_guarantee = context.guaranteed.contains(&key);
     let rank = unit_rank(now, &timing, &value, remaining_worker_us, inside_guarantee);
+    let max_local_wait_ms = objective_ms.saturating_sub(job.critical_path_ms);
     let state = &mut job.occurrences.get_mut(&number)?.steps[step];
     let ready_at = *state.ready_at.get_or_insert(now);
     Some(WaitingUnit {
@@ -238,12 +247,19 @@
         rank,
         value,
         waited_ms: now.millis_since(ready_at),
-        max_local_wait_ms: objective_ms.saturating_sub(job.critical_path_ms),
+        max_local_wait_ms,
+        yields_to_gangs: !gang && yields_to_gangs(&rank, max_local_wait_ms, now),
     })
 }
 
-pub(crate) fn non_empty(text: &str) -> Option<Arc<str>> {
-    (!text.is_empty()).then(|| text.into())
+/// Returns whether a single task leaves free capacity to gangs of higher rank that wait for more of it.
+///
+/// Load pattern: wide gangs wait in a full pool, while single tasks take every share of a worker as soon as
+/// it is free, so that whole workers never are. Single tasks with enough slack wait until a part of the
+/// slack has passed.
+fn yields_to_gangs(rank: &UnitRank, max_local_wait_ms: u64, now: ClockTime) -> bool {
+    let early = rank.lateness == Lateness::OnTime;
+    early && rank.slack_ms(now) * 100 > max_local_wait_ms * YIELD_SLACK_PERCENT
 }
 
 pub(crate) fn job_value(job: &JobEntry, mean_work: &HashMap<Arc<str>, u64>) -> JobValue {
--- a/crates/pool/src/worker_choice.rs
+++ b/crates/pool/src/worker_choice.rs
@@ -3,10 +3,10 @@
 use std::ops::RangeInclusive;
 
 use crate::WorkerKey;
-use crate::preemption_plan::{PreemptionPlan, VictimGroup, VictimIndex, choose_victims};
+use crate::preemption_plan::{PreemptionPlan, VictimIndex, choose_victims};
 use crate::waiting_unit::WaitingUnit;
 use crate::worker_search::{
-    RackId, StepCounts, WorkerCandidate, best_candidate, gang_candidates, rack_capacities,
+    RackId, StepCounts, WorkerCandidate, best_candidate, gang_candidates, rack_capacities, rack_fits,
 };
 use crate::worker_speed::SpeedTier;
 
@@ -27,8 +27,8 @@
     avoided_worker: Option<WorkerKey>,
     pool_busy: bool,
 ) -> Option<(usize, bool)> {
-    let empty = candidates.iter().filter(|candidate| candidate.is_empty()).count();
-    let keeps_empty = unit.avoids_empty_workers() && empty * EMPTY_WORKER_DIVISOR <= candidates.len();
+    let empty = || candidates.iter().filter(|candidate| candidate.is_empty()).count();
+    let keeps_empty = unit.avoids_empty_workers() && empty() * EMPTY_WORKER_DIVISOR <= candidates.len();
     let usable = |candidate: &WorkerCandidate| !(keeps_empty && candidate.is_empty());
     let local = |candidate: &WorkerCandidate| {
         unit.need.is_local(candidate)
@@ -47,6 +47,7 @@
             return Some((index, true));
         }
     }
+    avoided_worker?;
     // Nothing else fits: the worker on which the task failed before is better than none.
     let fallback = best_candidate(candidates, &unit.need, counts, |candidate| {
         unit.need.is_local(candidate)
@@ -67,35 +68,36 @@
     pool_busy: bool,
 ) -> Option<GangChoice> {
     let count = unit.tasks.len();
+    // Without the conditions that only state a preference.
+    let accepted = local_gang(unit, candidates, |candidate| unit.accepts(candidate));
     let trusted = |candidate: &WorkerCandidate| unit.accepts(candidate) && !candidate.suspect;
     let in_tiers = |tiers: &RangeInclusive<SpeedTier>| {
         local_gang(unit, candidates, |candidate| {
             trusted(candidate) && tiers.contains(&candidate.tier)
         })
     };
-    let local = preferred_tiers(unit)
-        .iter()
-        .find_map(in_tiers)
-        .or_else(|| local_gang(unit, candidates, trusted))
-        .or_else(|| local_gang(unit, candidates, |candidate| unit.accepts(candidate)));
-    if let Some(candidates) = local {
+    if let Some(accepted) = accepted {
+        let preferred = preferred_tiers(unit)
+            .iter()
+            .find_map(in_tiers)
+            .or_else(|| local_gang(unit, candidates, trusted));
         return Some(GangChoice {
-            candidates,
+            candidates: preferred.unwrap_or(accepted),
             remote: false,
         });
     }
-    let remote_ok = unit.allows_remote(pool_busy);
-    let never_local = unit.same_rack
-        && !rack_capacities(candidates, &unit.need, count, |_| true)
-            .iter()
-            .any(|(rack, _, empty)| unit.need.is_local_rack(*rack) && *empty >= count);
-    let restricted = unit.same_rack || unit.need.data_rack.is_some();
-    if !restricted || !(remote_ok || never_local) {
+    if !(unit.same_rack || unit.need.data_rack.is_some()) {
         return None;
     }
-    let anywhere = gang_candidates(candidates, &unit.need, count, |candidate| unit.accepts(candidate));
-    anywhere.map(|candidates| GangChoice {
-        candidates,
+    let anywhere = gang_candidates(candidates, &unit.need, count, |candidate| unit.accepts(candidate))?;
+    let never_local = || {
+        unit.same_rack
+            && !rack_capacities(candidates, &unit.need, count, |_| true)
+                .iter()
+                .any(|(rack, tasks)| unit.need.is_local_rack(*rack) && *tasks >= count)
+    };
+    (unit.allows_remote(pool_busy) || never_local()).then_some(GangChoice {
+        candidates: anywhere,
         remote: true,
     })
 }
@@ -122,12 +124,12 @@
             unit.need.is_local(candidate) && allowed(candidate)
         });
     }
-    let racks = rack_capacities(candidates, &unit.need, count, &allowed);
+    let racks = rack_fits(candidates, &unit.need, count, &allowed);
     let local = racks
         .iter()
-        .filter(|(rack, now, _)| unit.need.is_local_rack(*rack) && *now >= count);
+        .filter(|(rack, tasks)| unit.need.is_local_rack(*rack) && *tasks >= count);
     // Best fit: the rack with the least capacity left over, so that the other racks stay empty.
-    let (tightest, _, _) = local.min_by_key(|(_, now, _)| *now)?;
+    let (tightest, _) = local.min_by_key(|(_, tasks)| *tasks)?;
     gang_candidates(candidates, &unit.need, count, |candidate| {
         candidate.rack == Some(*tightest) && allowed(candidate)
     })
@@ -141,14 +143,13 @@
     unit: &WaitingUnit,
     unplaced: usize,
     candidates: &[WorkerCandidate],
-    victims: &[VictimGroup],
+    index: &VictimIndex,
     counts: &StepCounts,
     pool_busy: bool,
 ) -> Option<(PreemptionPlan, bool)> {
     let count = if unit.gang { unit.tasks.len() } else { unplaced };
-    let index = VictimIndex::new(victims, candidates.len());
     let plan_for_rack = |rack: RackId| {
-        choose_victims(candidates, &index, &unit.need, count, counts, |candidate| {
+        choose_victims(candidates, index, &unit.need, count, counts, |candidate| {
             candidate.rack == Some(rack) && unit.accepts(candidate)
         })
     };
@@ -156,13 +157,13 @@
         let racks = rack_capacities(candidates, &unit.need, count, |candidate| unit.accepts(candidate));
         let local = racks
             .iter()
-            .filter(|(rack, _, empty)| *empty >= count && unit.need.is_local_rack(*rack));
-        let plans = local.filter_map(|(rack, _, _)| plan_for_rack(*rack));
+            .filter(|(rack, tasks)| *tasks >= count && unit.need.is_local_rack(*rack));
+        let plans = local.filter_map(|(rack, _)| plan_for_rack(*rack));
         if let Some(plan) = plans.min_by_key(|plan| plan.cost) {
             return Some((plan, false));
         }
     } else {
-        let local = choose_victims(candidates, &index, &unit.need, count, counts, |candidate| {
+        let local = choose_victims(candidates, index, &unit.need, count, counts, |candidate| {
             unit.need.is_local(candidate) && unit.accepts(candidate)
         });
         if let Some(plan) = local {
@@ -173,7 +174,7 @@
     if !remote_ok {
         return None;
     }
-    let plan = choose_victims(candidates, &index, &unit.need, count, counts, |candidate| {
+    let plan = choose_victims(candidates, index, &unit.need, count, counts, |candidate| {
         unit.accepts(candidate)
     });
     plan.map(|plan| (plan, true))
--- a/crates/pool/src/worker_restart.rs
+++ b/crates/pool/src/worker_restart.rs
@@ -42,7 +42,8 @@
     fn add_incarnation(&mut self, report: WorkerReport, now: ClockTime) -> WorkerKey {
         let id = report.id.clone();
         let rack = self.racks.id(report.rack());
-        let key = self.workers.insert(WorkerView::new(report, rack, now));
+        let labels = self.labels.ids(&report.labels);
+        let key = self.workers.insert(WorkerView::new(report, labels, rack, now));
         self.worker_index.entry(id).or_insert(key);
         key
     }
@@ -64,7 +65,7 @@
             log::info!("[worker] id={} centre={} state=leaving", report.id, report.centre);
         }
         if view.report.labels != report.labels {
-            view.labels = report.labels.as_slice().into();
+            view.labels = self.labels.ids(&report.labels);
             view.rack = self.racks.id(report.rack());
         }
         view.report = report;
--- a/crates/pool/src/worker_search.rs
+++ b/crates/pool/src/worker_search.rs
@@ -6,13 +6,19 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 
+use crate::label_index::{LabelId, RequiredLabel};
 use crate::worker_speed::SpeedTier;
 use crate::{ResourceAmount, WorkerKey};
 
 /// Number of a rack in this process.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub(crate) struct RackId(pub(crate) usize);
 
+impl RackId {
+    /// A rack without workers.
+    pub(crate) const UNKNOWN: Self = Self(usize::MAX);
+}
+
 /// A schedulable worker during one decision, with the resources that are still free.
 #[derive(Clone, Debug)]
 pub(crate) struct WorkerCandidate {
@@ -21,7 +27,7 @@
     pub(crate) capacity: ResourceAmount,
     pub(crate) rack: Option<RackId>,
     pub(crate) service: Arc<str>,
-    pub(crate) labels: Arc<[Arc<str>]>,
+    pub(crate) labels: Arc<[LabelId]>,
     /// Whether other workers should be preferred: a call was not answered lately, or a run failed and none
     /// has succeeded since.
     pub(crate) suspect: bool,
@@ -43,7 +49,7 @@
 pub(crate) struct TaskNeed {
     pub(crate) amount: ResourceAmount,
     pub(crate) service: Arc<str>,
-    pub(crate) required_label: Option<Arc<str>>,
+    pub(crate) required_label: RequiredLabel,
     pub(crate) data_rack: Option<RackId>,
     /// Maximum number of tasks of the step on one worker.
     pub(crate) spread_limit: Option<usize>,
@@ -52,12 +58,9 @@
 impl TaskNeed {
     /// Returns whether the worker could run the task if it were empty.
     pub(crate) fn allows(&self, candidate: &WorkerCandidate) -> bool {
-        candidate.service == self.service
-            && self
-                .required_label
-                .as_ref()
-                .is_none_or(|label| candidate.labels.contains(label))
-            && candidate.capacity.covers(&self.amount)
+        candidate.capacity.covers(&self.amount)
+            && self.required_label.is_met_by(&candidate.labels)
+            && candidate.service == self.service
     }
 
     pub(crate) fn is_local(&self, candidate: &WorkerCandidate) -> bool {
@@ -79,7 +82,8 @@
     counts: &StepCounts,
     limit: usize,
 ) -> usize {
-    if !need.allows(candidate) {
+    // Checked first, since few workers have free capacity while many units wait.
+    if !candidate.free.covers(&need.amount) || !need.allows(candidate) {
         return 0;
     }
     let fits = candidate.free.count_fitting(&need.amount, limit);
@@ -152,32 +156,63 @@
     None
 }
 
-/// Returns the racks with suitable workers, each with the number of tasks that fit now and when it is empty.
-pub(crate) fn rack_capacities<F>(
+/// Returns how many tasks fit on the free capacity of each rack, by rack number.
+pub(crate) fn rack_fits<F>(
     candidates: &[WorkerCandidate],
     need: &TaskNeed,
     count: usize,
     allowed: F,
-) -> Vec<(RackId, usize, usize)>
+) -> Vec<(RackId, usize)>
 where
     F: Fn(&WorkerCandidate) -> bool,
 {
     let counts = StepCounts::new();
-    let mut racks: Vec<(RackId, usize, usize)> = Vec::new();
+    sum_by_rack(candidates, |candidate| {
+        if allowed(candidate) {
+            fitting_tasks(candidate, need, &counts, count)
+        } else {
+            0
+        }
+    })
+}
+
+/// Returns how many tasks would fit on each rack if it were empty, by rack number.
+pub(crate) fn rack_capacities<F>(
+    candidates: &[WorkerCandidate],
+    need: &TaskNeed,
+    count: usize,
+    allowed: F,
+) -> Vec<(RackId, usize)>
+where
+    F: Fn(&WorkerCandidate) -> bool,
+{
+    let limit = need.spread_limit.unwrap_or(count).min(count);
+    sum_by_rack(candidates, |candidate| {
+        if need.allows(candidate) && allowed(candidate) {
+            candidate.capacity.count_fitting(&need.amount, limit)
+        } else {
+            0
+        }
+    })
+}
+
+/// Sums the tasks on the candidates of each rack; racks without any are left out.
+fn sum_by_rack<F>(candidates: &[WorkerCandidate], tasks_on: F) -> Vec<(RackId, usize)>
+where
+    F: Fn(&WorkerCandidate) -> usize,
+{
+    let mut racks: Vec<(RackId, usize)> = Vec::new();
     for candidate in candidates {
         let Some(rack) = candidate.rack else { continue };
-        if !need.allows(candidate) || !allowed(candidate) {
+        let tasks = tasks_on(candidate);
+        if tasks == 0 {
             continue;
         }
         for number in racks.len()..=rack.0 {
-            racks.push((RackId(number), 0, 0));
+            racks.push((RackId(number), 0));
         }
-        let entry = &mut racks[rack.0];
-        entry.1 += fitting_tasks(candidate, need, &counts, count);
-        entry.2 += candidate
-            .capacity
-            .count_fitting(&need.amount, need.spread_limit.unwrap_or(count).min(count));
+        racks[rack.0].1 += tasks;
     }
-    racks.retain(|(_, _, empty)| *empty > 0);
+    racks.retain(|(_, tasks)| *tasks > 0);
     racks
 }
--- a/crates/pool/src/worker_view.rs
+++ b/crates/pool/src/worker_view.rs
@@ -4,6 +4,7 @@
 use arbutuspick_model::ClockTime;
 use slotmap::new_key_type;
 
+use crate::label_index::LabelId;
 use crate::worker_health::WorkerHealth;
 use crate::worker_search::RackId;
 use crate::worker_speed::SpeedEstimate;
@@ -70,7 +71,7 @@
 pub(crate) struct WorkerView {
     pub(crate) report: WorkerReport,
     /// Labels of the report, shared with the candidates of a decision.
-    pub(crate) labels: Arc<[Arc<str>]>,
+    pub(crate) labels: Arc<[LabelId]>,
     pub(crate) rack: Option<RackId>,
     /// When this incarnation was first seen.
     pub(crate) added_at: ClockTime,
@@ -96,9 +97,14 @@
 }
 
 impl WorkerView {
-    pub(crate) fn new(report: WorkerReport, rack: Option<RackId>, added_at: ClockTime) -> Self {
+    pub(crate) fn new(
+        report: WorkerReport,
+        labels: Arc<[LabelId]>,
+        rack: Option<RackId>,
+        added_at: ClockTime,
+    ) -> Self {
         Self {
-            labels: report.labels.as_slice().into(),
+            labels,
             rack,
             report,
             added_at,
