Leave capacity only to gangs that can use it

What callers saw: single tasks waited for up to half of their slack beside idle workers while a gang waited that no worker could run, or that only other workers could run.

Cause: one gang without a placement made all single tasks of lower rank with enough slack yield, on all workers (`gang_waits`).

Change: a gang marks the workers that it may use, if they could hold it when empty; single tasks yield on these only. A gang for which capacity is reserved marks none.

Evidence: blocked_units::hopeless_gang, 3 of 4 cases fail on the code before (wider_than_pool passed). load_patterns::sweep_beside_gang and overdue_sweep, which guard the yield itself, pass before and after.

--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -8,6 +8,7 @@
 
 mod blocked_needs;
 mod capacity_reservation;
+mod contested_workers;
 mod core_options;
 mod free_bounds;
 mod job_body;
--- a/crates/pool/src/placement_pass.rs
+++ b/crates/pool/src/placement_pass.rs
@@ -3,6 +3,7 @@
 use arbutuspick_model::ClockTime;
 
 use crate::blocked_needs::{BlockedNeeds, PlacementNeed};
+use crate::contested_workers::mark_contested;
 use crate::job_entry::{PlacementStage, RunProgress, TaskPlacement};
 use crate::pool_core::{LatencySample, PoolCore};
 use crate::preemption::PreemptionOutcome;
@@ -33,16 +34,14 @@
         let mut blocked = BlockedNeeds::default();
         let mut searches = SearchBudget::new(self.search_round);
         let mut placed_work = None;
-        let mut gang_waits = false;
         for unit in &units {
-            if unit.tasks.is_empty() || gang_waits && unit.yields_to_gangs {
+            if unit.tasks.is_empty() {
                 continue;
             }
             let unplaced = self.place_unit(unit, &mut candidates, &mut blocked, pool_busy, now);
             if unplaced == 0 {
                 continue;
             }
-            gang_waits |= unit.gang && unit.rank.lateness != Lateness::Overdue;
             let mut outcome = PreemptionOutcome::Excluded;
             if searches.allows(self.search_round_of(unit)) {
                 let work = placed_work.get_or_insert_with(|| self.placed_work(&candidates, &context, now));
@@ -55,6 +54,10 @@
             if outcome == PreemptionOutcome::Stopped {
                 placed_work = None;
             }
+            let is_reserved = matches!(outcome, PreemptionOutcome::Awaited | PreemptionOutcome::Stopped);
+            if unit.gang && !is_reserved && unit.rank.lateness != Lateness::Overdue {
+                mark_contested(unit, &mut candidates, pool_busy);
+            }
         }
         self.search_round = searches.next_round();
     }
@@ -80,6 +83,7 @@
             free: view.free(),
             capacity: view.report.capacity,
             rack: view.rack,
+            contested: false,
             service: view.report.service.clone(),
             labels: view.labels.clone(),
             suspect: view.health.is_suspect(now),
--- a/crates/pool/src/waiting_unit.rs
+++ b/crates/pool/src/waiting_unit.rs
@@ -68,9 +68,10 @@
         self.waited_ms > SLOW_WAIT_MS
     }
 
-    /// Returns whether the unit may use the worker; a slow one only after a wait.
+    /// Returns whether the unit may use the worker: not a slow one at first, nor one that it leaves to gangs.
     pub(crate) fn accepts(&self, candidate: &WorkerCandidate) -> bool {
-        !candidate.slow || self.accepts_slow()
+        let is_left_to_gangs = candidate.contested && self.yields_to_gangs;
+        !is_left_to_gangs && (!candidate.slow || self.accepts_slow())
     }
 
     /// Returns whether the unit leaves the last empty workers to others: its priority is low and it has time.
--- a/crates/pool/src/worker_search.rs
+++ b/crates/pool/src/worker_search.rs
@@ -33,6 +33,8 @@
     pub(crate) suspect: bool,
     /// Whether it is used only by units that have waited `SLOW_WAIT_MS` for other workers.
     pub(crate) slow: bool,
+    /// Whether a gang of higher rank waits for more free capacity on workers like this one.
+    pub(crate) contested: bool,
     /// Speed in comparison with other workers, by the run times of earlier tasks.
     pub(crate) tier: SpeedTier,
 }
--- a/crates/pool/tests/blocked_units.rs
+++ b/crates/pool/tests/blocked_units.rs
@@ -158,6 +158,26 @@
     assert_eq!(pool.running_count("young"), 0);
 }
 
+/// Guards against single tasks that leave idle workers to a gang that cannot use them.
+#[parameterized(
+    unknown_label = { StepBody { required_label: "none".into(), ..gang(3, 8) } },
+    other_workers = { StepBody { required_label: "scarce".into(), ..gang(2, 4) } },
+    wider_than_pool = { gang(80, 8) },
+    larger_than_workers = { gang(2, 9) },
+)]
+fn hopeless_gang(step_of_gang: StepBody) {
+    let mut pool = pool_with_scarce_worker(8);
+    pool.submit("gang", body("normal", "south", vec![step_of_gang]));
+    pool.submit("sweep", body("bulk", "south", vec![step(12, 1)]));
+    pool.advance(100);
+    pool.run_decision();
+    assert_eq!(
+        pool.running_count("sweep"),
+        12,
+        "capacity was left to a gang that cannot use it"
+    );
+}
+
 /// Guards against searches for runs to preempt that reach the same units in front in every decision: a unit behind
 /// them has its turn within a number of decisions.
 #[test]
