Count jobs that no worker can run neither against a guarantee nor in the mean work

What callers saw: an account whose urgent jobs could not run on any worker lost its guarantee for its other urgent jobs, without a limit in time: they lost their rank and their right to preempt. One huge job of this kind also changed the rank of all jobs of its queue against other queues.

Cause: `jobs_inside_guarantee` counts the jobs of priority 0 oldest first, whether they can run or not; `mean_work` averages over all of them.

Change: each step knows whether the known workers could run it if they were empty (`StepFit`). Steps that do not fit use nothing of a guarantee unless they have runs, and jobs without a step that fits are left out of the mean. Nothing is rejected for it: the fits are taken anew when a worker joins, leaves or changes, also one that is not reachable at the moment, and the job then has its rank by age. Evaluated per kind of worker and only when the workers have changed, so a decision pays nothing for it otherwise.

Evidence: blocked_units::unused_guarantee (3 of 3) and mean_work fail on the code before.

--- a/crates/pool/src/job_entry.rs
+++ b/crates/pool/src/job_entry.rs
@@ -3,6 +3,7 @@
 
 use arbutuspick_model::ClockTime;
 
+use crate::worker_kind::StepFit;
 use crate::{
     JobBody, JobRecord, JobStage, OccurrenceRecord, QueueRule, StepBody, TaskName, TaskRecord, WorkerKey,
 };
@@ -176,6 +177,9 @@
     pub(crate) critical_path_ms: u64,
     /// Estimated work of one occurrence, in core milliseconds.
     pub(crate) work_core_ms: u64,
+    /// Whether the known workers could run each step, and the version of the workers for which that holds.
+    pub(crate) step_fits: Vec<StepFit>,
+    pub(crate) fits_version: Option<u64>,
 }
 
 impl JobEntry {
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -37,6 +37,7 @@
 mod waiting_unit;
 mod worker_choice;
 mod worker_health;
+mod worker_kind;
 mod worker_listing;
 mod worker_restart;
 mod worker_search;
--- a/crates/pool/src/pool_core.rs
+++ b/crates/pool/src/pool_core.rs
@@ -9,6 +9,7 @@
 use crate::label_index::LabelIndex;
 use crate::rack_index::RackIndex;
 use crate::run_release::RunRelease;
+use crate::worker_kind::WorkerKinds;
 use crate::worker_view::WorkerView;
 use crate::{
     CoreOptions, JobBody, JobRecord, JobStage, PoolOrder, PoolPolicy, QueueRule, StopOrder, StopReason,
@@ -67,6 +68,7 @@
     pub(crate) worker_index: HashMap<Arc<str>, WorkerKey>,
     pub(crate) racks: RackIndex,
     pub(crate) labels: LabelIndex,
+    pub(crate) worker_kinds: WorkerKinds,
     pub(crate) reservations: Vec<CapacityReservation>,
     /// Round of searches for runs to preempt; every waiting unit has at most one in a round.
     pub(crate) search_round: u64,
@@ -102,6 +104,7 @@
             }
         }
         self.policy = policy;
+        self.worker_kinds.invalidate();
     }
 
     /// Replaces the set of data centres that are closed for new starts.
@@ -138,6 +141,8 @@
             occurrences: Default::default(),
             arrived_at,
             body,
+            step_fits: Vec::new(),
+            fits_version: None,
         };
         for occurrence in &record.occurrences {
             let due_at = occurrence_due_at(&job, occurrence.number, now, wall);
@@ -267,6 +272,7 @@
         self.release_occurrences(now, wall);
         self.check_leases(now);
         self.check_progress(now);
+        self.update_step_fits();
         self.place_waiting_units(now);
         self.expire_final_records(now);
     }
--- a/crates/pool/src/waiting_unit.rs
+++ b/crates/pool/src/waiting_unit.rs
@@ -150,10 +150,10 @@
         largest
     }
 
-    /// Returns the mean work of the jobs of each queue, in core milliseconds.
+    /// Returns the mean work of the jobs of each queue that the known workers could run, in core milliseconds.
     pub(crate) fn mean_work(&self) -> HashMap<Arc<str>, u64> {
         let mut sums: HashMap<Arc<str>, (u64, u64)> = HashMap::new();
-        for job in self.jobs.values() {
+        for job in self.jobs.values().filter(|job| job.fits_anywhere()) {
             let (sum, count) = sums.entry(job.rule.name.clone()).or_default();
             *sum = sum.saturating_add(job.work_core_ms);
             *count += 1;
@@ -164,6 +164,8 @@
     }
 
     /// Returns the jobs of priority 0 that fit into the guarantees of their accounts, counted oldest first.
+    ///
+    /// Steps that no known worker could run use nothing of a guarantee, unless they have runs already.
     pub(crate) fn jobs_inside_guarantee(&self) -> HashSet<JobKey> {
         let mut urgent: Vec<(ClockTime, JobKey, &JobEntry)> = Vec::new();
         for (key, job) in &self.jobs {
@@ -178,13 +180,12 @@
             let Some(guarantee) = self.policy.accounts.get(job.body.account.as_str()) else {
                 continue;
             };
-            let needs = job
-                .body
-                .steps
-                .iter()
-                .map(|step| step.accelerators * u64::from(step.count));
+            let steps = job.body.steps.iter().enumerate();
+            let usable = steps.filter(|(number, _)| job.uses_guarantee(*number));
+            let needs = usable.map(|(_, step)| step.accelerators * u64::from(step.count));
+            let Some(need) = needs.max() else { continue };
             let used = used.entry(job.body.account.as_str()).or_default();
-            *used += needs.max().unwrap_or(0);
+            *used += need;
             if *used <= guarantee.guaranteed_accelerators {
                 inside.insert(key);
             }
--- a/crates/pool/src/worker_restart.rs
+++ b/crates/pool/src/worker_restart.rs
@@ -44,6 +44,7 @@
         let rack = self.racks.id(report.rack());
         let labels = self.labels.ids(&report.labels);
         let key = self.workers.insert(WorkerView::new(report, labels, rack, now));
+        self.worker_kinds.invalidate();
         self.worker_index.entry(id).or_insert(key);
         key
     }
@@ -51,7 +52,9 @@
     /// Applies a registry entry of this incarnation, unless a later heartbeat has been seen.
     fn refresh_report(&mut self, key: WorkerKey, report: WorkerReport) {
         let view = &mut self.workers[key];
-        view.removed = false;
+        if std::mem::replace(&mut view.removed, false) {
+            self.worker_kinds.invalidate();
+        }
         if report.heartbeat < view.report.heartbeat {
             log::debug!(
                 "[worker] id={} ignored heartbeat={} latest={}",
@@ -68,6 +71,12 @@
             view.labels = self.labels.ids(&report.labels);
             view.rack = self.racks.id(report.rack());
         }
+        let is_same_kind = view.report.labels == report.labels
+            && view.report.capacity == report.capacity
+            && view.report.service == report.service;
+        if !is_same_kind {
+            self.worker_kinds.invalidate();
+        }
         view.report = report;
     }
 
@@ -99,6 +108,7 @@
             .and_then(|view| view.successor.take())
         {
             self.workers.remove(successor);
+            self.worker_kinds.invalidate();
         }
     }
 
@@ -146,6 +156,7 @@
     pub fn mark_removed(&mut self, key: WorkerKey) {
         if let Some(view) = self.workers.get_mut(key) {
             view.removed = true;
+            self.worker_kinds.invalidate();
         }
     }
 
@@ -176,6 +187,7 @@
         view.removed = true;
         view.has_unidentified_run = false;
         view.lease_expiry = view.lease_expiry.max(now + RESTARTED_LEASE_MS);
+        self.worker_kinds.invalidate();
     }
 
     /// Forgets an incarnation that is known to have ended; its unfinished tasks wait again.
@@ -188,6 +200,7 @@
         let Some(view) = self.workers.remove(key) else {
             return;
         };
+        self.worker_kinds.invalidate();
         let Some(present) = self.worker_index.get(&view.report.id).copied() else {
             return;
         };
--- a/crates/pool/tests/blocked_units.rs
+++ b/crates/pool/tests/blocked_units.rs
@@ -2,7 +2,7 @@
 
 mod support;
 
-use arbutuspick_pool::{EndKind, StepBody, WorkerReport};
+use arbutuspick_pool::{EndKind, JobBody, StepBody, WorkerReport};
 use support::{TestPool, body, empty_listing, report, step};
 use yare::parameterized;
 
@@ -178,6 +178,55 @@
     );
 }
 
+/// Guards against an account that loses its guarantee to urgent jobs of its own that no worker can run.
+#[parameterized(
+    unknown_label = { labelled("none", 8) },
+    larger_than_workers = { step(1, 9) },
+    wider_than_pool = { gang(9, 2) },
+)]
+fn unused_guarantee(impossible: StepBody) {
+    let mut pool = TestPool::new(2);
+    for number in 0..4 {
+        pool.submit(
+            &format!("impossible{number}"),
+            body("urgent", "north", vec![impossible.clone()]),
+        );
+    }
+    pool.submit("bulk", body("bulk", "south", vec![step(16, 1)]));
+    pool.advance(30_000);
+    pool.run_decision();
+    pool.run_decision();
+    assert_eq!(pool.running_count("bulk"), 16);
+    pool.advance(500);
+    // Overdue when it arrives, so only its guarantee lets it preempt.
+    let reclaiming = JobBody {
+        stretch: 0.0,
+        ..body("urgent", "north", vec![step(2, 8)])
+    };
+    pool.submit("reclaiming", reclaiming);
+    pool.advance(10_000);
+    pool.run_decision();
+    pool.advance(25);
+    pool.run_decision();
+    assert_eq!(pool.running_count("reclaiming"), 2, "the guarantee was not met");
+}
+
+/// Guards against jobs that no worker can run and that change the value of jobs that can: a queue of small jobs
+/// beside huge impossible ones keeps its order against other queues.
+#[test]
+fn mean_work() {
+    let mut pool = TestPool::new(1);
+    let huge = StepBody {
+        estimate_ms: 10_000_000,
+        ..labelled("none", 8)
+    };
+    pool.submit("huge", body("normal", "south", vec![huge]));
+    pool.submit("normal", body("normal", "south", vec![step(1, 8)]));
+    pool.submit("bulk", body("bulk", "south", vec![step(1, 8)]));
+    pool.run_decision();
+    assert_eq!(pool.running_count("normal"), 1, "the lower priority went first");
+}
+
 /// Guards against searches for runs to preempt that reach the same units in front in every decision: a unit behind
 /// them has its turn within a number of decisions.
 #[test]
