--- a/crates/dispatch/src/leader_run.rs
+++ b/crates/dispatch/src/leader_run.rs
@@ -4,7 +4,8 @@
 
 use arbutuspick_model::ClockTime;
 use arbutuspick_pool::{
-    JobBody, JobRecord, LatencySample, PoolCore, PoolOrder, RecordChange, StopReason, WorkerKey, WorkerReport,
+    JobBody, JobRecord, LatencySample, PoolCore, PoolOrder, RecordChange, StopReason, WaitReason, WorkerKey,
+    WorkerReport,
 };
 use prost::Message;
 use tokio::sync::mpsc::{UnboundedReceiver, channel, unbounded_channel};
@@ -555,6 +556,10 @@
         metrics::gauge!("arbutuspick_waiting_tasks").set(summary.waiting_tasks as f64);
         metrics::gauge!("arbutuspick_placed_tasks").set(summary.placed_tasks as f64);
         metrics::gauge!("arbutuspick_listed_workers").set(summary.listed_workers as f64);
+        for reason in WaitReason::ALL {
+            let units = self.core.wait_counts().get(&reason).copied().unwrap_or(0);
+            metrics::gauge!("arbutuspick_waiting_units", "reason" => reason.name()).set(units as f64);
+        }
     }
 }
 
--- a/crates/pool/src/job_entry.rs
+++ b/crates/pool/src/job_entry.rs
@@ -3,6 +3,7 @@
 
 use arbutuspick_model::ClockTime;
 
+use crate::wait_reason::WaitReason;
 use crate::worker_kind::StepFit;
 use crate::{
     JobBody, JobRecord, JobStage, OccurrenceRecord, QueueRule, StepBody, TaskName, TaskRecord, WorkerKey,
@@ -104,6 +105,8 @@
     pub(crate) ready_at: Option<ClockTime>,
     /// Workers and run times in milliseconds of the first finished runs, at most `MAX_RUN_TIMES`.
     pub(crate) run_times: Vec<(WorkerKey, u64)>,
+    /// Why the tasks that are ready to start waited at the latest decision that placed none of them.
+    pub(crate) wait_reason: Option<WaitReason>,
     /// Round of the latest search for runs to preempt.
     pub(crate) search_round: u64,
 }
@@ -127,6 +130,7 @@
             tasks: vec![TaskEntry::default(); step.count as usize],
             ready_at: None,
             run_times: Vec::new(),
+            wait_reason: None,
             search_round: 0,
         });
         Self {
--- a/crates/pool/src/placement_pass.rs
+++ b/crates/pool/src/placement_pass.rs
@@ -9,8 +9,10 @@
 use crate::preemption::PreemptionOutcome;
 use crate::search_budget::SearchBudget;
 use crate::unit_order::Lateness;
+use crate::wait_reason::WaitReason;
 use crate::waiting_unit::WaitingUnit;
 use crate::worker_choice::{choose_gang, choose_worker};
+use crate::worker_kind::StepFit;
 use crate::worker_search::{StepCounts, WorkerCandidate};
 use crate::worker_view::RunAllocation;
 use crate::{JobStage, PoolOrder, ResourceAmount, StartOrder, WorkerKey};
@@ -25,6 +27,7 @@
         let mut units = self.waiting_units(&context, now);
         if units.is_empty() {
             self.reservations.clear();
+            self.wait_counts.clear();
             return;
         }
         units.sort_by_key(|unit| unit.rank);
@@ -34,14 +37,20 @@
         let mut blocked = BlockedNeeds::default();
         let mut searches = SearchBudget::new(self.search_round);
         let mut placed_work = None;
+        let mut gangs_wait = false;
+        let mut waiting = Vec::new();
         for unit in &units {
             if unit.tasks.is_empty() {
+                if self.awaits_reservation(unit) {
+                    waiting.push((unit, WaitReason::NoCapacity));
+                }
                 continue;
             }
             let unplaced = self.place_unit(unit, &mut candidates, &mut blocked, pool_busy, now);
             if unplaced == 0 {
                 continue;
             }
+            waiting.push((unit, self.wait_reason(unit, gangs_wait)));
             let mut outcome = PreemptionOutcome::Excluded;
             if searches.allows(self.search_round_of(unit)) {
                 let work = placed_work.get_or_insert_with(|| self.placed_work(&candidates, &context, now));
@@ -56,10 +65,31 @@
             }
             let is_reserved = matches!(outcome, PreemptionOutcome::Awaited | PreemptionOutcome::Stopped);
             if unit.gang && !is_reserved && unit.rank.lateness != Lateness::Overdue {
-                mark_contested(unit, &mut candidates, pool_busy);
+                gangs_wait |= mark_contested(unit, &mut candidates, pool_busy);
             }
         }
         self.search_round = searches.next_round();
+        self.record_wait_reasons(&waiting);
+    }
+
+    /// Returns whether capacity is reserved for the unit that is not free yet.
+    fn awaits_reservation(&self, unit: &WaitingUnit) -> bool {
+        let mut reservations = self.reservations.iter();
+        reservations.any(|reservation| {
+            reservation.job == unit.key
+                && reservation.occurrence == unit.occurrence
+                && reservation.step == unit.step
+        })
+    }
+
+    /// Returns why a unit waits that was not placed; `gangs_wait` is whether capacity is left to gangs.
+    fn wait_reason(&self, unit: &WaitingUnit, gangs_wait: bool) -> WaitReason {
+        match self.jobs[unit.key].step_fits.get(unit.step) {
+            Some(StepFit::NoWorker) => WaitReason::NoWorker,
+            Some(StepFit::TooLarge) => WaitReason::TooLarge,
+            _ if unit.yields_to_gangs && gangs_wait => WaitReason::BehindOthers,
+            _ => WaitReason::NoCapacity,
+        }
     }
 
     /// Returns the round of the latest search for runs to preempt for the unit.
--- a/crates/pool/src/pool_core.rs
+++ b/crates/pool/src/pool_core.rs
@@ -1,4 +1,4 @@
-use std::collections::{BTreeSet, HashMap, HashSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
 use std::sync::Arc;
 
 use arbutuspick_model::{ClockTime, PlatformTime};
@@ -9,6 +9,7 @@
 use crate::label_index::LabelIndex;
 use crate::rack_index::RackIndex;
 use crate::run_release::RunRelease;
+use crate::wait_reason::WaitReason;
 use crate::worker_kind::WorkerKinds;
 use crate::worker_view::WorkerView;
 use crate::{
@@ -72,6 +73,8 @@
     pub(crate) reservations: Vec<CapacityReservation>,
     /// Round of searches for runs to preempt; every waiting unit has at most one in a round.
     pub(crate) search_round: u64,
+    /// Number of waiting units for each reason, as of the latest decision.
+    pub(crate) wait_counts: BTreeMap<WaitReason, usize>,
     pub(crate) orders: Vec<PoolOrder>,
     pub(crate) latency_samples: Vec<LatencySample>,
     /// Jobs whose records have changed since `take_changes`.
--- a/crates/pool/src/state_dump.rs
+++ b/crates/pool/src/state_dump.rs
@@ -1,14 +1,19 @@
 //! Writes the state of the scheduler as text, for operators.
 
+use std::collections::BTreeSet;
 use std::fmt::Write;
 
 use arbutuspick_model::ClockTime;
 
+use crate::WaitReason;
+use crate::job_entry::{JobEntry, TaskEntry};
 use crate::pool_core::PoolCore;
 
 impl PoolCore {
     /// Returns one line for the policy and one for each worker, job and reservation.
     ///
+    /// `waits_for` names the reasons why tasks wait that are ready to start; it is `-` for a job without such tasks.
+    ///
     /// ```
     /// use arbutuspick_model::ClockTime;
     /// use arbutuspick_pool::PoolCore;
@@ -54,7 +59,7 @@
             let tasks: Vec<_> = steps.flat_map(|step| &step.tasks).collect();
             writeln!(
                 text,
-                "job id={} queue={} account={} stage={} age_ms={} objective_ms={} waiting={} placed={} done={} failures={}",
+                "job id={} queue={} account={} stage={} age_ms={} objective_ms={} waiting={} placed={} done={} failures={} waits_for={}",
                 job.id,
                 job.rule.name,
                 job.body.account,
@@ -65,6 +70,7 @@
                 tasks.iter().filter(|task| task.placement.is_some()).count(),
                 tasks.iter().filter(|task| task.done).count(),
                 tasks.iter().map(|task| task.failures).max().unwrap_or(0),
+                wait_reasons(job),
             )?;
         }
         for reservation in &self.reservations {
@@ -80,3 +86,15 @@
         Ok(())
     }
 }
+
+/// Returns why the waiting tasks of a job wait, without duplicates.
+fn wait_reasons(job: &JobEntry) -> String {
+    let steps = job.occurrences.values().flat_map(|occurrence| &occurrence.steps);
+    let waiting = steps.filter(|step| step.tasks.iter().any(TaskEntry::is_waiting));
+    let reasons: BTreeSet<_> = waiting.filter_map(|step| step.wait_reason).collect();
+    if reasons.is_empty() {
+        return "-".to_owned();
+    }
+    let names: Vec<&str> = reasons.into_iter().map(WaitReason::name).collect();
+    names.join(",")
+}
--- a/crates/pool/tests/blocked_units.rs
+++ b/crates/pool/tests/blocked_units.rs
@@ -2,7 +2,7 @@
 
 mod support;
 
-use arbutuspick_pool::{EndKind, JobBody, StepBody, WorkerReport};
+use arbutuspick_pool::{EndKind, JobBody, StepBody, WaitReason, WorkerReport};
 use support::{TestPool, body, empty_listing, report, step};
 use yare::parameterized;
 
@@ -260,3 +260,42 @@
         "no search for the unit behind the others"
     );
 }
+
+/// Guards against operators who cannot see why tasks wait, and counts that outlive the wait.
+#[parameterized(
+    unknown_label = { labelled("none", 1), WaitReason::NoWorker },
+    too_large = { step(1, 9), WaitReason::TooLarge },
+    too_wide = { gang(80, 8), WaitReason::TooLarge },
+    scarce_label = { labelled("scarce", 8), WaitReason::NoCapacity },
+)]
+fn wait_reasons(waiting: StepBody, expected: WaitReason) {
+    let mut pool = pool_with_scarce_worker(8);
+    pool.submit("waiting", body("normal", "south", vec![waiting]));
+    pool.run_decision();
+    assert_eq!(pool.core.wait_counts().get(&expected), Some(&1));
+    let dump = pool.core.dump(pool.now);
+    let line = dump.lines().find(|line| line.contains("id=waiting"));
+    let field = format!("waits_for={expected}");
+    assert!(line.is_some_and(|line| line.ends_with(&field)), "{dump}");
+    let now = pool.now;
+    pool.core.cancel_job(&"waiting".into(), now);
+    pool.run_decision();
+    assert!(pool.core.wait_counts().is_empty());
+}
+
+/// Guards against a reason that stays when a worker comes or goes that could run the tasks.
+#[test]
+fn changed_reason() {
+    let mut pool = TestPool::new(4);
+    pool.submit("waiting", body("normal", "south", vec![labelled("late", 8)]));
+    pool.run_decision();
+    assert_eq!(pool.core.wait_counts().get(&WaitReason::NoWorker), Some(&1));
+    add_labelled(&mut pool, "late");
+    let worker = *pool.workers.last().expect("no worker");
+    pool.core.mark_unreachable(worker, pool.now);
+    pool.run_decision();
+    assert_eq!(pool.core.wait_counts().get(&WaitReason::NoCapacity), Some(&1));
+    pool.core.mark_removed(worker);
+    pool.run_decision();
+    assert_eq!(pool.core.wait_counts().get(&WaitReason::NoWorker), Some(&1));
+}
