Submit jobs that no worker can run in random pool histories, and watch for idle workers

random_pool had at most some twenty waiting units and only jobs that could run, so no history had units behind others that cannot start. It now submits up to 50 jobs with a rare label or too much memory, and gangs wider than the pool; workers that make them possible join at random and at the end. Two checks: no job waits for over 5 s while an idle worker could run it and no gang needs that worker (from the state dump, each second), and at the end of each history a job of low rank starts at once behind 120 jobs that cannot.

--- a/crates/pool/tests/random_pool.rs
+++ b/crates/pool/tests/random_pool.rs
@@ -1,8 +1,8 @@
 //! Random histories of jobs and faults, checked against the state of simulated workers.
 //!
 //! Guards against resources allocated twice, tasks that run twice or after their end, gangs started in part,
-//! steps out of order, exceeded spread limits, starts in closed data centres or of cancelled jobs, and jobs
-//! that never finish.
+//! steps out of order, exceeded spread limits, starts in closed data centres or of cancelled jobs, jobs
+//! that never finish, and jobs that wait while an idle worker could run them and nothing else needs it.
 
 mod support;
 
@@ -14,12 +14,52 @@
 
 /// Workers of the pool: two racks in each of two data centres.
 const WORKERS: usize = 16;
+/// Workers that join the pool at the end, so that all jobs can run.
+const RARE_WORKERS: usize = 6;
 /// Number of histories; PROPTEST_CASES overrides it.
 const HISTORIES: u32 = 160;
 
+/// Why a job waits for other workers.
+#[derive(Clone, Copy, Debug)]
+enum BlockedKind {
+    RareLabel,
+    LargeMemory,
+    WideGang,
+}
+
+impl BlockedKind {
+    /// Returns one of several jobs with different needs.
+    fn job(self, number: u64) -> JobBody {
+        let single = StepBody {
+            memory_mb: 1_000 + number,
+            estimate_ms: 400,
+            ..step(1, number % 8)
+        };
+        let step = match self {
+            Self::RareLabel => StepBody {
+                required_label: "rare".into(),
+                ..single
+            },
+            Self::LargeMemory => StepBody {
+                memory_mb: 300_000 + number,
+                ..single
+            },
+            Self::WideGang => StepBody {
+                gang: true,
+                ..step(18, 8)
+            },
+        };
+        let queue = ["urgent", "normal", "bulk"][(number % 3) as usize];
+        body(queue, "north", vec![step])
+    }
+}
+
 #[derive(Clone, Debug)]
 enum Action {
     Submit(JobBody),
+    /// Jobs that no worker can run until others join the pool.
+    SubmitBlocked(BlockedKind, u64),
+    AddRareWorker,
     Cancel(usize),
     Disconnect(usize),
     ReconnectAll,
@@ -57,9 +97,20 @@
     })
 }
 
+fn any_blocked() -> impl Strategy<Value = (BlockedKind, u64)> {
+    let kinds = [
+        (BlockedKind::RareLabel, 50_u64),
+        (BlockedKind::LargeMemory, 50),
+        (BlockedKind::WideGang, 2),
+    ];
+    prop::sample::select(kinds.to_vec()).prop_flat_map(|(kind, most)| (Just(kind), 1..=most))
+}
+
 fn any_action() -> impl Strategy<Value = Action> {
     prop_oneof![
         8 => any_job().prop_map(Action::Submit),
+        1 => any_blocked().prop_map(|(kind, count)| Action::SubmitBlocked(kind, count)),
+        1 => Just(Action::AddRareWorker),
         1 => any::<usize>().prop_map(Action::Cancel),
         1 => any::<usize>().prop_map(Action::Disconnect),
         1 => Just(Action::ReconnectAll),
@@ -71,12 +122,48 @@
     ]
 }
 
+/// Checks, in the state at the end of a history, that a job starts behind many that no worker can run.
+fn check_last_job(simulation: &mut PoolSimulation) {
+    for number in 0..60 {
+        let mut unlabelled = BlockedKind::RareLabel.job(number * 3);
+        unlabelled.steps[0].estimate_ms = 2_000;
+        let mut unknown = unlabelled.clone();
+        unknown.steps[0].required_label = "none".into();
+        simulation.submit(unknown);
+        let mut large = unlabelled;
+        large.steps[0].required_label = String::new();
+        large.steps[0].memory_mb = 1_000_000 + number;
+        simulation.submit(large);
+    }
+    // Ranks behind the others by its value for the capacity that it takes.
+    let last = StepBody {
+        estimate_ms: 5_000,
+        ..step(2, 1)
+    };
+    let last = simulation.submit(body("bulk", "south", vec![last]));
+    simulation.advance(100);
+    let mut runs = simulation.workers.iter().flat_map(|worker| &worker.runs);
+    assert!(
+        runs.any(|run| run.task.job == last),
+        "waits behind jobs that cannot start\n{}",
+        simulation.core.dump(simulation.now)
+    );
+}
+
 fn replay(actions: &[Action]) {
     let mut simulation = PoolSimulation::new(WORKERS);
     let mut leaving = 0;
     for action in actions {
         match action {
-            Action::Submit(job) => simulation.submit(job.clone()),
+            Action::Submit(job) => {
+                simulation.submit(job.clone());
+            }
+            Action::SubmitBlocked(kind, count) => {
+                for number in 0..*count {
+                    simulation.submit(kind.job(number));
+                }
+            }
+            Action::AddRareWorker => simulation.add_rare_worker(),
             Action::Cancel(choice) => simulation.cancel(*choice),
             Action::Disconnect(choice) => simulation.disconnect(*choice),
             Action::ReconnectAll => simulation.reconnect_all(),
@@ -95,7 +182,10 @@
     simulation.reconnect_all();
     simulation.close_centre(false);
     simulation.lost_answer_interval = None;
-    for index in 0..WORKERS {
+    for _ in 0..RARE_WORKERS {
+        simulation.add_rare_worker();
+    }
+    for index in 0..simulation.workers.len() {
         if simulation.workers[index].report.leaves_at.is_some() {
             simulation.restart(index);
         }
@@ -103,6 +193,7 @@
     simulation.advance(120_000);
     let unfinished = simulation.unfinished_jobs();
     assert!(unfinished.is_empty(), "unfinished jobs: {unfinished:?}");
+    check_last_job(&mut simulation);
 }
 
 #[test]
--- a/crates/pool/tests/support/mod.rs
+++ b/crates/pool/tests/support/mod.rs
@@ -2,6 +2,7 @@
 
 #![allow(dead_code)]
 
+pub(crate) mod idle_watch;
 pub(crate) mod pool_simulation;
 
 use std::collections::HashMap;
--- a/crates/pool/tests/support/pool_simulation.rs
+++ b/crates/pool/tests/support/pool_simulation.rs
@@ -9,6 +9,7 @@
     TaskName, WorkerKey, WorkerListing, WorkerReport,
 };
 
+use super::idle_watch::IdleWatch;
 use super::{WALL_START_MS, policy, report};
 
 /// A run on a simulated worker.
@@ -60,6 +61,7 @@
     /// One in this many starts loses its answer.
     pub(crate) lost_answer_interval: Option<usize>,
     pub(crate) next_job: u64,
+    pub(crate) idle_watch: IdleWatch,
 }
 
 /// Time that a worker takes to stop a run, in milliseconds.
@@ -70,6 +72,8 @@
 const GANG_WAIT_MS: u64 = 3_000;
 /// Number of ends that a worker lists at a time.
 const ENDS_PER_LISTING: usize = 2;
+/// Interval between checks for idle workers, in milliseconds.
+const DUMP_INTERVAL_MS: u64 = 1_000;
 /// Lease that the scheduler grants, in milliseconds.
 const LEASE_MS: u64 = 9_000;
 
@@ -91,6 +95,7 @@
             starts: 0,
             lost_answer_interval: None,
             next_job: 0,
+            idle_watch: IdleWatch::default(),
         };
         simulation.core.apply_policy(Arc::new(policy(16)));
         for number in 0..workers {
@@ -101,6 +106,16 @@
         simulation
     }
 
+    /// Adds a worker with the label that rare jobs require, large enough for large ones.
+    pub(crate) fn add_rare_worker(&mut self) {
+        let number = 1_000 + self.workers.len();
+        let mut report = report(number, &format!("r{number}"), "severn");
+        report.id = format!("rare{number}").into();
+        report.labels.insert(0, "rare".into());
+        report.capacity.memory_mb *= 2;
+        self.add_worker(report);
+    }
+
     fn add_worker(&mut self, report: WorkerReport) {
         let key = self.core.update_worker(report.clone(), self.now);
         self.workers.push(SimulatedWorker {
@@ -120,7 +135,7 @@
         PlatformTime(WALL_START_MS + self.now.0 - 100_000)
     }
 
-    pub(crate) fn submit(&mut self, mut body: JobBody) {
+    pub(crate) fn submit(&mut self, mut body: JobBody) -> Arc<str> {
         let id: Arc<str> = format!("{:016x}", self.next_job).into();
         self.next_job += 1;
         body.accepted_at_ms = self.wall().0;
@@ -128,6 +143,7 @@
         let (now, wall) = (self.now, self.wall());
         self.core
             .add_job(&id, body, &JobRecord::default(), now, wall, now);
+        id
     }
 
     pub(crate) fn cancel(&mut self, choice: usize) {
@@ -206,9 +222,19 @@
             self.end_runs();
             self.list_workers();
             self.decide();
+            if self.now.0.is_multiple_of(DUMP_INTERVAL_MS) {
+                self.check_idle_workers();
+            }
         }
     }
 
+    fn check_idle_workers(&mut self) {
+        let dump = self.core.dump(self.now);
+        let workers: Vec<&WorkerReport> = self.workers.iter().map(|worker| &worker.report).collect();
+        self.idle_watch
+            .observe(&dump, &workers, &self.bodies, &self.closed_centres, self.now);
+    }
+
     fn run_delayed_starts(&mut self) {
         let now = self.now;
         let (due, later): (Vec<_>, Vec<_>) = self
