Do not take a late removal of a registry entry for the departure of a live worker

What callers saw: two runs of one task at a time.

Cause: `end_departed` ended the present process of a worker that had announced its departure, but a removal names no process.

Change: a removal counts as that of the present process only when this leader has known it for longer than an earlier removal can be late. Otherwise the worker counts as removed: it gets no work, is listed as before, and its runs are released when it no longer answers and its lease has expired. Nothing waits longer for a worker that has been known for 14 s, or that has no runs.

Ruled out: comparing start times, which come from a clock that may jump; a refused connection as evidence, as a cut may refuse connections too.

--- a/crates/dispatch/src/leader_run.rs
+++ b/crates/dispatch/src/leader_run.rs
@@ -337,20 +337,12 @@
     }
 
     /// Ends the workers that have shut down; a run on them cannot go on.
-    ///
-    /// A worker announces that it leaves before it removes its entry. The removal of the entry of another
-    /// worker may be one that an earlier incarnation ordered, carried out late.
     fn end_departed(&mut self, departed: &[Arc<str>]) {
         let now = self.context.clock.now();
         for id in departed {
-            let key = self.core.worker_key(id);
-            let leaving = key.filter(|key| {
-                let report = self.core.worker_report(*key);
-                report.is_some_and(|report| report.leaves_at.is_some())
-            });
-            if let Some(key) = leaving {
-                log::info!("[worker] id={id} state=departed");
-                self.core.end_incarnation(key, now);
+            if let Some(key) = self.core.worker_key(id)
+                && self.core.apply_departure(key, now)
+            {
                 self.sessions.remove(&key);
             }
         }
--- a/crates/dispatch/tests/random_faults.rs
+++ b/crates/dispatch/tests/random_faults.rs
@@ -58,6 +58,17 @@
     tokio::spawn(run_dispatch(context));
 }
 
+/// Lets a worker leave, and leave again soon after it has come back, so that a late removal by the first process meets
+/// the second one.
+fn leave_twice(fleet: &FaultyFleet, number: usize) {
+    let fleet = fleet.clone();
+    tokio::spawn(async move {
+        fleet.leave(number, 200);
+        sleep_ms(4_400).await;
+        fleet.leave(number, 9_000);
+    });
+}
+
 async fn play(seed: u64) -> (usize, Vec<String>) {
     let mut rng = StdRng::seed_from_u64(seed);
     let store = FakeStore::new();
@@ -70,6 +81,8 @@
     let intake = JobIntake::new(store.clone(), BootClock::from_runtime(), IntakeOptions::default());
     sleep_ms(1_500).await;
     let mut next_job = 0;
+    // Draws of its own, so that the faults of a seed stay the same.
+    let mut extra_rng = StdRng::seed_from_u64(!seed);
     for _ in 0..FAULTS {
         for _ in 0..rng.random_range(1..4) {
             next_job += 1;
@@ -95,6 +108,21 @@
             // Clocks of idle workers are not read for a while.
             _ => sleep_ms(rng.random_range(5_000..40_000)).await,
         }
+        if extra_rng.random_bool(0.2) {
+            leave_twice(&fleet, extra_rng.random_range(0..WORKERS));
+        }
+        if extra_rng.random_bool(0.1) {
+            // Only a worker that has restarted may have the label.
+            for accelerators in 0..9 {
+                let mut body = job(1);
+                body.steps[0].required_label = "k2".into();
+                body.steps[0].accelerators = accelerators;
+                next_job += 1;
+                intake
+                    .submit(&format!("{next_job:016x}"), &body, deadline(2_000))
+                    .await;
+            }
+        }
         sleep_ms(rng.random_range(50..1_500)).await;
     }
     sleep_ms(15_000).await;
--- a/crates/dispatch/tests/support/faulty_fleet.rs
+++ b/crates/dispatch/tests/support/faulty_fleet.rs
@@ -542,14 +542,15 @@
         let text = String::from_utf8(row.value.as_ref()?.to_vec()).ok()?;
         let parts: Vec<&str> = text.split(' ').collect();
         let leaving = parts.get(1)? == &"true";
+        let born: u64 = parts.first()?.parse().ok()?;
         Some(WorkerReport {
             id: row.key.clone(),
-            started_at_ms: parts.first()?.parse().ok()?,
+            started_at_ms: born,
             heartbeat: parts.get(3)?.parse().ok()?,
             address: "127.0.0.1:1".into(),
             service: "maps".into(),
             centre: format!("dc{}", parts.get(2)?).into(),
-            labels: vec!["a".into(), "r0".into()],
+            labels: vec![format!("k{}", born % 3).into(), "r0".into()],
             capacity: ResourceAmount {
                 millicores: 64_000,
                 memory_mb: 256_000,
--- a/crates/pool/src/worker_restart.rs
+++ b/crates/pool/src/worker_restart.rs
@@ -12,6 +12,10 @@
 /// in milliseconds: an order takes effect at most 12 s late, and its lease lasts at most 10 s.
 const RESTARTED_LEASE_MS: u64 = 24_000;
 
+/// Time for which the removal of a registry entry may have been ordered by an earlier incarnation, in milliseconds:
+/// a write takes effect at most 12 s late, and reads of the registry are at most 2 s apart.
+const LATE_REMOVAL_MS: u64 = 14_000;
+
 impl PoolCore {
     /// Adds or updates a worker from its registry entry; returns the key of the incarnation that the entry names.
     ///
@@ -152,6 +156,35 @@
         }
     }
 
+    /// Applies the removal of a registry entry that silence does not explain; returns whether the worker has shut
+    /// down.
+    ///
+    /// A worker announces that it leaves before it removes its entry. A removal names no incarnation: soon after a
+    /// restart, one that the earlier incarnation ordered may be carried out late. Then the runs go on unless the worker
+    /// no longer answers and its lease has expired.
+    pub fn apply_departure(&mut self, key: WorkerKey, now: ClockTime) -> bool {
+        let Some(view) = self.workers.get(key) else {
+            return false;
+        };
+        if view.report.leaves_at.is_none() {
+            return false;
+        }
+        let is_own_removal = now.millis_since(view.added_at) > LATE_REMOVAL_MS;
+        if is_own_removal || !view.is_occupied() {
+            log::info!("[worker] id={} state=departed", view.report.id);
+            self.end_incarnation(key, now);
+            return true;
+        }
+        log::info!(
+            "[worker] id={} state=maybe departed known_ms={} runs={}",
+            view.report.id,
+            now.millis_since(view.added_at),
+            view.allocations.len(),
+        );
+        self.mark_removed(key);
+        false
+    }
+
     /// Marks a worker as removed from the worker registry. Its runs may go on until its lease expires.
     pub fn mark_removed(&mut self, key: WorkerKey) {
         if let Some(view) = self.workers.get_mut(key) {
--- a/crates/pool/tests/late_heartbeats.rs
+++ b/crates/pool/tests/late_heartbeats.rs
@@ -161,3 +161,65 @@
     assert_eq!(pool.starts.len(), 1);
     assert!(!pool.core.has_job("job"));
 }
+
+/// Lets the worker announce that it leaves.
+fn announce_leaving(pool: &mut TestPool, worker: WorkerKey) {
+    let report = pool.core.worker_report(worker).expect("unknown worker").clone();
+    let now = pool.now;
+    let report = WorkerReport {
+        leaves_at: Some(now + 2_000),
+        ..report
+    };
+    pool.core.update_worker(report, now);
+}
+
+/// Guards against a second run of a task when a removal that an earlier incarnation ordered is carried out late,
+/// while the present one leaves as well.
+#[test]
+fn late_removal() {
+    let (mut pool, worker) = TestPool::with_run();
+    announce_leaving(&mut pool, worker);
+    let now = pool.now;
+    pool.core.apply_departure(worker, now);
+    for _ in 0..5 {
+        pool.advance(300);
+        pool.run_decision();
+        assert_eq!(pool.starts.len(), 1, "started again although it is still listed");
+        pool.list(worker);
+    }
+    // A heartbeat shows the worker again; it ends its run and leaves.
+    register(&mut pool, worker, 1);
+    pool.finish_job("job");
+    pool.run_decision();
+    assert!(!pool.core.has_job("job"));
+    assert!(
+        pool.core.apply_departure(worker, pool.now),
+        "an idle worker is kept"
+    );
+}
+
+/// Guards against runs that are held for ever when the removal was that of the present incarnation after all, and
+/// against a wait for the lease where only the present incarnation can have removed its entry.
+#[parameterized(
+    young = { 1_000, 9_500 },
+    long_known = { 30_000, 0 },
+)]
+fn own_removal(known_ms: u64, released_after_ms: u64) {
+    let (mut pool, worker) = TestPool::with_run();
+    pool.advance(known_ms);
+    pool.list(worker);
+    announce_leaving(&mut pool, worker);
+    let now = pool.now;
+    pool.core.apply_departure(worker, now);
+    if released_after_ms > 0 {
+        pool.core
+            .extend_lease_expiry(worker, now + released_after_ms - 100);
+        pool.core.mark_unreachable(worker, now);
+        pool.advance(released_after_ms - 200);
+        pool.run_decision();
+        assert_eq!(pool.starts.len(), 1, "started again while the lease may be valid");
+        pool.advance(200);
+    }
+    pool.run_decision();
+    assert_eq!(pool.starts.len(), 2, "not started again");
+}
