Send starts and lease renewals only on connections of the present process

The start carries the end of its lease on the clock of the process before; the next process, whose clock begins anew, accepts it and shortens the lease to the maximum of 10 s from its arrival, up to 12 s after it was sent. If that process cannot be reached then, the leader releases the run by the clock of the process before, while the run goes on or is done and acknowledged later. A lease renewal on a new connection had the same effect.

Change: a connection ends with the process that answered on it. Starts are sent only on connections on which the incarnation of the session has answered; for a new connection the worker is asked first who it is (`identify`). Leases are renewed only on the connection of the answer before, as acknowledgements were already. A worker that closes each connection after an answer still gets its orders, after three tries.

The rule on ends that are acknowledged after a lapsed lease does not allow this one: the lease of the new process had not lapsed.

Ruled out: releasing such runs later (24 s), which would hold all runs of a worker that crashes right after a start.

Cost: one more call to a worker for each new connection for starts, and one for the first renewal after five idle seconds.

--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -62,5 +62,6 @@
 pub use supervisor::supervise;
 pub use worker_client::{
     ConnectionId, PollCall, PollReply, StartCall, StartReply, StopCall, WorkerClient, WorkerError,
+    WorkerIdentity,
 };
 pub use worker_clock::WorkerClock;
--- a/crates/dispatch/src/order_sender.rs
+++ b/crates/dispatch/src/order_sender.rs
@@ -1,4 +1,4 @@
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use arbutuspick_model::ClockTime;
@@ -6,7 +6,7 @@
 
 use crate::BootClock;
 use crate::leader_authority::LeaderAuthority;
-use crate::worker_client::{StartCall, StartReply, StopCall, WorkerClient, WorkerError};
+use crate::worker_client::{ConnectionId, StartCall, StartReply, StopCall, WorkerClient, WorkerError};
 use crate::worker_clock::WorkerClock;
 use crate::worker_session::WorkerEvent;
 
@@ -14,6 +14,9 @@
 const ATTEMPT_TIMEOUT_MS: u64 = 350;
 /// Maximum number of attempts for one order.
 const MAX_ATTEMPTS: u32 = 3;
+/// Calls in a row that were not sent because their connection had been closed, after which a call is sent on any
+/// connection: some workers may close each connection after an answer.
+pub(crate) const MAX_LOST_CONNECTIONS: u32 = 3;
 /// Delay after an order that could not be sent, in milliseconds.
 const RETRY_DELAY_MS: u64 = 50;
 /// Lease that a start order grants, in milliseconds; the worker refuses a start that arrives after its end.
@@ -27,20 +30,67 @@
     pub(crate) authority: Arc<LeaderAuthority>,
     pub(crate) worker: Arc<WorkerReport>,
     pub(crate) worker_clock: Arc<WorkerClock>,
+    /// Connections on which the incarnation of this session has answered and that carry no call.
+    pub(crate) verified: Mutex<Vec<ConnectionId>>,
 }
 
 impl<C> OrderSender<C>
 where
     C: WorkerClient,
 {
+    /// Returns a connection that leads to the incarnation of this session. A start that reached another one would hold
+    /// a lease of the clock of that one, which begins anew.
+    async fn verified_connection(&self) -> Result<ConnectionId, WorkerError> {
+        if let Some(connection) = self.lock_verified().pop() {
+            return Ok(connection);
+        }
+        let deadline = self.clock.now() + ATTEMPT_TIMEOUT_MS;
+        let identity = self
+            .client
+            .identify(&self.worker, self.authority.epoch(), deadline)
+            .await?;
+        if identity
+            .born_ms
+            .is_some_and(|born| born != self.worker.started_at_ms)
+        {
+            return Err(WorkerError::Restarted);
+        }
+        self.worker_clock.update(identity.clock, self.clock.now());
+        Ok(identity.connection)
+    }
+
+    fn lock_verified(&self) -> MutexGuard<'_, Vec<ConnectionId>> {
+        self.verified.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Sends a start order and retries until it is answered; a retry is safe, since a run starts only once.
     pub(crate) async fn start(&self, order: &StartOrder) -> Result<StartAnswer, WorkerEvent> {
         let mut is_indeterminate = false;
-        for _ in 0..MAX_ATTEMPTS {
+        let mut attempts = 0;
+        let mut lost_connections = 0;
+        while attempts < MAX_ATTEMPTS {
+            attempts += 1;
+            let verified = self.verified_connection().await;
             let now = self.clock.now();
             if !self.authority.may_send_orders(now) || now > order.send_before {
                 break;
             }
+            let connection = match verified {
+                Ok(connection) => connection,
+                Err(error) => {
+                    log::warn!(
+                        "[start] task={} run={} worker={} not sent, error={error}",
+                        order.task,
+                        order.run,
+                        self.worker.id
+                    );
+                    if let Some(event) = session_end(&error) {
+                        return Err(event);
+                    }
+                    self.wait_for_retry().await;
+                    continue;
+                }
+            };
             let lease_ms = self.authority.max_lease_ms(now, START_LEASE_MS);
             let Some(lease_until) = self.worker_clock.lease_until(now, lease_ms) else {
                 break;
@@ -52,6 +102,7 @@
                 checkpoint: order.checkpoint.clone(),
                 epoch: self.authority.epoch(),
                 lease_until,
+                only_on: (lost_connections < MAX_LOST_CONNECTIONS).then_some(connection),
             };
             let sent_at = self.clock.now();
             match self
@@ -60,11 +111,13 @@
                 .await
             {
                 Ok(StartReply::Started { clock }) => {
+                    self.lock_verified().push(connection);
                     self.worker_clock.update(clock, self.clock.now());
                     self.record_latency(sent_at);
                     return Ok(StartAnswer::Started);
                 }
                 Ok(StartReply::Refused { reason }) => {
+                    self.lock_verified().push(connection);
                     log::warn!(
                         "[start] task={} run={} worker={} refused={reason} unclear={is_indeterminate}",
                         order.task,
@@ -78,6 +131,12 @@
                         StartAnswer::Refused
                     });
                 }
+                Err(WorkerError::ConnectionClosed) => {
+                    // The others have been idle for longer.
+                    self.lock_verified().clear();
+                    lost_connections += 1;
+                    attempts -= 1;
+                }
                 Err(error) => {
                     log::warn!(
                         "[start] task={} run={} worker={} error={error}",
@@ -85,12 +144,14 @@
                         order.run,
                         self.worker.id
                     );
-                    match error {
-                        WorkerError::Replaced => return Err(WorkerEvent::Replaced),
-                        WorkerError::Restarted => return Err(WorkerEvent::Restarted),
-                        WorkerError::Fenced => return Err(WorkerEvent::Fenced),
-                        WorkerError::Indeterminate { .. } => is_indeterminate = true,
-                        WorkerError::NotSent { .. } => self.wait_for_retry().await,
+                    if let Some(event) = session_end(&error) {
+                        return Err(event);
+                    }
+                    if matches!(error, WorkerError::Indeterminate { .. }) {
+                        is_indeterminate = true;
+                    } else {
+                        self.lock_verified().push(connection);
+                        self.wait_for_retry().await;
                     }
                 }
             }
@@ -123,10 +184,10 @@
                     self.record_latency(now);
                     return Ok(true);
                 }
-                Err(WorkerError::Replaced) => return Err(WorkerEvent::Replaced),
-                Err(WorkerError::Restarted) => return Err(WorkerEvent::Restarted),
-                Err(WorkerError::Fenced) => return Err(WorkerEvent::Fenced),
                 Err(error) => {
+                    if let Some(event) = session_end(&error) {
+                        return Err(event);
+                    }
                     log::warn!(
                         "[stop] task={} run={} worker={} error={error}",
                         order.task,
@@ -152,3 +213,15 @@
         metrics::histogram!("arbutuspick_worker_call_seconds").record(seconds);
     }
 }
+
+/// Returns the event by which an error ends the session.
+fn session_end(error: &WorkerError) -> Option<WorkerEvent> {
+    match error {
+        WorkerError::Replaced => Some(WorkerEvent::Replaced),
+        WorkerError::Restarted => Some(WorkerEvent::Restarted),
+        WorkerError::Fenced => Some(WorkerEvent::Fenced),
+        WorkerError::ConnectionClosed | WorkerError::NotSent { .. } | WorkerError::Indeterminate { .. } => {
+            None
+        }
+    }
+}
--- a/crates/dispatch/src/worker_client.rs
+++ b/crates/dispatch/src/worker_client.rs
@@ -24,6 +24,9 @@
     pub epoch: u64,
     /// End of the lease on the worker's clock; the worker refuses a call that arrives later.
     pub lease_until: WorkerTime,
+    /// Connection on which alone the call may be sent; otherwise it fails with
+    /// [`WorkerError::ConnectionClosed`].
+    pub only_on: Option<ConnectionId>,
 }
 
 /// Call that stops one run of a task.
@@ -44,7 +47,8 @@
     pub epoch: u64,
     /// Ended runs up to this number are acknowledged.
     pub acknowledged: u64,
-    /// Connection on which alone the call may be sent; otherwise it fails as not sent.
+    /// Connection on which alone the call may be sent; otherwise it fails with
+    /// [`WorkerError::ConnectionClosed`].
     pub only_on: Option<ConnectionId>,
     /// New end of the lease on the worker's clock; `None` leaves the lease unchanged.
     pub lease_until: Option<WorkerTime>,
@@ -67,6 +71,17 @@
     },
 }
 
+/// The process that answers on a connection for orders.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct WorkerIdentity {
+    /// Time on the worker's clock.
+    pub clock: WorkerTime,
+    /// Start time of the worker process in Unix milliseconds, if reported; see `WorkerReport::started_at_ms`.
+    pub born_ms: Option<u64>,
+    /// The connection; it ends with the process.
+    pub connection: ConnectionId,
+}
+
 /// Reply to a [`PollCall`].
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct PollReply {
@@ -96,6 +111,9 @@
     /// The worker has seen a later epoch.
     #[snafu(display("a later epoch is in force"))]
     Fenced,
+    /// The connection on which alone the call was to be sent has been closed.
+    #[snafu(display("not sent: the connection has been closed"))]
+    ConnectionClosed,
     /// The call was not sent, or the worker did not accept it.
     #[snafu(display("not sent: {message}"))]
     NotSent {
@@ -112,6 +130,14 @@
 
 /// Client for calls to workers.
 pub trait WorkerClient: Clone + Send + Sync + 'static {
+    /// Asks which process answers on a connection for orders, an idle one or a new one.
+    fn identify(
+        &self,
+        worker: &WorkerReport,
+        epoch: u64,
+        deadline: ClockTime,
+    ) -> impl Future<Output = Result<WorkerIdentity, WorkerError>> + Send;
+
     /// Starts a run.
     fn start(
         &self,
--- a/crates/dispatch/src/worker_session.rs
+++ b/crates/dispatch/src/worker_session.rs
@@ -1,6 +1,6 @@
 use std::panic::AssertUnwindSafe;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use arbutuspick_model::ClockTime;
@@ -12,7 +12,7 @@
 
 use crate::BootClock;
 use crate::leader_authority::LeaderAuthority;
-use crate::order_sender::{OrderSender, START_LEASE_MS};
+use crate::order_sender::{MAX_LOST_CONNECTIONS, OrderSender, START_LEASE_MS};
 use crate::worker_client::{ConnectionId, PollCall, WorkerClient, WorkerError};
 
 /// Wait of a listing call for a run to end, in milliseconds; also the interval at which progress is reported
@@ -28,9 +28,6 @@
 const MAX_BACKOFF_MS: u64 = 800;
 /// Maximum wait for the commit of ended runs before they are listed again, in milliseconds.
 const COMMIT_WAIT_MS: u64 = 1_000;
-/// Acknowledgements in a row that were not sent because their connection had been closed, after which they are sent
-/// on any connection.
-const MAX_LOST_CONNECTIONS: u32 = 3;
 /// Maximum number of concurrent orders to one worker.
 const MAX_CONCURRENT_ORDERS: usize = 4;
 
@@ -111,6 +108,7 @@
             authority,
             worker: Arc::new(worker),
             worker_clock: Arc::default(),
+            verified: Mutex::default(),
         });
         let mut tasks = JoinSet::new();
         let listing = ListingLoop {
@@ -214,18 +212,19 @@
                 self.state.changed.notified().await;
                 continue;
             }
-            // A restarted worker numbers its ends anew and would drop those up to the acknowledged number, so
-            // the number is sent once, right after an answer of the same incarnation, and on the connection of
-            // that answer. Some workers may close each connection after an answer.
+            // A restarted worker numbers its ends anew and would drop those up to the acknowledged number, and its
+            // clock begins anew, so that a lease of the clock before would last too long. So both are sent only on
+            // the connection of an answer of the same incarnation, the number once.
             let is_due = verified.is_some() && acknowledged > acknowledged_to_worker;
             let sent = if is_due { acknowledged } else { 0 };
-            let only_on = verified.filter(|_| is_due && lost_connections < MAX_LOST_CONNECTIONS);
-            match self.list(sent, only_on, is_reachable && needs_listing).await {
+            let only_on = verified.filter(|_| lost_connections < MAX_LOST_CONNECTIONS);
+            let may_wait = is_reachable && needs_listing && verified.is_some();
+            match self.list(sent, only_on, may_wait).await {
                 Ok((listing, connection)) => {
                     failures = 0;
                     is_reachable = true;
                     verified = Some(connection);
-                    if is_due {
+                    if only_on.is_some() {
                         lost_connections = 0;
                     }
                     acknowledged_to_worker = acknowledged_to_worker.max(sent);
@@ -253,11 +252,8 @@
                     let _ = self.events.send((self.key, WorkerEvent::Fenced));
                     return;
                 }
-                Err(WorkerError::NotSent { message }) if only_on.is_some() => {
-                    log::debug!(
-                        "[worker] id={} lists again before ends are acknowledged: {message}",
-                        self.sender.worker.id
-                    );
+                Err(WorkerError::ConnectionClosed) => {
+                    log::debug!("[worker] id={} lists on a new connection", self.sender.worker.id);
                     lost_connections += 1;
                     verified = None;
                 }
--- a/crates/dispatch/tests/acknowledgements.rs
+++ b/crates/dispatch/tests/acknowledgements.rs
@@ -1,4 +1,4 @@
-//! Acknowledgements of ended runs, which a process that has restarted since must not receive.
+//! Acknowledgements of ended runs and grants of leases, which a process that has restarted since must not receive.
 
 mod support;
 
@@ -21,10 +21,13 @@
     let (all, unpinned) = fleet.acknowledgements();
     assert!(all >= 8, "only {all} acknowledgements");
     assert_eq!(unpinned, 0, "of {all} acknowledgements");
+    // The clock of the next process begins anew, so a lease of the clock before would outlast its bound.
+    assert_eq!(fleet.unpinned_grants(), (0, 0), "starts and renewals");
     assert_eq!(fleet.started_runs().len(), 60);
 }
 
-/// Guards against ends that are never acknowledged because the worker closes each connection after an answer.
+/// Guards against starts that are never sent, and ends that are never acknowledged, because the worker closes each
+/// connection after an answer.
 #[tokio::test(start_paused = true)]
 async fn short_connections() {
     let (store, fleet) = (store_with(1), FakeFleet::new(300));
--- a/crates/dispatch/tests/random_faults.rs
+++ b/crates/dispatch/tests/random_faults.rs
@@ -148,3 +148,44 @@
     }
     assert!(starts > 50 * runs as usize, "only {starts} starts");
 }
+
+/// Plays a worker that restarts while a start is on its way to it and is then cut off, with orders that take effect
+/// late.
+async fn play_restart(seed: u64) -> Vec<String> {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let store = FakeStore::new();
+    store.put(CONFIG_TABLE, "config", b"1");
+    let fleet = FaultyFleet::new(4, seed);
+    tokio::spawn(fleet.clone().run_registry(store.clone()));
+    start_process(1, &store, &fleet);
+    let intake = JobIntake::new(store.clone(), BootClock::from_runtime(), IntakeOptions::default());
+    // The clock of the process before the restart is far ahead of that of the next one.
+    sleep_ms(rng.random_range(20_000..40_000)).await;
+    let mut body = job(4);
+    body.steps[0].accelerators = 8;
+    fleet.set_lossy(100);
+    intake.submit("00000000000000aa", &body, deadline(2_000)).await;
+    sleep_ms(rng.random_range(0..60)).await;
+    fleet.restart(0, 0);
+    sleep_ms(rng.random_range(300..1_200)).await;
+    fleet.cut(rng.random_range(10_000..16_000));
+    fleet.set_lossy(0);
+    sleep_ms(40_000).await;
+    fleet.violations()
+}
+
+/// Guards against a start that reaches the next process of a worker: its lease there is one of a clock that began
+/// anew, so it outlasts the time after which the leader starts the task elsewhere.
+#[test]
+fn restart_during_start() {
+    for seed in 1..=150 {
+        let runtime = tokio::runtime::Builder::new_current_thread()
+            .enable_all()
+            .start_paused(true)
+            .build()
+            .expect("no runtime");
+        let violations = runtime.block_on(play_restart(seed));
+        runtime.shutdown_timeout(Duration::ZERO);
+        assert!(violations.is_empty(), "seed {seed}: {violations:#?}");
+    }
+}
--- a/crates/dispatch/tests/support/faulty_fleet.rs
+++ b/crates/dispatch/tests/support/faulty_fleet.rs
@@ -6,7 +6,7 @@
 
 use arbutuspick_dispatch::{
     BootClock, ConnectionId, PollCall, PollReply, RowEntry, StartCall, StartReply, StopCall, WorkerClient,
-    WorkerError,
+    WorkerError, WorkerIdentity,
 };
 use arbutuspick_model::{ClockTime, WorkerTime};
 use arbutuspick_pool::{EndKind, ResourceAmount, RunEnd, RunStatus, TaskName, WorkerReport};
@@ -405,6 +405,31 @@
 }
 
 impl WorkerClient for FaultyFleet {
+    async fn identify(
+        &self,
+        worker: &WorkerReport,
+        epoch: u64,
+        deadline: ClockTime,
+    ) -> Result<WorkerIdentity, WorkerError> {
+        let (lost, _) = self.transmit(&worker.id, deadline).await?;
+        let reply = self.with(|state, now| {
+            let own = state.workers.get_mut(&worker.id).expect("unknown worker");
+            if epoch < own.epoch {
+                return Err(WorkerError::Fenced);
+            }
+            own.epoch = epoch;
+            Ok(WorkerIdentity {
+                clock: WorkerTime(own.clock(now)),
+                born_ms: Some(own.born),
+                connection: ConnectionId(own.born),
+            })
+        });
+        if lost {
+            return Err(self.wait_until(deadline).await);
+        }
+        reply
+    }
+
     async fn start(
         &self,
         worker: &WorkerReport,
@@ -412,6 +437,10 @@
         deadline: ClockTime,
     ) -> Result<StartReply, WorkerError> {
         let (lost, late) = self.transmit(&worker.id, deadline).await?;
+        let born = self.with(|state, _| state.workers[&worker.id].born);
+        if call.only_on.is_some_and(|connection| connection.0 != born) {
+            return Err(WorkerError::ConnectionClosed);
+        }
         if late {
             let (fleet, call, id) = (self.clone(), call.clone(), worker.id.clone());
             tokio::spawn(async move {
@@ -481,7 +510,7 @@
                 return Err(if is_sent {
                     WorkerError::Indeterminate { message }
                 } else {
-                    WorkerError::NotSent { message }
+                    WorkerError::ConnectionClosed
                 });
             }
             is_sent = true;
--- a/crates/dispatch/tests/support/mod.rs
+++ b/crates/dispatch/tests/support/mod.rs
@@ -11,8 +11,8 @@
 use arbutuspick_dispatch::{
     BootClock, ConnectionId, DispatchContext, DispatchOptions, FollowOutcome, FrontendPolicy, IntakeOptions,
     JobIntake, PolicyCache, PolicyRows, PollCall, PollReply, RowEntry, RowPage, RowStore, RowTransaction,
-    StartCall, StartReply, StopCall, StoreError, TransactOutcome, WorkerClient, WorkerError, follow_policy,
-    run_dispatch,
+    StartCall, StartReply, StopCall, StoreError, TransactOutcome, WorkerClient, WorkerError, WorkerIdentity,
+    follow_policy, run_dispatch,
 };
 use arbutuspick_model::{ClockTime, WorkerTime};
 use arbutuspick_pool::{
@@ -316,6 +316,26 @@
     /// Number of acknowledgements, and of those that were sent on any connection.
     acknowledgements: usize,
     unpinned_acknowledgements: usize,
+    /// Numbers of starts and of renewals of leases that were sent on any connection.
+    unpinned_starts: usize,
+    unpinned_renewals: usize,
+}
+
+impl FleetState {
+    /// Checks that a call is meant for the present connection.
+    fn check_connection_id(&self, only_on: Option<ConnectionId>) -> Result<(), WorkerError> {
+        match only_on {
+            Some(connection) if connection.0 != self.connection => Err(WorkerError::ConnectionClosed),
+            _ => Ok(()),
+        }
+    }
+
+    /// Returns the connection of a reply, and closes it if workers do so after each reply.
+    fn reply_connection(&mut self) -> ConnectionId {
+        let connection = ConnectionId(self.connection);
+        self.connection += u64::from(self.closes_connections);
+        connection
+    }
 }
 
 /// The shared workers, as accessed by one process.
@@ -371,6 +391,12 @@
         (state.acknowledgements, state.unpinned_acknowledgements)
     }
 
+    /// Returns the numbers of starts and of renewals of leases that were sent on any connection.
+    pub(crate) fn unpinned_grants(&self) -> (usize, usize) {
+        let state = lock(&self.state);
+        (state.unpinned_starts, state.unpinned_renewals)
+    }
+
     pub(crate) fn expired_leases(&self) -> usize {
         lock(&self.state).expired_leases
     }
@@ -443,6 +469,27 @@
 }
 
 impl WorkerClient for FakeFleet {
+    async fn identify(
+        &self,
+        worker: &WorkerReport,
+        epoch: u64,
+        deadline: ClockTime,
+    ) -> Result<WorkerIdentity, WorkerError> {
+        self.check_connection(deadline).await?;
+        let now = self.clock.now();
+        let mut state = lock(&self.state);
+        state
+            .workers
+            .entry(worker.id.clone())
+            .or_default()
+            .check_epoch(epoch)?;
+        Ok(WorkerIdentity {
+            clock: WorkerTime(now.0),
+            born_ms: Some(1),
+            connection: state.reply_connection(),
+        })
+    }
+
     async fn start(
         &self,
         worker: &WorkerReport,
@@ -452,6 +499,9 @@
         self.check_connection(deadline).await?;
         let now = self.clock.now();
         let mut state = lock(&self.state);
+        state.check_connection_id(call.only_on)?;
+        state.unpinned_starts += usize::from(call.only_on.is_none());
+        state.reply_connection();
         let run_ms = state.run_ms;
         let is_running_elsewhere = state.workers.values().any(|other| {
             other
@@ -519,14 +569,11 @@
     ) -> Result<PollReply, WorkerError> {
         {
             let mut state = lock(&self.state);
-            if call.only_on.is_some_and(|only_on| only_on.0 != state.connection) {
-                return Err(WorkerError::NotSent {
-                    message: "the connection was closed".into(),
-                });
-            }
+            state.check_connection_id(call.only_on)?;
             let acknowledges = call.acknowledged > 0;
             state.acknowledgements += usize::from(acknowledges);
             state.unpinned_acknowledgements += usize::from(acknowledges && call.only_on.is_none());
+            state.unpinned_renewals += usize::from(call.lease_until.is_some() && call.only_on.is_none());
         }
         let until = self.clock.now() + call.wait_ms;
         loop {
@@ -534,8 +581,7 @@
             {
                 let now = self.clock.now();
                 let mut state = lock(&self.state);
-                let connection = ConnectionId(state.connection);
-                state.connection += u64::from(state.closes_connections);
+                let connection = state.reply_connection();
                 let run_ms = state.run_ms.max(1);
                 let own = state.workers.entry(worker.id.clone()).or_default();
                 own.check_epoch(call.epoch)?;
--- a/crates/dispatch/tests/unexpected_errors.rs
+++ b/crates/dispatch/tests/unexpected_errors.rs
@@ -7,8 +7,8 @@
 
 use arbutuspick_dispatch::{
     BootClock, DispatchContext, DispatchOptions, IntakeOptions, JobIntake, PolicyCache, PollCall, PollReply,
-    RowEntry, StartCall, StartReply, StopCall, WorkerClient, WorkerError, follow_policy, run_dispatch,
-    supervise,
+    RowEntry, StartCall, StartReply, StopCall, WorkerClient, WorkerError, WorkerIdentity, follow_policy,
+    run_dispatch, supervise,
 };
 use arbutuspick_model::ClockTime;
 use arbutuspick_pool::{CoreOptions, WorkerReport};
@@ -39,6 +39,15 @@
 }
 
 impl WorkerClient for PanickingFleet {
+    async fn identify(
+        &self,
+        worker: &WorkerReport,
+        epoch: u64,
+        deadline: ClockTime,
+    ) -> Result<WorkerIdentity, WorkerError> {
+        self.fleet.identify(worker, epoch, deadline).await
+    }
+
     async fn start(
         &self,
         worker: &WorkerReport,
