Count a job as pending until one of its runs has begun

Cause: a job counted as started when its first task was placed, before the worker had answered, and for ever after.

Change: a job has begun when a start of it was answered as started, a run of it is listed, or an end of one. The stage that callers are told is as before. It is stored with the next change of the record, so it costs no write of its own; a new leader that does not know it counts the job as pending until a worker lists it.

--- a/crates/dispatch/src/job_intake.rs
+++ b/crates/dispatch/src/job_intake.rs
@@ -220,6 +220,7 @@
         body_hash: body.body_hash,
         released: 0,
         occurrences: Vec::new(),
+        has_begun: false,
     };
     RowTransaction {
         conditions: vec![RowCondition {
--- a/crates/pool/src/job_entry.rs
+++ b/crates/pool/src/job_entry.rs
@@ -181,6 +181,8 @@
     pub(crate) critical_path_ms: u64,
     /// Estimated work of one occurrence, in core milliseconds.
     pub(crate) work_core_ms: u64,
+    /// Whether a run of any task is known to have begun.
+    pub(crate) has_begun: bool,
     /// Whether the known workers could run each step, and the version of the workers for which that holds.
     pub(crate) step_fits: Vec<StepFit>,
     pub(crate) fits_version: Option<u64>,
@@ -216,11 +218,6 @@
         tasks.filter(|task| !task.done).count()
     }
 
-    /// Returns whether any task has been started.
-    pub(crate) fn has_started(&self) -> bool {
-        self.stage != JobStage::Queued
-    }
-
     /// Returns the objective in milliseconds: the time from an occurrence being due until it should be done.
     ///
     /// It is the critical path times the stretch factor of the queue, plus the allowance of the queue.
@@ -246,6 +243,7 @@
             body_hash: self.body.body_hash,
             released: self.released,
             occurrences: Vec::new(),
+            has_begun: self.has_begun,
         };
         if self.stage.is_final() {
             return record;
--- a/crates/pool/src/job_record.rs
+++ b/crates/pool/src/job_record.rs
@@ -55,6 +55,9 @@
     /// Created occurrences that are not done.
     #[prost(message, repeated, tag = "6")]
     pub occurrences: Vec<OccurrenceRecord>,
+    /// Whether a run of any task is known to have begun; may be stored later than that was known.
+    #[prost(bool, tag = "7")]
+    pub has_begun: bool,
 }
 
 /// The stored progress of one occurrence.
--- a/crates/pool/src/listing_apply.rs
+++ b/crates/pool/src/listing_apply.rs
@@ -77,6 +77,14 @@
         }
     }
 
+    /// Records that a run of the job has begun. It is stored with the next change of the record.
+    fn mark_begun(&mut self, name: &TaskName) {
+        let key = self.job_index.get(&name.job).copied();
+        if let Some(job) = key.and_then(|key| self.jobs.get_mut(key)) {
+            job.has_begun = true;
+        }
+    }
+
     /// Stops a run whose start was not answered and that is not listed, so that it cannot begin later.
     fn stop_unconfirmed(
         &mut self,
@@ -110,6 +118,7 @@
             self.mark_unidentified(worker);
             return;
         };
+        self.mark_begun(name);
         let Some((key, task)) = self.current_task(name, status.run, worker) else {
             self.stop_unexpected(worker, name, status.run, now);
             return;
@@ -215,6 +224,7 @@
             );
             return;
         };
+        self.mark_begun(name);
         if let Some(view) = self.workers.get_mut(worker) {
             view.allocations.remove(&(name.clone(), end.run));
             match end.kind {
@@ -337,6 +347,10 @@
         let entry = (name.clone(), run);
         match answer {
             StartAnswer::Started => {
+                self.mark_begun(name);
+                let Some(view) = self.workers.get_mut(worker) else {
+                    return;
+                };
                 if let Some(allocation) = view.allocations.get_mut(&entry) {
                     allocation.expected_since = Some(at);
                 }
--- a/crates/pool/src/pool_core.rs
+++ b/crates/pool/src/pool_core.rs
@@ -144,6 +144,7 @@
             occurrences: Default::default(),
             arrived_at,
             body,
+            has_begun: record.has_begun,
             step_fits: Vec::new(),
             fits_version: None,
         };
@@ -242,10 +243,10 @@
         self.workers.get(key).map_or(0, |view| view.applied_end)
     }
 
-    /// Returns the number of jobs in each queue of which no task has started.
+    /// Returns the number of jobs in each queue of which no task is known to have begun.
     pub fn pending_by_queue(&self) -> HashMap<Arc<str>, u64> {
         let mut pending: HashMap<Arc<str>, u64> = HashMap::new();
-        for job in self.jobs.values().filter(|job| !job.has_started()) {
+        for job in self.jobs.values().filter(|job| !job.has_begun) {
             *pending.entry(job.rule.name.clone()).or_default() += 1;
         }
         pending
