Bound the table of free capacity by accelerators

The bounds of free capacity were indexed by the free accelerators of a worker, so one registry entry with an absurd number of them ended the process with a capacity overflow. Workers with 64 or more are not told apart. Found while the diff was read; blocked_units::absurd_capacity fails without the limit.

--- a/crates/pool/src/free_bounds.rs
+++ b/crates/pool/src/free_bounds.rs
@@ -4,6 +4,9 @@
 use crate::label_index::RequiredLabel;
 use crate::worker_search::{TaskNeed, WorkerCandidate};
 
+/// Number of free accelerators from which on workers are not told apart.
+const MAX_ACCELERATORS: usize = 64;
+
 /// Largest free amounts of any worker, by its free accelerators.
 #[derive(Clone, Debug, Default)]
 struct FreeBounds {
@@ -21,6 +24,7 @@
             let Ok(accelerators) = usize::try_from(amount.accelerators) else {
                 continue;
             };
+            let accelerators = accelerators.min(MAX_ACCELERATORS);
             if by_accelerators.len() <= accelerators {
                 by_accelerators.resize(accelerators + 1, (i64::MIN, i64::MIN));
             }
@@ -39,6 +43,7 @@
     /// Returns whether `need` may fit on a worker; `false` if it certainly fits on none.
     fn may_cover(&self, need: &ResourceAmount) -> bool {
         let index = usize::try_from(need.accelerators.max(0)).unwrap_or(usize::MAX);
+        let index = index.min(MAX_ACCELERATORS);
         self.by_accelerators
             .get(index)
             .is_some_and(|(millicores, memory_mb)| {
--- a/crates/pool/tests/blocked_units.rs
+++ b/crates/pool/tests/blocked_units.rs
@@ -2,7 +2,7 @@
 
 mod support;
 
-use arbutuspick_pool::{EndKind, JobBody, StepBody, WaitReason, WorkerReport};
+use arbutuspick_pool::{EndKind, JobBody, ResourceAmount, StepBody, WaitReason, WorkerReport};
 use support::{TestPool, body, empty_listing, report, step};
 use yare::parameterized;
 
@@ -299,3 +299,25 @@
     pool.run_decision();
     assert_eq!(pool.core.wait_counts().get(&WaitReason::NoWorker), Some(&1));
 }
+
+/// Guards against a registry entry with an absurd capacity, and tasks that need a part of it, that exhaust the memory.
+#[test]
+fn absurd_capacity() {
+    let mut pool = TestPool::new(4);
+    let report = WorkerReport {
+        capacity: ResourceAmount {
+            millicores: i64::MAX / 8,
+            memory_mb: i64::MAX / 8,
+            accelerators: i64::MAX / 8,
+        },
+        ..report(100, "r100", "severn")
+    };
+    let now = pool.now;
+    let key = pool.core.update_worker(report, now);
+    pool.core.apply_listing(key, &empty_listing(now), now);
+    pool.submit("large", body("normal", "south", vec![step(2, 1_000)]));
+    pool.submit("small", body("normal", "south", vec![step(2, 1)]));
+    pool.run_decision();
+    assert_eq!(pool.running_count("large"), 2);
+    assert_eq!(pool.running_count("small"), 2);
+}
