--- a/review/standin-2/deploy.rs
+++ b/review/standin-2/deploy.rs
@@ -230,7 +230,8 @@
     }
 }
 
-fn body(spec: &str, steps: &[Step], repeats: u32) -> String {
+/// Returns the body of a submission.
+pub fn body(spec: &str, steps: &[Step], repeats: u32) -> String {
     let steps: Vec<String> = steps
         .iter()
         .map(|step| {
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -62,6 +62,7 @@
     };
     let verdict = match case {
         "gang" => gang(&mut deployment, &queues, trouble),
+        "cancel" => cancel(&mut deployment, &queues, trouble),
         "yield" => yield_to_gang(&mut deployment, &queues, trouble),
         "affinity" => affinity(&mut deployment, &queues, trouble),
         "soak" => soak(&mut deployment, &queues),
@@ -123,6 +124,55 @@
     }
 }
 
+/// The answers to the writes of a submission are lost, and the writes are carried out late. The client cancels the job
+/// before that.
+fn cancel(deployment: &mut Deployment, queues: &[Queue], trouble: bool) -> Verdict {
+    const LATE_MS: u64 = 5_500;
+    const CANCEL_MS: u64 = 3_000;
+    let queue = &queues[0];
+    let id = "5c0e7a21d94b36f8";
+    if trouble {
+        deployment.store.set_hook(move |call| {
+            let stores_job = call.get("writes").list().iter().any(|row| row.get("table").str() == "intake" && row.get("key").str() == id);
+            if stores_job { store::Fate::Late(LATE_MS) } else { store::Fate::Normal }
+        });
+    }
+    let step = Step { count: 2, cpu: 7_500, mem_mb: 39_000, gpu: 1, ms: 2_500, ..Step::default() };
+    let job = fleet::Job { spec: format!("spec of {id}"), steps: vec![step.clone()], max_attempts: 2, repeats: 0, cancelled_at: None };
+    let body = deploy::body(&job.spec, &job.steps, 0);
+    deployment.fleet.lock().jobs.insert(id.into(), job);
+    let path = format!("/{}/{id}", queue.name);
+    let fronts: Vec<_> = deployment.edges.iter().map(|edge| edge.front).collect();
+    deployment.note(format!("client sends POST {path} to edge-trent-1"));
+    let answer = deployment.call(fronts[0], "POST", &path, &body);
+    deployment.note(format!("edge-trent-1 answers {answer:?}"));
+    let status = answer.map_or(0, |(status, _)| status);
+    if trouble {
+        deployment.store.set_hook(|_| store::Fate::Normal);
+        deployment.note("from here on, all answers of the store arrive".into());
+    }
+    if matches!(status, 429 | 503 | 400..=428) {
+        return Verdict::NotRun(format!("the submission was rejected with {status}"));
+    }
+    let answer = deployment.call(fronts[1], "DELETE", &path, "");
+    let acknowledged = std::time::Instant::now();
+    deployment.note(format!("client DELETE {path} at edge-trent-2: {answer:?}"));
+    if !answer.is_some_and(|(status, _)| (200..300).contains(&status) || status == 410) {
+        return Verdict::NotRun("the cancel was not acknowledged".into());
+    }
+    if let Some(job) = deployment.fleet.lock().jobs.get_mut(id) {
+        job.cancelled_at = Some(acknowledged);
+    }
+    std::thread::sleep(Duration::from_millis(CANCEL_MS));
+    std::thread::sleep(Duration::from_millis(LATE_MS));
+    let state = deployment.state(queue, id);
+    let broken = deployment.fleet.lock().broken.clone();
+    if broken.is_empty() {
+        return Verdict::Held;
+    }
+    Verdict::Broken(format!("{}; the job is {state:?}", broken.join("; ")))
+}
+
 /// Waits until `finish_s` after the last client's call, and then checks for longer than 3 s whether the job has
 /// nothing running all the while. `free` says what else has to hold on the minions.
 fn waits_in_vain<F>(deployment: &mut Deployment, id: &str, free: F) -> Option<bool>
