--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -56,13 +56,14 @@
         Queue { name: "confirm", priority: 0, max_attempts: 4 },
         Queue { name: "sweep", priority: 2, max_attempts: 3 },
     ];
-    let edges = 3;
+    let edges = if case == "takeover" { 7 } else { 3 };
     let Some(mut deployment) = Deployment::start(scratch.clone(), program.clone(), edges, &labels, &queues) else {
         return (String::new(), Verdict::NotRun("the deployment did not start".into()));
     };
     let verdict = match case {
         "gang" => gang(&mut deployment, &queues, trouble),
         "cancel" => cancel(&mut deployment, &queues, trouble),
+        "takeover" => takeover(&mut deployment, &queues, trouble),
         "yield" => yield_to_gang(&mut deployment, &queues, trouble),
         "affinity" => affinity(&mut deployment, &queues, trouble),
         "soak" => soak(&mut deployment, &queues),
@@ -173,6 +174,55 @@
     Verdict::Broken(format!("{}; the job is {state:?}", broken.join("; ")))
 }
 
+/// The leader is killed, and then each process that takes the seat. A job that is accepted and cancelled in that time is
+/// started by the leader that follows.
+fn takeover(deployment: &mut Deployment, queues: &[Queue], trouble: bool) -> Verdict {
+    const KILLS: usize = 4;
+    let queue = &queues[0];
+    let id = "5c0e7a21d94b36f8";
+    // All machines are in touch.
+    std::thread::sleep(Duration::from_millis(3_500));
+    let mut dead = Vec::new();
+    if trouble {
+        let Some(leader) = deployment.leader() else { return Verdict::NotRun("no leader".into()) };
+        deployment.note(format!("{} is killed", deployment.edges[leader].name));
+        deployment.edges[leader].kill();
+        dead.push(leader);
+    }
+    let step = Step { count: 2, cpu: 7_500, mem_mb: 39_000, gpu: 1, ms: 2_500, ..Step::default() };
+    if !deployment.submit(queue, id, vec![step], 0) {
+        return Verdict::NotRun("the job was not accepted".into());
+    }
+    let path = format!("/{}/{id}", queue.name);
+    if !deployment.client("DELETE", &path, "").is_some_and(|(status, _)| status == 200) {
+        return Verdict::NotRun("the cancel was not acknowledged".into());
+    }
+    let acknowledged = std::time::Instant::now();
+    if let Some(job) = deployment.fleet.lock().jobs.get_mut(id) {
+        job.cancelled_at = Some(acknowledged);
+    }
+    while trouble && dead.len() < KILLS {
+        let mut next = None;
+        let last = *dead.last().unwrap_or(&0);
+        let until = std::time::Instant::now() + Duration::from_secs(5);
+        while next.is_none() && std::time::Instant::now() < until {
+            next = deployment.leader().filter(|leader| *leader != last);
+            std::thread::sleep(Duration::from_millis(2));
+        }
+        let Some(leader) = next else { return Verdict::NotRun("nobody took the seat".into()) };
+        deployment.edges[leader].kill();
+        deployment.note(format!("{} is killed", deployment.edges[leader].name));
+        dead.push(leader);
+    }
+    std::thread::sleep(Duration::from_millis(6_000));
+    let state = deployment.state(queue, id);
+    let broken = deployment.fleet.lock().broken.clone();
+    if broken.is_empty() {
+        return Verdict::Held;
+    }
+    Verdict::Broken(format!("{}; the job is {state:?}", broken.join("; ")))
+}
+
 /// Waits until `finish_s` after the last client's call, and then checks for longer than 3 s whether the job has
 /// nothing running all the while. `free` says what else has to hold on the minions.
 fn waits_in_vain<F>(deployment: &mut Deployment, id: &str, free: F) -> Option<bool>
