Store which failed run of a gang was counted last

Callers saw a gang as failed after one of its two attempts. Both members had failed in run 1, with a change of the leader between the two ends.

Cause: a gang counts one failure for each run. The count was stored, but the number of the run counted last was kept in memory, so the next leader counted the second end of a run as another failure.

TaskRecord now stores that number, and a restored gang takes the highest count and run of its members. Records of earlier versions are read in favour of the caller. The fields of the entries are divided into stored ones and ones that only improve a choice.

Ruled out: the acknowledgement of ends (they are acknowledged after their commit only), a second start order (the worker got one start), and the failed end of a stopped member, which counts by the rule.

Cost: up to six bytes for a task that has failed, no further call to the store.

--- a/crates/pool/src/job_entry.rs
+++ b/crates/pool/src/job_entry.rs
@@ -33,7 +33,7 @@
     pub(crate) remote: bool,
 }
 
-/// Progress that a run has reported.
+/// Progress that a run has reported. Not stored: it only improves the choice of runs to move or to stop.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct RunProgress {
     /// Whether the percent at the start is unknown: the run resumed, or an earlier scheduler started it.
@@ -72,16 +72,22 @@
 }
 
 /// Entry of one task, which has one run after another until it is done.
+///
+/// What decides which stage callers are shown, or whether a run may start, is stored in a
+/// [`TaskRecord`] before any order depends on it. What only improves a choice is lost with the leader.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct TaskEntry {
+    // Stored; of the placement, the worker.
     pub(crate) placement: Option<TaskPlacement>,
     /// Number of the latest run; 0 before the first.
     pub(crate) run: u32,
     pub(crate) failures: u32,
-    /// Number of the latest failed run.
+    /// Number of the latest run that was counted in `failures`; a gang counts each run once.
     pub(crate) last_failed_run: u32,
     pub(crate) done: bool,
     pub(crate) checkpoint: Arc<str>,
+
+    // Not stored.
     pub(crate) progress: RunProgress,
     /// Worker on which the latest run failed, was too slow or did not start.
     pub(crate) avoided_worker: Option<WorkerKey>,
@@ -97,7 +103,7 @@
     }
 }
 
-/// Entry of a step with its tasks.
+/// Entry of a step with its tasks. Only the tasks are stored; the rest improves choices and reports.
 #[derive(Clone, Debug)]
 pub(crate) struct StepEntry {
     pub(crate) tasks: Vec<TaskEntry>,
@@ -168,6 +174,9 @@
 }
 
 /// Entry of a job, with the state of its tasks.
+///
+/// Stored are the body with the time of acceptance, the stage, the occurrences and `has_begun`; the rest follows from
+/// these, the configuration and the workers.
 #[derive(Clone, Debug)]
 pub(crate) struct JobEntry {
     pub(crate) id: Arc<str>,
@@ -278,5 +287,6 @@
         worker,
         worker_started_at_ms,
         checkpoint: task.checkpoint.to_string(),
+        last_failed_run: task.last_failed_run,
     }
 }
--- a/crates/pool/src/job_record.rs
+++ b/crates/pool/src/job_record.rs
@@ -101,4 +101,7 @@
     /// Latest checkpoint; empty for none.
     #[prost(string, tag = "6")]
     pub checkpoint: String,
+    /// Number of the latest run that was counted as failed; 0 for none, and in records of earlier versions.
+    #[prost(uint32, tag = "7")]
+    pub last_failed_run: u32,
 }
--- a/crates/pool/src/listing_apply.rs
+++ b/crates/pool/src/listing_apply.rs
@@ -311,7 +311,7 @@
         let (gang, endless) = (body.gang, body.endless);
         let Some(task) = job.task_mut(name) else { return };
         let run = task.run;
-        if !gang || task.last_failed_run != run {
+        if task.last_failed_run != run {
             task.failures += 1;
         }
         task.last_failed_run = run;
--- a/crates/pool/src/placement_restore.rs
+++ b/crates/pool/src/placement_restore.rs
@@ -1,13 +1,59 @@
-//! Restores the placements that an earlier scheduler recorded.
+//! Restores the progress and the placements that an earlier scheduler recorded.
 
 use std::sync::Arc;
 
 use arbutuspick_model::ClockTime;
 
-use crate::job_entry::{PlacementStage, TaskPlacement};
+use crate::job_entry::{OccurrenceEntry, PlacementStage, TaskEntry, TaskPlacement};
 use crate::pool_core::{JobKey, PoolCore};
 use crate::worker_view::{RunAllocation, WorkerView};
-use crate::{TaskRecord, WorkerKey, WorkerReport};
+use crate::{JobBody, TaskRecord, WorkerKey, WorkerReport};
+
+/// Returns the entry of an occurrence with the recorded progress of its tasks.
+pub(crate) fn restored_occurrence(
+    body: &JobBody,
+    records: &[TaskRecord],
+    due_at: ClockTime,
+) -> OccurrenceEntry {
+    let mut occurrence = OccurrenceEntry::new(body, due_at);
+    let mut records = records.iter();
+    for (step, body) in occurrence.steps.iter_mut().zip(&body.steps) {
+        let records: Vec<&TaskRecord> = records.by_ref().take(step.tasks.len()).collect();
+        for (task, record) in step.tasks.iter_mut().zip(&records) {
+            task.run = record.run;
+            task.failures = record.failures;
+            task.last_failed_run = record.last_failed_run;
+            task.done = record.done;
+            task.checkpoint = record.checkpoint.as_str().into();
+        }
+        if body.gang {
+            restore_gang_failures(&mut step.tasks, &records);
+        }
+    }
+    occurrence
+}
+
+/// Makes the members of a gang agree on its failed runs; a record in several rows may be stored in part.
+///
+/// Records of earlier versions don't name the run that was counted last. There, a failure counts as one of the latest
+/// run if a member of that run has ended: too few attempts would be final for the caller, one more is not.
+fn restore_gang_failures(members: &mut [TaskEntry], records: &[&TaskRecord]) {
+    let failures = members.iter().map(|member| member.failures).max().unwrap_or(0);
+    let mut counted_run = members
+        .iter()
+        .map(|member| member.last_failed_run)
+        .max()
+        .unwrap_or(0);
+    if failures > 0 && counted_run == 0 {
+        let run = members.iter().map(|member| member.run).max().unwrap_or(0);
+        let has_ended = |record: &&TaskRecord| record.run == run && record.worker.is_empty();
+        counted_run = if records.iter().any(has_ended) { run } else { 0 };
+    }
+    for member in members {
+        member.failures = failures;
+        member.last_failed_run = counted_run;
+    }
+}
 
 impl PoolCore {
     /// Restores the recorded runs of an occurrence, which may still be present on their workers.
--- a/crates/pool/src/pool_core.rs
+++ b/crates/pool/src/pool_core.rs
@@ -7,6 +7,7 @@
 use crate::capacity_reservation::CapacityReservation;
 use crate::job_entry::{JobEntry, OccurrenceEntry, PlacementStage, TaskEntry};
 use crate::label_index::LabelIndex;
+use crate::placement_restore::restored_occurrence;
 use crate::rack_index::RackIndex;
 use crate::run_release::RunRelease;
 use crate::wait_reason::WaitReason;
@@ -150,14 +151,7 @@
         };
         for occurrence in &record.occurrences {
             let due_at = occurrence_due_at(&job, occurrence.number, now, wall);
-            let mut entry = OccurrenceEntry::new(&job.body, due_at);
-            let tasks = entry.steps.iter_mut().flat_map(|step| &mut step.tasks);
-            for (task, record) in tasks.zip(&occurrence.tasks) {
-                task.run = record.run;
-                task.failures = record.failures;
-                task.done = record.done;
-                task.checkpoint = record.checkpoint.as_str().into();
-            }
+            let entry = restored_occurrence(&job.body, &occurrence.tasks, due_at);
             job.occurrences.insert(occurrence.number, entry);
         }
         let key = self.jobs.insert(job);
--- a/crates/pool/tests/random_pool.rs
+++ b/crates/pool/tests/random_pool.rs
@@ -1,8 +1,8 @@
 //! Random histories of jobs and faults, checked against the state of simulated workers.
 //!
 //! Guards against resources allocated twice, tasks that run twice or after their end, gangs started in part,
-//! steps out of order, exceeded spread limits, starts in closed data centres or of cancelled jobs, jobs
-//! that never finish, and jobs that wait while an idle worker could run them and nothing else needs it.
+//! steps out of order, exceeded spread limits, starts in closed data centres or of cancelled jobs, attempts
+//! that are counted twice or not at all after a change of the leader, jobs that never finish, and jobs that wait while an idle worker could run them and nothing else needs it.
 
 mod support;
 
@@ -67,6 +67,7 @@
     Leave(usize),
     CloseCentre(bool),
     LoseAnswers(Option<usize>),
+    ChangeLeader,
     Advance(u64),
 }
 
@@ -118,6 +119,7 @@
         1 => any::<usize>().prop_map(Action::Leave),
         1 => any::<bool>().prop_map(Action::CloseCentre),
         1 => prop::option::of(2usize..6).prop_map(Action::LoseAnswers),
+        2 => Just(Action::ChangeLeader),
         8 => (50u64..1_500).prop_map(Action::Advance),
     ]
 }
@@ -175,6 +177,7 @@
             Action::Leave(_) => {}
             Action::CloseCentre(closed) => simulation.close_centre(*closed),
             Action::LoseAnswers(interval) => simulation.lost_answer_interval = *interval,
+            Action::ChangeLeader => simulation.change_leader(),
             Action::Advance(millis) => simulation.advance(*millis),
         }
         simulation.decide();
--- a/crates/pool/tests/support/mod.rs
+++ b/crates/pool/tests/support/mod.rs
@@ -5,14 +5,14 @@
 pub(crate) mod idle_watch;
 pub(crate) mod pool_simulation;
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 
 use arbutuspick_model::{ClockTime, PlatformTime};
 use arbutuspick_pool::{
-    AccountGuarantee, CoreOptions, EndKind, JobBody, JobRecord, PoolCore, PoolOrder, PoolPolicy, QueueRule,
-    RecordChange, ResourceAmount, RunEnd, RunStatus, StartAnswer, StartOrder, StepBody, StopOrder, TaskName,
-    WorkerKey, WorkerListing, WorkerReport,
+    AccountGuarantee, CoreOptions, EndKind, JobBody, JobRecord, JobStage, PoolCore, PoolOrder, PoolPolicy,
+    QueueRule, RecordChange, ResourceAmount, RunEnd, RunStatus, StartAnswer, StartOrder, StepBody, StopOrder,
+    TaskName, WorkerKey, WorkerListing, WorkerReport,
 };
 
 /// Wall clock at time 0 of the pool, in Unix milliseconds.
@@ -28,6 +28,10 @@
     pub(crate) starts: Vec<StartOrder>,
     pub(crate) stops: Vec<StopOrder>,
     pub(crate) changes: Vec<RecordChange>,
+    reports: Vec<WorkerReport>,
+    bodies: BTreeMap<Arc<str>, JobBody>,
+    /// The latest record of each job.
+    pub(crate) records: BTreeMap<Arc<str>, JobRecord>,
 }
 
 pub(crate) fn queue(name: &str, priority: u32) -> Arc<QueueRule> {
@@ -110,11 +114,14 @@
         core.apply_policy(Arc::new(policy(16)));
         let now = ClockTime(100_000);
         let mut keys = Vec::new();
+        let mut reports = Vec::new();
         for number in 0..workers {
             let centre = if number / 4 % 2 == 0 { "trent" } else { "severn" };
-            let key = core.update_worker(report(number, &format!("r{}", number / 4), centre), now);
+            let report = report(number, &format!("r{}", number / 4), centre);
+            let key = core.update_worker(report.clone(), now);
             core.apply_listing(key, &empty_listing(now), now);
             keys.push(key);
+            reports.push(report);
         }
         Self {
             core,
@@ -125,9 +132,39 @@
             starts: Vec::new(),
             stops: Vec::new(),
             changes: Vec::new(),
+            reports,
+            bodies: BTreeMap::new(),
+            records: BTreeMap::new(),
         }
     }
 
+    /// Replaces the scheduler by one that knows only the stored records; no worker has been listed by it.
+    pub(crate) fn change_leader(&mut self) {
+        self.core = PoolCore::new(CoreOptions::default());
+        self.core.apply_policy(Arc::new(policy(16)));
+        let former = std::mem::take(&mut self.workers);
+        let mut runs = HashMap::new();
+        let mut ends = HashMap::new();
+        for (report, former) in self.reports.iter().zip(former) {
+            let key = self.core.update_worker(report.clone(), self.now);
+            self.workers.push(key);
+            runs.extend(self.runs.remove(&former).map(|runs| (key, runs)));
+            ends.extend(self.ends.remove(&former).map(|ends| (key, ends)));
+        }
+        (self.runs, self.ends) = (runs, ends);
+        let (now, wall) = (self.now, self.wall());
+        for (id, body) in &self.bodies {
+            let record = self.records.get(id).cloned().unwrap_or_default();
+            self.core
+                .add_job(id, body.clone(), &record, now, wall, now + 10_000);
+        }
+    }
+
+    /// Returns the stored stage of a job.
+    pub(crate) fn stage(&self, id: &str) -> JobStage {
+        self.records.get(id).map_or(JobStage::Queued, JobRecord::stage)
+    }
+
     /// Returns a pool with one task, which runs on a worker that has listed it.
     pub(crate) fn with_run() -> (Self, WorkerKey) {
         let mut pool = Self::new(4);
@@ -153,6 +190,7 @@
         body.accepted_at_ms = self.wall().0;
         let record = JobRecord::default();
         let (now, wall) = (self.now, self.wall());
+        self.bodies.insert(id.into(), body.clone());
         self.core.add_job(&id.into(), body, &record, now, wall, now);
     }
 
@@ -169,7 +207,14 @@
         let (now, wall) = (self.now, self.wall());
         self.core.decide(now, wall);
         let orders = self.core.take_orders();
-        self.changes.extend(self.core.take_changes());
+        let changes = self.core.take_changes();
+        for change in &changes {
+            match &change.record {
+                Some(record) => self.records.insert(change.job.clone(), record.clone()),
+                None => self.records.remove(&change.job),
+            };
+        }
+        self.changes.extend(changes);
         for order in &orders {
             match order {
                 PoolOrder::Start(start) => self.starts.push(start.clone()),
@@ -199,6 +244,18 @@
 
     /// Ends a run and applies the listing that reports it.
     pub(crate) fn end_run(&mut self, worker: WorkerKey, task: &TaskName, run: u32, kind: EndKind) {
+        self.end_run_with(worker, task, run, kind, "");
+    }
+
+    /// Ends a run with a last checkpoint and applies the listing that reports it.
+    pub(crate) fn end_run_with(
+        &mut self,
+        worker: WorkerKey,
+        task: &TaskName,
+        run: u32,
+        kind: EndKind,
+        checkpoint: &str,
+    ) {
         let runs = self.runs.entry(worker).or_default();
         let Some(index) = runs
             .iter()
@@ -214,7 +271,7 @@
             task: Some(task.clone()),
             run,
             kind,
-            checkpoint: "".into(),
+            checkpoint: checkpoint.into(),
         };
         let mut listing = self.listing(worker, 0);
         listing.ended.push(end);
--- a/crates/pool/tests/support/pool_simulation.rs
+++ b/crates/pool/tests/support/pool_simulation.rs
@@ -5,8 +5,8 @@
 
 use arbutuspick_model::{ClockTime, PlatformTime};
 use arbutuspick_pool::{
-    EndKind, JobBody, JobRecord, PoolCore, PoolOrder, RunEnd, RunStatus, StartAnswer, StartOrder, StopOrder,
-    TaskName, WorkerKey, WorkerListing, WorkerReport,
+    EndKind, JobBody, JobRecord, JobStage, PoolCore, PoolOrder, RunEnd, RunStatus, StartAnswer, StartOrder,
+    StopOrder, TaskName, WorkerKey, WorkerListing, WorkerReport,
 };
 
 use super::idle_watch::IdleWatch;
@@ -41,12 +41,17 @@
     pub(crate) next_end: u64,
 }
 
+/// What uses up attempts: a gang, or a task.
+type AttemptUnit = (Arc<str>, u32, u32, Option<u32>);
+
 /// The pool, its scheduler and the jobs of the callers.
 pub(crate) struct PoolSimulation {
     pub(crate) core: PoolCore,
     pub(crate) now: ClockTime,
     pub(crate) workers: Vec<SimulatedWorker>,
     pub(crate) bodies: BTreeMap<Arc<str>, JobBody>,
+    /// The latest record of each job.
+    pub(crate) records: BTreeMap<Arc<str>, JobRecord>,
     pub(crate) cancelled: HashSet<Arc<str>>,
     pub(crate) ended_jobs: HashSet<Arc<str>>,
     /// Tasks that have ended as done, whether the scheduler knows it or not.
@@ -54,6 +59,9 @@
     /// Tasks whose end was reported before the lease expired; they must not start again.
     pub(crate) reported_done: HashSet<TaskName>,
     pub(crate) failures: HashMap<TaskName, u32>,
+    /// Runs that a member or the task itself has ended as failed, by job, occurrence and step, and the task if it is
+    /// not a member of a gang.
+    pub(crate) failed_runs: HashMap<AttemptUnit, HashSet<u32>>,
     pub(crate) delayed_starts: Vec<(ClockTime, StartOrder)>,
     pub(crate) closed_centres: HashSet<Arc<str>>,
     pub(crate) stops: usize,
@@ -74,6 +82,8 @@
 const ENDS_PER_LISTING: usize = 2;
 /// Interval between checks for idle workers, in milliseconds.
 const DUMP_INTERVAL_MS: u64 = 1_000;
+/// Number of attempts that the queues allow.
+const MAX_ATTEMPTS: usize = 4;
 /// Lease that the scheduler grants, in milliseconds.
 const LEASE_MS: u64 = 9_000;
 
@@ -84,11 +94,13 @@
             now: ClockTime(100_000),
             workers: Vec::new(),
             bodies: BTreeMap::new(),
+            records: BTreeMap::new(),
             cancelled: HashSet::new(),
             ended_jobs: HashSet::new(),
             finished: HashSet::new(),
             reported_done: HashSet::new(),
             failures: HashMap::new(),
+            failed_runs: HashMap::new(),
             delayed_starts: Vec::new(),
             closed_centres: HashSet::new(),
             stops: 0,
@@ -204,6 +216,31 @@
         self.core.update_worker(report, self.now);
     }
 
+    /// Replaces the scheduler by one that knows only the stored records and the registry.
+    ///
+    /// Starts of the former one that are still on their way are rejected once the next one has listed the worker.
+    pub(crate) fn change_leader(&mut self) {
+        self.core = PoolCore::new(Default::default());
+        self.core.apply_policy(Arc::new(policy(16)));
+        self.core.set_closed_centres(self.closed_centres.clone());
+        self.delayed_starts.clear();
+        let (now, wall) = (self.now, self.wall());
+        for worker in &mut self.workers {
+            worker.key = self.core.update_worker(worker.report.clone(), now);
+            worker.detected_at = (!worker.reachable).then_some(now + DETECTION_MS);
+        }
+        for (id, body) in &self.bodies {
+            let record = self.records.get(id).cloned().unwrap_or_default();
+            if !record.stage().is_final() {
+                self.core
+                    .add_job(id, body.clone(), &record, now, wall, now + LEASE_MS + 500);
+            }
+            if self.cancelled.contains(id) {
+                self.core.cancel_job(id, now);
+            }
+        }
+    }
+
     pub(crate) fn close_centre(&mut self, closed: bool) {
         self.closed_centres = if closed {
             HashSet::from(["trent".into()])
@@ -317,7 +354,17 @@
             let Some(task) = end.task else { continue };
             match end.kind {
                 EndKind::Done => self.reported_done.extend(self.tasks_done_by(&task)),
-                EndKind::Failed => *self.failures.entry(task).or_default() += 1,
+                EndKind::Failed => {
+                    let gang = self.bodies[&task.job].steps[task.step as usize].gang;
+                    let unit = (
+                        task.job.clone(),
+                        task.occurrence,
+                        task.step,
+                        (!gang).then_some(task.index),
+                    );
+                    self.failed_runs.entry(unit).or_default().insert(end.run);
+                    *self.failures.entry(task).or_default() += 1;
+                }
                 _ => {}
             }
         }
@@ -376,9 +423,12 @@
         self.core.decide(now, wall);
         let orders = self.core.take_orders();
         for change in self.core.take_changes() {
-            if change.record.is_some_and(|record| record.stage().is_final()) {
-                self.ended_jobs.insert(change.job);
+            let Some(record) = change.record else { continue };
+            if record.stage().is_final() {
+                self.check_final_stage(&change.job, record.stage());
+                self.ended_jobs.insert(change.job.clone());
             }
+            self.records.insert(change.job, record);
         }
         let starts = orders.iter().filter_map(|order| match order {
             PoolOrder::Start(start) => Some(start.clone()),
@@ -394,6 +444,21 @@
         }
     }
 
+    /// Checks that a job ends as its runs say, whichever leaders have followed them.
+    fn check_final_stage(&self, job: &Arc<str>, stage: JobStage) {
+        let mut units = self.failed_runs.iter().filter(|((id, ..), _)| id == job);
+        let is_used_up = units.any(|(_, runs)| runs.len() >= MAX_ATTEMPTS);
+        match stage {
+            JobStage::Failed => assert!(
+                is_used_up,
+                "{job} failed with attempts left: {:?}",
+                self.failed_runs
+            ),
+            JobStage::Cancelled => assert!(self.cancelled.contains(job), "{job} was not cancelled"),
+            _ => assert!(!is_used_up, "{job} is {stage:?} after its last attempt"),
+        }
+    }
+
     /// Checks that the members of a gang start together and with the same run number.
     fn check_gangs(&self, starts: &[StartOrder]) {
         let mut gangs: HashMap<(Arc<str>, u32, u32), Vec<u32>> = HashMap::new();
@@ -478,7 +543,8 @@
             began_at: self.now,
             gang: step.gang,
             broken: false,
-            fails: step.estimate_ms % 2 == 1 && order.run == 1,
+            // Some tasks fail in each run, others in the first ones only.
+            fails: step.estimate_ms % 2 == 1 && u64::from(order.run) <= step.estimate_ms % 5,
             stopping_until: None,
         });
         // A start order grants a lease of 4 s, as in the dispatch crate.
@@ -537,7 +603,7 @@
         let labelled = worker.report.labels.iter().any(|own| own.as_ref() == label);
         assert!(label.is_empty() || labelled, "{task} needs the label {label}");
         assert!(
-            self.failures.get(task).copied().unwrap_or(0) < 4,
+            (self.failures.get(task).copied().unwrap_or(0) as usize) < MAX_ATTEMPTS,
             "{task} started after its last attempt"
         );
     }
