Resume all members of a gang from one checkpoint after a failed end

The next run of a gang whose member failed could carry two checkpoints, which the protocol forbids.

Cause: the checkpoint of an end was shared with the gang for every kind of end but `failed`; and a restored gang kept one checkpoint for each member, also if its record was stored in part. Every end shares its checkpoint now, and a restored gang takes one for all.

Ruled out: listings of running members, which shared theirs before.

gang_attempts: failed_checkpoint (2 cases) and mixed_checkpoints failed before, all 12 cases pass. No further call and no larger record.

--- a/crates/pool/src/listing_apply.rs
+++ b/crates/pool/src/listing_apply.rs
@@ -246,15 +246,13 @@
             log::Level::Info
         };
         log::log!(level, "[run] task={name} run={} ended={:?}", end.run, end.kind);
+        if has_checkpoint {
+            self.share_checkpoint(key, name, &end.checkpoint);
+        }
         match end.kind {
             EndKind::Done => self.finish_task(key, name, now),
             EndKind::Failed => self.fail_task(key, name, worker, now),
-            _ => {
-                if has_checkpoint {
-                    self.share_checkpoint(key, name, &end.checkpoint);
-                }
-                self.requeue_task(name, end.run, worker, RunRelease::Ended, now);
-            }
+            _ => self.requeue_task(name, end.run, worker, RunRelease::Ended, now),
         }
     }
 
--- a/crates/pool/src/placement_restore.rs
+++ b/crates/pool/src/placement_restore.rs
@@ -28,6 +28,7 @@
         }
         if body.gang {
             restore_gang_failures(&mut step.tasks, &records);
+            restore_gang_checkpoint(&mut step.tasks);
         }
     }
     occurrence
@@ -55,6 +56,17 @@
     }
 }
 
+/// Makes the members of a gang resume from one checkpoint; that of any member is valid for all.
+fn restore_gang_checkpoint(members: &mut [TaskEntry]) {
+    let saved = members.iter().find(|member| !member.checkpoint.is_empty());
+    let Some(checkpoint) = saved.map(|member| member.checkpoint.clone()) else {
+        return;
+    };
+    for member in members {
+        member.checkpoint = checkpoint.clone();
+    }
+}
+
 impl PoolCore {
     /// Restores the recorded runs of an occurrence, which may still be present on their workers.
     pub(crate) fn restore_placements(
--- a/crates/pool/tests/gang_attempts.rs
+++ b/crates/pool/tests/gang_attempts.rs
@@ -149,3 +149,48 @@
         .map(|task| task.failures);
     assert_eq!(failures.collect::<Vec<_>>(), [2, 2]);
 }
+
+/// Guards against members that resume from different checkpoints, because that of a failed end was kept for one
+/// member only.
+#[parameterized(
+    same_leader = { false },
+    next_leader = { true },
+)]
+fn failed_checkpoint(change: bool) {
+    let mut pool = pool_with_gang(3);
+    let (worker, task, run) = members(&pool)[1].clone();
+    pool.end_run_with(worker, &task, run, EndKind::Failed, "c7");
+    pool.run_decision();
+    if change {
+        pool.change_leader();
+    }
+    fail_run(&mut pool, &[]);
+    start_run(&mut pool, 3, 2);
+    let resumed = pool.starts.iter().filter(|start| start.run == 2);
+    let checkpoints: Vec<&str> = resumed.map(|start| start.checkpoint.as_ref()).collect();
+    assert_eq!(checkpoints, ["c7"; 3]);
+}
+
+/// Guards against members that resume from different checkpoints after a restore from a record that was stored in
+/// part, or by a version that kept the checkpoint of a failed end for one member.
+#[test]
+fn mixed_checkpoints() {
+    let mut pool = pool_with_gang(3);
+    fail_run(&mut pool, &[]);
+    let record = pool.records.get_mut("a").unwrap();
+    for (task, checkpoint) in record.occurrences[0].tasks.iter_mut().zip(["", "c3", "c4"]) {
+        // The commit of the next run did not take place.
+        (task.worker, task.run) = (String::new(), 1);
+        task.checkpoint = checkpoint.into();
+    }
+    pool.change_leader();
+    pool.runs.clear();
+    pool.starts.clear();
+    start_run(&mut pool, 3, 2);
+    let checkpoints: Vec<&str> = pool
+        .starts
+        .iter()
+        .map(|start| start.checkpoint.as_ref())
+        .collect();
+    assert_eq!(checkpoints, ["c3"; 3]);
+}
