Restore a gang as done if one of its members is stored as done

A gang whose record takes several rows could be left with some members done after a leader was killed between two commits. If the ends of the others were not listed again, the gang neither completed nor started again, and the job stayed running for good.

One member that is done now stands for all when a gang is restored, as it does when its end is listed. Occurrences that are done are closed in one place.

Ruled out: the last step of a job, whose final record is a single row, but for the record of the test.

--- a/crates/pool/src/listing_apply.rs
+++ b/crates/pool/src/listing_apply.rs
@@ -287,18 +287,12 @@
             task.placement = None;
             task.done = !endless;
         }
-        if occurrence.is_done() {
-            job.occurrences.remove(&name.occurrence);
-        }
-        let is_last = job.occurrences.is_empty() && job.released >= job.total_occurrences();
         if let Some(observation) = observation
             && let Some(view) = self.workers.get_mut(observation.worker)
         {
             view.speed.record(&observation);
         }
-        if is_last {
-            self.end_job(key, JobStage::Completed, now);
-        }
+        self.close_occurrence(key, name.occurrence, now);
     }
 
     /// Counts a failed run; a task or gang that has used up its attempts fails the job.
--- a/crates/pool/src/placement_restore.rs
+++ b/crates/pool/src/placement_restore.rs
@@ -29,6 +29,9 @@
         if body.gang {
             restore_gang_failures(&mut step.tasks, &records);
             restore_gang_checkpoint(&mut step.tasks);
+            // The members of a gang end as done together, so one of them stands for all.
+            let is_done = !body.endless && step.tasks.iter().any(|task| task.done);
+            step.tasks.iter_mut().for_each(|task| task.done |= is_done);
         }
     }
     occurrence
@@ -87,7 +90,9 @@
         for (step, count) in steps.into_iter().enumerate() {
             for index in 0..count {
                 let Some(record) = records.next() else { return };
-                if record.worker.is_empty() || record.done {
+                let name = self.jobs[key].task_name(number, step, index);
+                let is_done = self.jobs[key].task_mut(&name).is_none_or(|task| task.done);
+                if record.worker.is_empty() || is_done {
                     continue;
                 }
                 let id: Arc<str> = record.worker.as_str().into();
@@ -97,7 +102,6 @@
                 let worker =
                     known.unwrap_or_else(|| self.add_unknown_worker(&id, record.worker_started_at_ms, now));
                 let amount = self.jobs[key].body.steps[step].amount();
-                let name = self.jobs[key].task_name(number, step, index);
                 let view = &mut self.workers[worker];
                 view.lease_expiry = view.lease_expiry.max(lease_expiry);
                 view.allocations.insert(
--- a/crates/pool/src/pool_core.rs
+++ b/crates/pool/src/pool_core.rs
@@ -159,6 +159,22 @@
         for occurrence in &record.occurrences {
             self.restore_placements(key, occurrence.number, &occurrence.tasks, now, lease_expiry);
         }
+        // The record may have been stored only in part when the last task was done.
+        for occurrence in &record.occurrences {
+            self.close_occurrence(key, occurrence.number, now);
+        }
+    }
+
+    /// Removes an occurrence if all its tasks are done, and completes the job with its last occurrence.
+    pub(crate) fn close_occurrence(&mut self, key: JobKey, number: u32, now: ClockTime) {
+        let Some(job) = self.jobs.get_mut(key) else { return };
+        if !job.occurrences.get(&number).is_some_and(OccurrenceEntry::is_done) {
+            return;
+        }
+        job.occurrences.remove(&number);
+        if job.occurrences.is_empty() && job.released >= job.total_occurrences() {
+            self.end_job(key, JobStage::Completed, now);
+        }
     }
 
     fn queue_rule(&self, body: &JobBody) -> Arc<QueueRule> {
--- a/crates/pool/tests/gang_attempts.rs
+++ b/crates/pool/tests/gang_attempts.rs
@@ -194,3 +194,40 @@
         .collect();
     assert_eq!(checkpoints, ["c3"; 3]);
 }
+
+/// Guards against a gang that neither completes nor starts again, because its leader was killed between the commits of
+/// a record that takes several rows: some members are stored as done, the others are not.
+#[parameterized(
+    last_step = { false },
+    earlier_step = { true },
+)]
+fn partly_stored(followed: bool) {
+    let mut pool = TestPool::new(8);
+    let gang = StepBody {
+        gang: true,
+        ..step(3, 8)
+    };
+    let next = StepBody {
+        after: vec![0],
+        ..step(1, 1)
+    };
+    let steps = if followed { vec![gang, next] } else { vec![gang] };
+    pool.submit("a", body("normal", "north", steps));
+    start_run(&mut pool, 3, 1);
+    let mut record = pool.records["a"].clone();
+    let first = &mut record.occurrences[0].tasks[0];
+    (first.done, first.worker) = (true, String::new());
+    pool.records.insert("a".into(), record);
+    // The ends are not listed again, as after a restart of the workers.
+    pool.runs.clear();
+    pool.change_leader();
+    list_all(&mut pool);
+    pool.run_decision();
+    if followed {
+        list_all(&mut pool);
+        assert_eq!(pool.running_count("a"), 1, "the next step did not start");
+        pool.finish_job("a");
+        pool.decide();
+    }
+    assert_eq!(pool.stage("a"), JobStage::Completed);
+}
