Remove a job from the scheduler at the moment in which it ends

A job that was accepted and cancelled while there was no leader was started by the next one, over four seconds after the cancel was acknowledged.

Cause: a job that had ended stayed among the jobs until its final record was taken. In between, release_occurrences created its first occurrence and the placement pass placed it.

A job leaves the jobs when it ends, and its final record waits beside them, so no path can create work for it in any order of events. The same cause started a due occurrence of a repeated job in the pass in which it failed.

Ruled out: the order in which bodies and cancel requests are applied, and a second leader (the fence of the start was that of the new leader).

--- a/crates/pool/src/pool_core.rs
+++ b/crates/pool/src/pool_core.rs
@@ -64,6 +64,7 @@
     pub(crate) options: CoreOptions,
     pub(crate) policy: Arc<PoolPolicy>,
     pub(crate) closed_centres: HashSet<Arc<str>>,
+    /// Jobs that have not ended. A job leaves when it ends, so that no further work is created for it.
     pub(crate) jobs: SlotMap<JobKey, JobEntry>,
     pub(crate) job_index: HashMap<Arc<str>, JobKey>,
     pub(crate) workers: SlotMap<WorkerKey, WorkerView>,
@@ -80,6 +81,8 @@
     pub(crate) latency_samples: Vec<LatencySample>,
     /// Jobs whose records have changed since `take_changes`.
     changed_jobs: BTreeSet<JobKey>,
+    /// Final records of the jobs that have ended since `take_changes`.
+    ended_records: Vec<RecordChange>,
     /// Stored final records with the time at which each is deleted, oldest first.
     final_records: VecDeque<(ClockTime, Arc<str>)>,
     /// Ended jobs whose final records are still stored; a body that is read again must not restart them.
@@ -303,7 +306,7 @@
 
     /// Returns the records that changed since the last call.
     pub fn take_changes(&mut self) -> Vec<RecordChange> {
-        let mut changes = Vec::new();
+        let mut changes = std::mem::take(&mut self.ended_records);
         for key in std::mem::take(&mut self.changed_jobs) {
             let Some(job) = self.jobs.get(key) else { continue };
             let record = job.to_record(|worker| {
@@ -314,11 +317,6 @@
                 job: job.id.clone(),
                 record: Some(record),
             });
-            if job.stage.is_final() {
-                let id = job.id.clone();
-                self.job_index.remove(&id);
-                self.jobs.remove(key);
-            }
         }
         let expired = std::mem::take(&mut self.expired_records).into_iter();
         changes.extend(expired.map(|job| RecordChange { job, record: None }));
@@ -376,8 +374,12 @@
     }
 
     /// Ends a job and stops its runs.
+    ///
+    /// The runs keep their allocations until their ends are known, since the final record does not name them.
     pub(crate) fn end_job(&mut self, key: JobKey, stage: JobStage, now: ClockTime) {
-        let Some(job) = self.jobs.get_mut(key) else { return };
+        let Some(mut job) = self.jobs.remove(key) else {
+            return;
+        };
         log::info!(
             "[job] id={} queue={} stage={} age_ms={} objective_ms={}",
             job.id,
@@ -386,25 +388,24 @@
             now.millis_since(job.arrived_at),
             job.objective_ms(),
         );
-        job.stage = stage;
-        let mut stops = Vec::new();
-        for (number, occurrence) in &job.occurrences {
+        self.job_index.remove(&job.id);
+        self.reservations.retain(|reservation| reservation.job != key);
+        for (number, occurrence) in std::mem::take(&mut job.occurrences) {
             for (step, entry) in occurrence.steps.iter().enumerate() {
                 for (index, task) in entry.tasks.iter().enumerate() {
                     if let Some(placement) = task.placement {
-                        stops.push((job.task_name(*number, step, index), task.run, placement.worker));
+                        let name = job.task_name(number, step, index);
+                        self.order_stop(name, task.run, placement.worker, StopReason::JobEnded, now);
                     }
                 }
             }
         }
-        job.occurrences.clear();
-        let id = job.id.clone();
-        for (task, run, worker) in stops {
-            self.order_stop(task, run, worker, StopReason::JobEnded, now);
-        }
-        self.reservations.retain(|reservation| reservation.job != key);
-        self.track_final_record(&id, now);
-        self.mark_changed(key);
+        job.stage = stage;
+        self.ended_records.push(RecordChange {
+            job: job.id.clone(),
+            record: Some(job.to_record(|_| None)),
+        });
+        self.track_final_record(&job.id, now);
     }
 
     /// Orders a stop, unless one was ordered within the last `STOP_REPEAT_MS`.
--- a/crates/pool/tests/random_pool.rs
+++ b/crates/pool/tests/random_pool.rs
@@ -60,6 +60,8 @@
     /// Jobs that no worker can run until others join the pool.
     SubmitBlocked(BlockedKind, u64),
     AddRareWorker,
+    /// A job and its cancel request, applied before the next decision.
+    SubmitCancelled(JobBody),
     Cancel(usize),
     Disconnect(usize),
     ReconnectAll,
@@ -68,6 +70,8 @@
     CloseCentre(bool),
     LoseAnswers(Option<usize>),
     ChangeLeader,
+    /// A job is cancelled while there is no leader.
+    CancelDuringTakeover(usize),
     Advance(u64),
 }
 
@@ -90,11 +94,15 @@
 fn any_job() -> impl Strategy<Value = JobBody> {
     let queue = prop_oneof![Just("urgent"), Just("normal"), Just("bulk")];
     let account = prop_oneof![Just("north"), Just("south")];
-    (queue, account, prop::collection::vec(any_step(), 1..3)).prop_map(|(queue, account, mut steps)| {
+    let steps = prop::collection::vec(any_step(), 1..3);
+    let schedule = prop_oneof![3 => Just((0, 0)), 1 => (1u32..4, 200u64..2_000)];
+    (queue, account, steps, schedule).prop_map(|(queue, account, mut steps, schedule)| {
         if let Some(second) = steps.get_mut(1) {
             second.after = vec![0];
         }
-        body(queue, account, steps)
+        let mut job = body(queue, account, steps);
+        (job.occurrences, job.interval_ms) = schedule;
+        job
     })
 }
 
@@ -120,6 +128,8 @@
         1 => any::<bool>().prop_map(Action::CloseCentre),
         1 => prop::option::of(2usize..6).prop_map(Action::LoseAnswers),
         2 => Just(Action::ChangeLeader),
+        1 => any::<usize>().prop_map(Action::CancelDuringTakeover),
+        1 => any_job().prop_map(Action::SubmitCancelled),
         8 => (50u64..1_500).prop_map(Action::Advance),
     ]
 }
@@ -166,6 +176,10 @@
                 }
             }
             Action::AddRareWorker => simulation.add_rare_worker(),
+            Action::SubmitCancelled(job) => {
+                let id = simulation.submit(job.clone());
+                simulation.cancel_job(&id);
+            }
             Action::Cancel(choice) => simulation.cancel(*choice),
             Action::Disconnect(choice) => simulation.disconnect(*choice),
             Action::ReconnectAll => simulation.reconnect_all(),
@@ -178,6 +192,10 @@
             Action::CloseCentre(closed) => simulation.close_centre(*closed),
             Action::LoseAnswers(interval) => simulation.lost_answer_interval = *interval,
             Action::ChangeLeader => simulation.change_leader(),
+            Action::CancelDuringTakeover(choice) => {
+                simulation.change_leader();
+                simulation.cancel(*choice);
+            }
             Action::Advance(millis) => simulation.advance(*millis),
         }
         simulation.decide();
--- a/crates/pool/tests/support/pool_simulation.rs
+++ b/crates/pool/tests/support/pool_simulation.rs
@@ -151,6 +151,7 @@
         let id: Arc<str> = format!("{:016x}", self.next_job).into();
         self.next_job += 1;
         body.accepted_at_ms = self.wall().0;
+        body.first_due_ms = self.wall().0;
         self.bodies.insert(id.clone(), body.clone());
         let (now, wall) = (self.now, self.wall());
         self.core
@@ -169,8 +170,12 @@
             return;
         }
         let id = unfinished[choice % unfinished.len()].clone();
-        self.core.cancel_job(&id, self.now);
-        self.cancelled.insert(id);
+        self.cancel_job(&id);
+    }
+
+    pub(crate) fn cancel_job(&mut self, id: &Arc<str>) {
+        self.core.cancel_job(id, self.now);
+        self.cancelled.insert(id.clone());
     }
 
     pub(crate) fn disconnect(&mut self, choice: usize) {
@@ -235,9 +240,6 @@
                 self.core
                     .add_job(id, body.clone(), &record, now, wall, now + LEASE_MS + 500);
             }
-            if self.cancelled.contains(id) {
-                self.core.cancel_job(id, now);
-            }
         }
     }
 
@@ -328,8 +330,7 @@
         }
         for (task, number) in broken {
             for run in self.workers.iter_mut().flat_map(|worker| &mut worker.runs) {
-                let member = run.task.job == task.job && run.task.step == task.step && run.run == number;
-                run.broken |= member;
+                run.broken |= is_same_step(&run.task, &task) && run.run == number;
             }
         }
     }
@@ -339,7 +340,7 @@
         let ends_at = self.now + step.estimate_ms;
         let runs = self.workers.iter_mut().flat_map(|worker| &mut worker.runs);
         let members: Vec<&mut SimulatedRun> = runs
-            .filter(|run| run.task.job == task.job && run.task.step == task.step && run.run == number)
+            .filter(|run| is_same_step(&run.task, task) && run.run == number)
             .collect();
         if members.len() == step.count as usize {
             for member in members {
@@ -637,3 +638,8 @@
         unfinished.cloned().collect()
     }
 }
+
+/// Returns whether both are tasks of one step of one occurrence.
+fn is_same_step(task: &TaskName, other: &TaskName) -> bool {
+    (&task.job, task.occurrence, task.step) == (&other.job, other.occurrence, other.step)
+}
