Drop starts of jobs that were cancelled while the decision was stored

The tasks of a job could start up to a second after its cancel had been acknowledged, if the request arrived while the decision to start them was being stored.

Cause: what arrived during a commit was applied only after the orders were sent. It is applied before them now, and starts of jobs that have ended are dropped; their stops are still sent, which frees the capacity.

Ruled out: applying reports of workers at the same point, as no start depends on them in this way.

job_lifecycle::cancelled_during_commit failed before and passes; commits take 300 ms there.

--- a/crates/dispatch/src/leader_run.rs
+++ b/crates/dispatch/src/leader_run.rs
@@ -189,7 +189,7 @@
             last_decision_at = Instant::now();
             let now = self.context.clock.now();
             self.context.state_dump.answer(|| self.core.dump(now));
-            if self.authority.is_revoked() || self.decide_and_send().await.is_err() {
+            if self.authority.is_revoked() || self.decide_and_send(&mut events).await.is_err() {
                 return LeaderExit::Lost;
             }
         }
@@ -449,8 +449,11 @@
         }
     }
 
-    /// Decides, stores the decisions and then sends the resulting orders.
-    async fn decide_and_send(&mut self) -> Result<(), LeadershipLost> {
+    /// Decides, stores the decisions and then sends the resulting orders, as far as they still hold.
+    async fn decide_and_send(
+        &mut self,
+        events: &mut UnboundedReceiver<LeaderEvent>,
+    ) -> Result<(), LeadershipLost> {
         let now = self.context.clock.now();
         self.seal_expired_leases(now);
         self.core.decide(now, self.context.clock.wall());
@@ -477,9 +480,21 @@
                 session.state().update(end, needs_listing);
             }
         }
+        // A cancel request that arrived during the commit is applied before the starts that it makes pointless.
+        while let Ok(event) = events.try_recv() {
+            self.apply_event(event);
+        }
         let mut stop_counts: BTreeMap<(Arc<str>, StopReason), usize> = BTreeMap::new();
         for order in orders {
             let worker = match &order {
+                PoolOrder::Start(start) if !self.core.has_job(&start.task.job) => {
+                    log::info!(
+                        "[start] task={} run={} dropped cause=job ended",
+                        start.task,
+                        start.run
+                    );
+                    continue;
+                }
                 PoolOrder::Start(start) => start.worker,
                 PoolOrder::Stop(stop) => {
                     log::debug!(
--- a/crates/dispatch/tests/job_lifecycle.rs
+++ b/crates/dispatch/tests/job_lifecycle.rs
@@ -3,7 +3,7 @@
 mod support;
 
 use arbutuspick_dispatch::{CancelOutcome, StatusOutcome, SubmitOutcome};
-use support::{FakeFleet, TestProcess, deadline, final_stage, job, sleep_ms, store_with};
+use support::{FakeFleet, StoreMode, TestProcess, deadline, final_stage, job, sleep_ms, store_with};
 
 const ID: &str = "00000000000000aa";
 
@@ -74,3 +74,21 @@
         CancelOutcome::Unknown
     );
 }
+
+/// Guards against starting the tasks of a job that was cancelled while the decision to start them was being stored.
+#[tokio::test(start_paused = true)]
+async fn cancelled_during_commit() {
+    let (store, fleet) = (store_with(2), FakeFleet::new(60_000));
+    let leader = TestProcess::start(1, &store, &fleet);
+    sleep_ms(500).await;
+    let other = TestProcess::start(2, &store, &fleet);
+    store.set_mode(1, StoreMode::SlowCommits);
+    sleep_ms(500).await;
+    other.intake.submit(ID, &job(4), deadline(2_000)).await;
+    sleep_ms(100).await;
+    let outcome = other.intake.cancel(ID, Some("north"), deadline(2_000)).await;
+    assert_eq!(outcome, CancelOutcome::Accepted);
+    sleep_ms(2_000).await;
+    assert!(fleet.started_runs().is_empty(), "the cancelled job was started");
+    assert_eq!(final_stage(&leader, ID, 1_000).await, "cancelled");
+}
--- a/crates/dispatch/tests/support/mod.rs
+++ b/crates/dispatch/tests/support/mod.rs
@@ -51,6 +51,10 @@
     DelayWrites,
     /// Answers reads of whole tables after 300 ms.
     SlowReads,
+    /// Executes transactions after 300 ms.
+    SlowCommits,
+    /// Answers reads of the job records after one second and calls for changes after 300 ms.
+    SlowRecords,
 }
 
 #[derive(Debug, Default)]
@@ -218,7 +222,12 @@
                 });
                 Err(self.wait_for_deadline(deadline).await)
             }
-            _ => Ok(apply(&mut lock(&self.state), transaction)),
+            mode => {
+                if mode == StoreMode::SlowCommits {
+                    tokio::time::sleep(Duration::from_millis(300)).await;
+                }
+                Ok(apply(&mut lock(&self.state), transaction))
+            }
         }
     }
 
@@ -230,8 +239,12 @@
         deadline: ClockTime,
     ) -> Result<RowPage, StoreError> {
         self.check_mode(deadline).await?;
-        if self.mode() == StoreMode::SlowReads {
-            tokio::time::sleep(Duration::from_millis(300)).await;
+        match self.mode() {
+            StoreMode::SlowReads => tokio::time::sleep(Duration::from_millis(300)).await,
+            StoreMode::SlowRecords if table == "progress" => {
+                tokio::time::sleep(Duration::from_secs(1)).await;
+            }
+            _ => {}
         }
         let state = lock(&self.state);
         let rows = state
@@ -261,6 +274,9 @@
         deadline: ClockTime,
     ) -> Result<FollowOutcome, StoreError> {
         let until = self.clock.now() + wait_ms;
+        if self.mode() == StoreMode::SlowRecords {
+            tokio::time::sleep(Duration::from_millis(300)).await;
+        }
         loop {
             self.check_mode(deadline).await?;
             {
