Read cancel requests last when a leader loads its tables

A new leader could start a job that had been cancelled while it read the job records.

Cause: it read its tables at the same time and decided when the slowest was there, with requests as old as the start of the reading. Requests are read last now, so the first decision knows every cancel that was answered until then.

Ruled out: waiting for the first answer about changes, which can take the whole wait of the call when there are none.

leader_change::cancelled_during_load failed before and passes. Cost: one more round trip for each takeover.

--- a/crates/dispatch/src/leader_run.rs
+++ b/crates/dispatch/src/leader_run.rs
@@ -217,12 +217,14 @@
     async fn load_state(&mut self) -> Result<(u64, ClockTime), LeadershipLost> {
         let started = self.context.clock.now();
         self.apply_policy();
-        let (workers, progress, intake) = tokio::join!(
+        let (workers, progress) = tokio::join!(
             self.read_with_retries(self.context.options.worker_table),
             self.read_with_retries(PROGRESS_TABLE),
-            self.read_with_retries(INTAKE_TABLE),
         );
-        let (workers, progress, (intake, after)) = (workers?.0, progress?.0, intake?);
+        let (workers, progress) = (workers?.0, progress?.0);
+        // Read last, so that the first decision knows every cancel request that was answered until then, however long
+        // the other tables took.
+        let (intake, after) = self.read_with_retries(INTAKE_TABLE).await?;
         let now = self.context.clock.now();
         for report in (self.context.decode_workers)(&workers, now) {
             self.core.update_worker(report, now);
--- a/crates/dispatch/tests/leader_change.rs
+++ b/crates/dispatch/tests/leader_change.rs
@@ -2,9 +2,14 @@
 
 mod support;
 
-use arbutuspick_dispatch::{ElectionDecision, ElectionWatch};
+use arbutuspick_dispatch::{
+    BootClock, CancelOutcome, ElectionDecision, ElectionWatch, IntakeOptions, JobIntake, LeaderRecord,
+};
 use arbutuspick_model::ClockTime;
-use support::{FakeFleet, StoreMode, TestProcess, deadline, final_stage, job, sleep_ms, store_with};
+use prost::Message;
+use support::{
+    FakeFleet, FakeStore, StoreMode, TestProcess, deadline, final_stage, job, sleep_ms, store_with,
+};
 
 const ID: &str = "00000000000000aa";
 const NEXT_ID: &str = "00000000000000bb";
@@ -115,6 +120,39 @@
     assert_eq!(fleet.started_runs().len(), 2, "started before the leases expired");
 }
 
+/// Guards against a new leader that starts a job although it was cancelled while that leader read the job records.
+#[tokio::test(start_paused = true)]
+async fn cancelled_during_load() {
+    let (store, fleet) = (store_with(2), FakeFleet::new(60_000));
+    let leader = TestProcess::start(1, &store, &fleet);
+    sleep_ms(500).await;
+    let other = TestProcess::start(2, &store, &fleet);
+    store.set_mode(2, StoreMode::SlowRecords);
+    let caller = JobIntake::new(
+        store.for_process(3),
+        BootClock::from_runtime(),
+        IntakeOptions::default(),
+    );
+    leader.kill();
+    caller.submit(ID, &job(4), deadline(2_000)).await;
+    let epoch = |store: &FakeStore| {
+        let record = store.value("seat", "holder").expect("no leader record");
+        LeaderRecord::decode(record)
+            .expect("unreadable leader record")
+            .epoch
+    };
+    let former = epoch(&store);
+    while epoch(&store) == former {
+        sleep_ms(20).await;
+    }
+    sleep_ms(300).await;
+    let outcome = caller.cancel(ID, Some("north"), deadline(2_000)).await;
+    assert_eq!(outcome, CancelOutcome::Accepted);
+    assert_eq!(final_stage(&other, ID, 8_000).await, "cancelled");
+    sleep_ms(1_000).await;
+    assert!(fleet.started_runs().is_empty(), "the cancelled job was started");
+}
+
 /// Guards against a small VM that becomes leader before VMs with more capacity had time to.
 #[test]
 fn small_vm() {
