Keep cancel requests that are read before the body of their job

A cancelled job could run to its end. A new leader reads the table of requests page by page; if the job was submitted and cancelled between the pages of its body and of its cancel request, the leader took the request for one of a job that had ended and removed it. The body came with the next changes, and the job ran.

Such a request is kept now, applied when the body comes, and removed from the store after a minute. Requests of jobs that have ended are removed at once, as before.

Ruled out: the order within one page or one set of changes, in which bodies come first.

--- a/crates/dispatch/src/leader_run.rs
+++ b/crates/dispatch/src/leader_run.rs
@@ -14,6 +14,7 @@
 
 use crate::commit_writer::{CommitWriter, LeadershipLost};
 use crate::dispatch_loop::{DispatchContext, LeaderView};
+use crate::expiring_rows::ExpiringRows;
 use crate::leader_authority::{LEASE_WINDOW_MS, LeaderAuthority};
 use crate::leader_feeds::{
     LeaderEvent, RETRY_DELAY_MS, TAKEOVER_READ_TIMEOUT_MS, follow_intake, watch_stronger_peers, watch_workers,
@@ -35,6 +36,8 @@
 const MAX_COMMIT_INTERVAL_MS: u64 = 250;
 /// Minimum interval between updates of the stored counts of pending jobs, in milliseconds.
 const MIN_PENDING_UPDATE_INTERVAL_MS: u64 = 800;
+/// Retention period of requests that refer to no known job, in milliseconds; longer than a write can be delayed.
+const REQUEST_RETENTION_MS: u64 = 60_000;
 /// Margin added to the wait for leases of an earlier leader, in percent; a worker's clock may be 2% slow.
 const LEASE_WAIT_MARGIN_PERCENT: u64 = 4;
 
@@ -47,8 +50,10 @@
     sessions: HashMap<WorkerKey, WorkerSession<C>>,
     worker_events: UnboundedReceiver<(WorkerKey, WorkerEvent)>,
     worker_event_sender: tokio::sync::mpsc::UnboundedSender<(WorkerKey, WorkerEvent)>,
-    /// Jobs with a cancel request in the store.
+    /// Jobs with a cancel request in the store, also requests that were read before the body of their job.
     cancel_rows: HashSet<Arc<str>>,
+    /// Cancel requests whose jobs are not known, by job.
+    early_cancels: ExpiringRows,
     /// Jobs with a body in the store.
     body_rows: HashSet<Arc<str>>,
     /// Rows to remove with the next commit.
@@ -110,6 +115,7 @@
             worker_events,
             worker_event_sender,
             cancel_rows: HashSet::new(),
+            early_cancels: ExpiringRows::default(),
             body_rows: HashSet::new(),
             row_removals: Vec::new(),
             progress_rows: ProgressRows::new(context.options.max_row_bytes),
@@ -315,6 +321,9 @@
                     let record = record.cloned().unwrap_or_else(|| initial_record(&body));
                     self.core
                         .add_job(&row.key, body, &record, now, wall, self.earlier_lease_expiry);
+                    if self.cancel_rows.contains(&row.key) {
+                        cancels.push(row.key);
+                    }
                 }
                 Ok(_) => {}
                 Err(error) => log::error!("[job] id={} cannot decode its body: {error}", row.key),
@@ -322,8 +331,13 @@
         }
         for job in cancels {
             self.cancel_rows.insert(job.clone());
-            if !self.core.cancel_job(&job, now) {
+            if self.core.cancel_job(&job, now) {
+                self.early_cancels.remove(&job);
+            } else if self.core.has_ended(&job) {
                 self.remove_intake(&job);
+            } else {
+                // A table is read page by page, so its request may be read before the body of a job.
+                self.early_cancels.insert(job, now + REQUEST_RETENTION_MS);
             }
         }
     }
@@ -538,6 +552,10 @@
             self.progress_rows
                 .append_writes(change.job, change.record, &mut writes);
         }
+        for job in self.early_cancels.take_expired(now) {
+            log::info!("[job] id={job} cancel request removed cause=no such job");
+            self.remove_intake(&job);
+        }
         writes.append(&mut self.row_removals);
         let pending = self.core.pending_by_queue();
         if pending != self.pending
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -14,6 +14,7 @@
 mod commit_writer;
 mod dispatch_loop;
 mod election_watch;
+mod expiring_rows;
 mod frontend_policy;
 mod job_intake;
 mod leader_authority;
--- a/crates/dispatch/tests/support/mod.rs
+++ b/crates/dispatch/tests/support/mod.rs
@@ -51,6 +51,8 @@
     DelayWrites,
     /// Answers reads of whole tables after 300 ms.
     SlowReads,
+    /// Answers reads after 300 ms, with the rows as of the call, and calls for changes after 300 ms.
+    SlowPages,
     /// Executes transactions after 300 ms.
     SlowCommits,
     /// Answers reads of the job records after one second and calls for changes after 300 ms.
@@ -128,6 +130,27 @@
             .and_then(|(value, _)| value.clone())
     }
 
+    fn page(&self, table: &str, from: &str, limit: usize) -> RowPage {
+        let state = lock(&self.state);
+        let rows = state
+            .rows
+            .iter()
+            .filter(|((name, key), (value, _))| name == table && key.as_str() >= from && value.is_some());
+        let rows: Vec<RowEntry> = rows
+            .map(|((name, key), (value, version))| RowEntry {
+                table: name.as_str().into(),
+                key: key.as_str().into(),
+                value: value.clone(),
+                version: *version,
+            })
+            .collect();
+        RowPage {
+            has_more: rows.len() > limit,
+            rows: rows.into_iter().take(limit).collect(),
+            version: state.version,
+        }
+    }
+
     fn mode(&self) -> StoreMode {
         lock(&self.state)
             .modes
@@ -246,24 +269,11 @@
             }
             _ => {}
         }
-        let state = lock(&self.state);
-        let rows = state
-            .rows
-            .iter()
-            .filter(|((name, key), (value, _))| name == table && key.as_str() >= from && value.is_some());
-        let rows: Vec<RowEntry> = rows
-            .map(|((name, key), (value, version))| RowEntry {
-                table: name.as_str().into(),
-                key: key.as_str().into(),
-                value: value.clone(),
-                version: *version,
-            })
-            .collect();
-        Ok(RowPage {
-            has_more: rows.len() > limit,
-            rows: rows.into_iter().take(limit).collect(),
-            version: state.version,
-        })
+        let page = self.page(table, from, limit);
+        if self.mode() == StoreMode::SlowPages {
+            tokio::time::sleep(Duration::from_millis(300)).await;
+        }
+        Ok(page)
     }
 
     async fn follow(
@@ -274,7 +284,7 @@
         deadline: ClockTime,
     ) -> Result<FollowOutcome, StoreError> {
         let until = self.clock.now() + wait_ms;
-        if self.mode() == StoreMode::SlowRecords {
+        if matches!(self.mode(), StoreMode::SlowRecords | StoreMode::SlowPages) {
             tokio::time::sleep(Duration::from_millis(300)).await;
         }
         loop {
--- a/crates/pool/src/pool_core.rs
+++ b/crates/pool/src/pool_core.rs
@@ -208,6 +208,11 @@
         self.job_index.contains_key(id)
     }
 
+    /// Returns whether the job is known to have ended; its final record is still stored.
+    pub fn has_ended(&self, id: &str) -> bool {
+        self.ended_jobs.contains(id)
+    }
+
     /// Marks a worker as unreachable; its runs must be listed again before it gets new work.
     pub fn mark_unreachable(&mut self, key: WorkerKey, now: ClockTime) {
         if let Some(view) = self.workers.get_mut(key) {
