Store a withdrawal before a cancel is told that there is no such job

A job ran to its end although its cancel had been answered with 410, "no such job". Its submission had got 504, and the store carried the write out four seconds after the cancel.

Cause: the cancel read that the job had no record and left nothing behind, so the condition of the late write still held.

A cancel of an unknown job now stores a withdrawal for the id and the account, on the condition that there is no record, and each submission requires that its account has none. Whichever the store carries out first, the cancel finds the job or the submission fails. Another account is neither kept out nor told anything. The leader removes withdrawals after a minute; an account may have 1,000 in force through a process, and a refusal names that bound.

--- a/crates/dispatch/src/expiring_rows.rs
+++ b/crates/dispatch/src/expiring_rows.rs
@@ -22,10 +22,12 @@
         self.deadlines.remove(key);
     }
 
-    /// Removes and returns the keys whose deadline has passed.
-    pub(crate) fn take_expired(&mut self, now: ClockTime) -> Vec<Arc<str>> {
+    /// Removes and returns at most `limit` keys whose deadline has passed.
+    pub(crate) fn take_expired(&mut self, now: ClockTime, limit: usize) -> Vec<Arc<str>> {
         let mut expired = Vec::new();
-        while let Some((expires_at, key)) = self.queue.pop_front_if(|(expires_at, _)| *expires_at <= now) {
+        while expired.len() < limit
+            && let Some((expires_at, key)) = self.queue.pop_front_if(|(expires_at, _)| *expires_at <= now)
+        {
             if self.deadlines.get(&key) == Some(&expires_at) {
                 self.deadlines.remove(&key);
                 expired.push(key);
--- a/crates/dispatch/src/job_intake.rs
+++ b/crates/dispatch/src/job_intake.rs
@@ -7,10 +7,12 @@
 use prost::Message;
 
 use crate::BootClock;
-use crate::leader_record::{CANCEL_SUFFIX, INTAKE_TABLE, PROGRESS_TABLE};
+use crate::intake_key::{REQUEST_RETENTION_MS, cancel_key, withdrawal_key};
+use crate::leader_record::{INTAKE_TABLE, PROGRESS_TABLE};
 use crate::row_store::{
     RowCondition, RowEntry, RowStore, RowTransaction, RowWrite, StoreError, TransactOutcome,
 };
+use crate::withdrawal_budget::WithdrawalBudget;
 
 /// Timeouts and retry limits of calls on behalf of waiting callers.
 #[derive(Clone, Debug)]
@@ -21,8 +23,11 @@
     pub retry_delay_ms: u64,
     /// Number of calls without an answer after which a request fails, so that its caller can try another VM.
     pub max_unanswered: u32,
-    /// Number of refusals by the store after which a submission is rejected, if all calls were answered.
+    /// Number of refusals by the store after which a request is rejected, if all calls were answered.
     pub max_refusals: u32,
+    /// Maximum number of withdrawals of a client account that are in force through this process; see
+    /// [`CancelOutcome::TooMany`].
+    pub max_withdrawals: usize,
     /// Maximum size of a stored job body, in bytes.
     pub max_body_bytes: usize,
 }
@@ -34,6 +39,7 @@
             retry_delay_ms: 60,
             max_unanswered: 2,
             max_refusals: 2,
+            max_withdrawals: 1_000,
             max_body_bytes: 65_536,
         }
     }
@@ -49,6 +55,8 @@
     },
     /// A job with this id but a different body exists.
     BodyMismatch,
+    /// The client account has cancelled the job before it was stored. It is not stored and will not be.
+    Withdrawn,
     /// The body does not fit a row of the store, so the job is never stored.
     TooLarge,
     /// This request has not stored the job and will not store it later.
@@ -78,18 +86,36 @@
 pub enum CancelOutcome {
     /// The request is stored, or the job has ended.
     Accepted,
-    /// No such job.
+    /// No such job, and a submission of the client account that is still being stored will have no effect.
     Unknown,
+    /// No such job, but the client account has cancelled too many unknown jobs; a submission that is still being
+    /// stored may take effect.
+    TooMany {
+        /// Maximum number of such requests.
+        limit: usize,
+        /// Period to which the limit applies, in milliseconds.
+        period_ms: u64,
+    },
     /// The store did not answer in time, or the record of the job cannot be decoded.
     Unavailable,
 }
 
+/// Outcome of a transaction with retries.
+enum WriteOutcome {
+    Committed,
+    Conflict(Vec<RowEntry>),
+    /// The transaction was not applied and will not be.
+    NotStored,
+    Indeterminate,
+}
+
 /// Stores jobs and cancel requests and reads the stage of jobs; works on every process, leader or not.
 #[derive(Clone, Debug)]
 pub struct JobIntake<S> {
     store: S,
     clock: BootClock,
     options: IntakeOptions,
+    withdrawals: Arc<WithdrawalBudget>,
 }
 
 impl<S> JobIntake<S>
@@ -101,11 +127,12 @@
         Self {
             store,
             clock,
+            withdrawals: Arc::new(WithdrawalBudget::new(options.max_withdrawals)),
             options,
         }
     }
 
-    /// Stores a job unless a job with this id exists.
+    /// Stores a job unless a job with this id exists or its client account has withdrawn it.
     ///
     /// The transaction requires that the job has no record, so a retry after a lost answer stores it only
     /// once.
@@ -114,30 +141,46 @@
             return SubmitOutcome::TooLarge;
         }
         let transaction = submit_transaction(id, body);
+        match self.write("submit", id, &transaction, deadline).await {
+            WriteOutcome::Committed => SubmitOutcome::Accepted { repeated: false },
+            WriteOutcome::Conflict(rows) => conflict_outcome(&rows, body.body_hash),
+            WriteOutcome::NotStored => SubmitOutcome::NotStored,
+            WriteOutcome::Indeterminate => SubmitOutcome::Indeterminate,
+        }
+    }
+
+    /// Applies a transaction; retries after a lost answer or a refusal.
+    async fn write(
+        &self,
+        purpose: &'static str,
+        id: &str,
+        transaction: &RowTransaction,
+        deadline: ClockTime,
+    ) -> WriteOutcome {
         let mut unanswered = 0;
         let mut refusals = 0;
         loop {
             let now = self.clock.now();
             if now >= deadline || unanswered >= self.options.max_unanswered {
                 return if unanswered > 0 {
-                    SubmitOutcome::Indeterminate
+                    WriteOutcome::Indeterminate
                 } else {
-                    SubmitOutcome::NotStored
+                    WriteOutcome::NotStored
                 };
             }
             let attempt_deadline = deadline.min(now + self.options.attempt_timeout_ms);
-            match self.store.transact(&transaction, attempt_deadline).await {
-                Ok(TransactOutcome::Committed { .. }) => return SubmitOutcome::Accepted { repeated: false },
-                Ok(TransactOutcome::Conflict { rows }) => return conflict_outcome(&rows, body.body_hash),
+            match self.store.transact(transaction, attempt_deadline).await {
+                Ok(TransactOutcome::Committed { .. }) => return WriteOutcome::Committed,
+                Ok(TransactOutcome::Conflict { rows }) => return WriteOutcome::Conflict(rows),
                 Err(StoreError::Indeterminate { message }) => {
-                    log::warn!("[submit] job={id} store=unclear error={message}");
+                    log::warn!("[{purpose}] job={id} store=unclear error={message}");
                     unanswered += 1;
                 }
                 Err(StoreError::NotExecuted { message }) => {
                     refusals += 1;
                     if unanswered == 0 && refusals >= self.options.max_refusals {
-                        log::warn!("[submit] job={id} store=refused error={message}");
-                        return SubmitOutcome::NotStored;
+                        log::warn!("[{purpose}] job={id} store=refused error={message}");
+                        return WriteOutcome::NotStored;
                     }
                 }
             }
@@ -164,42 +207,65 @@
     }
 
     /// Stores a request to cancel a job. A job of another client account is reported as unknown.
+    ///
+    /// A job that is not stored may be on its way: its submission got no answer, and the store carries it out later. So the
+    /// answer that there is no such job is given only once a withdrawal is stored, which makes such a submission fail.
     pub async fn cancel(&self, id: &str, account: Option<&str>, deadline: ClockTime) -> CancelOutcome {
-        match self.status(id, deadline).await {
-            StatusOutcome::Unknown => return CancelOutcome::Unknown,
-            StatusOutcome::Unavailable => return CancelOutcome::Unavailable,
-            StatusOutcome::Known { account: owner, .. }
-                if account.is_some_and(|caller| caller != owner.as_ref()) =>
-            {
-                return CancelOutcome::Unknown;
+        loop {
+            match self.status(id, deadline).await {
+                StatusOutcome::Unknown => {
+                    let withdrawn = self.withdraw(id, account.unwrap_or_default(), deadline).await;
+                    if let Some(outcome) = withdrawn {
+                        return outcome;
+                    }
+                    // The job has been stored since its stage was read.
+                }
+                StatusOutcome::Unavailable => return CancelOutcome::Unavailable,
+                StatusOutcome::Known { account: owner, .. }
+                    if account.is_some_and(|caller| caller != owner.as_ref()) =>
+                {
+                    return CancelOutcome::Unknown;
+                }
+                StatusOutcome::Known { stage, .. } if stage.is_final() => return CancelOutcome::Accepted,
+                StatusOutcome::Known { .. } => return self.request_cancel(id, deadline).await,
             }
-            StatusOutcome::Known { stage, .. } if stage.is_final() => return CancelOutcome::Accepted,
-            StatusOutcome::Known { .. } => {}
         }
+    }
+
+    async fn request_cancel(&self, id: &str, deadline: ClockTime) -> CancelOutcome {
         let transaction = RowTransaction {
             conditions: Vec::new(),
-            writes: vec![RowWrite {
-                table: INTAKE_TABLE,
-                key: format!("{id}{CANCEL_SUFFIX}").into(),
-                value: Some(Bytes::from_static(b"1")),
-            }],
+            writes: vec![request_row(cancel_key(id))],
         };
-        let mut failures = 0;
-        loop {
-            let now = self.clock.now();
-            if now >= deadline || failures >= self.options.max_unanswered {
-                return CancelOutcome::Unavailable;
+        match self.write("cancel", id, &transaction, deadline).await {
+            WriteOutcome::Committed => CancelOutcome::Accepted,
+            WriteOutcome::Conflict(_) => {
+                log::error!("[cancel] job={id} unexpected conflict in a transaction without conditions");
+                CancelOutcome::Unavailable
             }
-            let attempt_deadline = deadline.min(now + self.options.attempt_timeout_ms);
-            match self.store.transact(&transaction, attempt_deadline).await {
-                Ok(TransactOutcome::Committed { .. }) => return CancelOutcome::Accepted,
-                Ok(TransactOutcome::Conflict { .. }) => {
-                    log::error!("[cancel] job={id} unexpected conflict in a transaction without conditions");
-                }
-                Err(error) => log::warn!("[cancel] job={id} error={error}"),
-            }
-            failures += 1;
-            self.wait_for_retry(deadline).await;
+            WriteOutcome::NotStored => CancelOutcome::Unavailable,
+            WriteOutcome::Indeterminate => CancelOutcome::Unavailable,
+        }
+    }
+
+    /// Stores that a client account has withdrawn a job; returns `None` if the job is stored by now.
+    async fn withdraw(&self, id: &str, account: &str, deadline: ClockTime) -> Option<CancelOutcome> {
+        if !self.withdrawals.take(account, self.clock.now()) {
+            log::warn!("[cancel] job={id} account={account} refused cause=too many withdrawals");
+            return Some(CancelOutcome::TooMany {
+                limit: self.options.max_withdrawals,
+                period_ms: REQUEST_RETENTION_MS,
+            });
+        }
+        let transaction = RowTransaction {
+            conditions: vec![absent_row(PROGRESS_TABLE, id.into())],
+            writes: vec![request_row(withdrawal_key(id, account))],
+        };
+        match self.write("withdraw", id, &transaction, deadline).await {
+            WriteOutcome::Committed => Some(CancelOutcome::Unknown),
+            WriteOutcome::Conflict(_) => None,
+            WriteOutcome::NotStored => Some(CancelOutcome::Unavailable),
+            WriteOutcome::Indeterminate => Some(CancelOutcome::Unavailable),
         }
     }
 
@@ -223,11 +289,10 @@
         has_begun: false,
     };
     RowTransaction {
-        conditions: vec![RowCondition {
-            table: PROGRESS_TABLE,
-            key: id.into(),
-            version: 0,
-        }],
+        conditions: vec![
+            absent_row(PROGRESS_TABLE, id.into()),
+            absent_row(INTAKE_TABLE, withdrawal_key(id, &body.account)),
+        ],
         writes: vec![
             RowWrite {
                 table: PROGRESS_TABLE,
@@ -243,15 +308,37 @@
     }
 }
 
+/// Returns the condition that a row does not exist.
+fn absent_row(table: &'static str, key: Arc<str>) -> RowCondition {
+    RowCondition {
+        table,
+        key,
+        version: 0,
+    }
+}
+
+/// Returns a request that consists of its key.
+fn request_row(key: Arc<str>) -> RowWrite {
+    RowWrite {
+        table: INTAKE_TABLE,
+        key,
+        value: Some(Bytes::from_static(b"1")),
+    }
+}
+
 fn conflict_outcome(rows: &[RowEntry], body_hash: u64) -> SubmitOutcome {
-    let value = rows.first().and_then(|row| row.value.as_ref());
-    match value.map(|value| JobRecord::decode(value.clone())) {
+    let value_in = |table: &str| {
+        let mut rows = rows.iter().filter(|row| row.table.as_ref() == table);
+        rows.find_map(|row| row.value.clone())
+    };
+    match value_in(PROGRESS_TABLE).map(JobRecord::decode) {
         Some(Ok(record)) if record.body_hash == body_hash => SubmitOutcome::Accepted { repeated: true },
         Some(Ok(_)) => SubmitOutcome::BodyMismatch,
         Some(Err(error)) => {
             log::error!("[submit] cannot decode a job record: {error}");
             SubmitOutcome::Indeterminate
         }
+        None if value_in(INTAKE_TABLE).is_some() => SubmitOutcome::Withdrawn,
         // The row was removed after the conflict was detected.
         None => SubmitOutcome::Indeterminate,
     }
--- a/crates/dispatch/src/leader_record.rs
+++ b/crates/dispatch/src/leader_record.rs
@@ -63,9 +63,7 @@
 pub(crate) const LEADER_KEY: &str = "holder";
 /// Key of the [`PendingRecord`].
 pub(crate) const PENDING_KEY: &str = "pending";
-/// Table of submitted job bodies and cancel requests.
+/// Table of submitted job bodies, cancel requests and withdrawals; see [`IntakeKey`](crate::intake_key::IntakeKey).
 pub(crate) const INTAKE_TABLE: &str = "intake";
 /// Table of job records.
 pub(crate) const PROGRESS_TABLE: &str = "progress";
-/// Suffix that turns a job id into the key of its cancel request.
-pub(crate) const CANCEL_SUFFIX: &str = "/cancel";
--- a/crates/dispatch/src/leader_run.rs
+++ b/crates/dispatch/src/leader_run.rs
@@ -15,12 +15,13 @@
 use crate::commit_writer::{CommitWriter, LeadershipLost};
 use crate::dispatch_loop::{DispatchContext, LeaderView};
 use crate::expiring_rows::ExpiringRows;
+use crate::intake_key::{IntakeKey, REQUEST_RETENTION_MS, cancel_key};
 use crate::leader_authority::{LEASE_WINDOW_MS, LeaderAuthority};
 use crate::leader_feeds::{
     LeaderEvent, RETRY_DELAY_MS, TAKEOVER_READ_TIMEOUT_MS, follow_intake, watch_stronger_peers, watch_workers,
 };
 use crate::leader_record::{
-    CANCEL_SUFFIX, INTAKE_TABLE, LEADER_TABLE, LeaderRecord, PENDING_KEY, PROGRESS_TABLE, PendingRecord,
+    INTAKE_TABLE, LEADER_TABLE, LeaderRecord, PENDING_KEY, PROGRESS_TABLE, PendingRecord,
 };
 use crate::loop_meter::{LoopMeter, PassPhase};
 use crate::progress_rows::ProgressRows;
@@ -36,8 +37,8 @@
 const MAX_COMMIT_INTERVAL_MS: u64 = 250;
 /// Minimum interval between updates of the stored counts of pending jobs, in milliseconds.
 const MIN_PENDING_UPDATE_INTERVAL_MS: u64 = 800;
-/// Retention period of requests that refer to no known job, in milliseconds; longer than a write can be delayed.
-const REQUEST_RETENTION_MS: u64 = 60_000;
+/// Maximum number of expired requests of a kind that a commit removes, so that they do not delay its orders.
+const MAX_EXPIRED_ROWS: usize = 40;
 /// Margin added to the wait for leases of an earlier leader, in percent; a worker's clock may be 2% slow.
 const LEASE_WAIT_MARGIN_PERCENT: u64 = 4;
 
@@ -54,6 +55,8 @@
     cancel_rows: HashSet<Arc<str>>,
     /// Cancel requests whose jobs are not known, by job.
     early_cancels: ExpiringRows,
+    /// Withdrawals of jobs, by the key of their row.
+    withdrawals: ExpiringRows,
     /// Jobs with a body in the store.
     body_rows: HashSet<Arc<str>>,
     /// Rows to remove with the next commit.
@@ -116,6 +119,7 @@
             worker_event_sender,
             cancel_rows: HashSet::new(),
             early_cancels: ExpiringRows::default(),
+            withdrawals: ExpiringRows::default(),
             body_rows: HashSet::new(),
             row_removals: Vec::new(),
             progress_rows: ProgressRows::new(context.options.max_row_bytes),
@@ -299,9 +303,16 @@
         let mut cancels = Vec::new();
         for row in rows {
             let Some(value) = row.value else { continue };
-            if let Some(job) = row.key.strip_suffix(CANCEL_SUFFIX) {
-                cancels.push(Arc::<str>::from(job));
-                continue;
+            match IntakeKey::from(row.key.as_ref()) {
+                IntakeKey::Body(_) => {}
+                IntakeKey::Cancel(job) => {
+                    cancels.push(Arc::<str>::from(job));
+                    continue;
+                }
+                IntakeKey::Withdrawal => {
+                    self.withdrawals.insert(row.key, now + REQUEST_RETENTION_MS);
+                    continue;
+                }
             }
             let is_new = self.body_rows.insert(row.key.clone());
             let record = records.get(&row.key);
@@ -347,8 +358,7 @@
             self.row_removals.push(row_removal(INTAKE_TABLE, job.clone()));
         }
         if self.cancel_rows.remove(job) {
-            self.row_removals
-                .push(row_removal(INTAKE_TABLE, format!("{job}{CANCEL_SUFFIX}").into()));
+            self.row_removals.push(row_removal(INTAKE_TABLE, cancel_key(job)));
         }
     }
 
@@ -552,10 +562,13 @@
             self.progress_rows
                 .append_writes(change.job, change.record, &mut writes);
         }
-        for job in self.early_cancels.take_expired(now) {
+        for job in self.early_cancels.take_expired(now, MAX_EXPIRED_ROWS) {
             log::info!("[job] id={job} cancel request removed cause=no such job");
             self.remove_intake(&job);
         }
+        let withdrawals = self.withdrawals.take_expired(now, MAX_EXPIRED_ROWS);
+        let removals = withdrawals.into_iter().map(|key| row_removal(INTAKE_TABLE, key));
+        self.row_removals.extend(removals);
         writes.append(&mut self.row_removals);
         let pending = self.core.pending_by_queue();
         if pending != self.pending
