Tell a caller whose cancel may be stored that it may be

A cancel whose write got no answer was answered with 503, which says that it had no effect; the store could still carry it out.

Cause: refused and unanswered writes of a cancel had one outcome.

Ruled out: the answers to submissions, which kept the two apart before.

early_cancels::unanswered_cancel: both cases failed with the former outcome, both pass.

--- a/crates/dispatch/src/job_intake.rs
+++ b/crates/dispatch/src/job_intake.rs
@@ -96,8 +96,10 @@
         /// Period to which the limit applies, in milliseconds.
         period_ms: u64,
     },
-    /// The store did not answer in time, or the record of the job cannot be decoded.
+    /// The request had no effect: the store refused it, or the record of the job cannot be read.
     Unavailable,
+    /// The request may be stored; it can safely be repeated.
+    Indeterminate,
 }
 
 /// Outcome of a transaction with retries.
@@ -244,7 +246,7 @@
                 CancelOutcome::Unavailable
             }
             WriteOutcome::NotStored => CancelOutcome::Unavailable,
-            WriteOutcome::Indeterminate => CancelOutcome::Unavailable,
+            WriteOutcome::Indeterminate => CancelOutcome::Indeterminate,
         }
     }
 
@@ -265,7 +267,7 @@
             WriteOutcome::Committed => Some(CancelOutcome::Unknown),
             WriteOutcome::Conflict(_) => None,
             WriteOutcome::NotStored => Some(CancelOutcome::Unavailable),
-            WriteOutcome::Indeterminate => Some(CancelOutcome::Unavailable),
+            WriteOutcome::Indeterminate => Some(CancelOutcome::Indeterminate),
         }
     }
 
--- a/crates/dispatch/tests/early_cancels.rs
+++ b/crates/dispatch/tests/early_cancels.rs
@@ -192,6 +192,27 @@
     assert_eq!(store.keys("intake").len(), 1);
 }
 
+/// Guards against telling a caller that a cancel request had no effect although the store carries it out.
+#[parameterized(
+    lost_answers = { StoreMode::LoseAnswers },
+    late_writes = { StoreMode::DelayWrites },
+)]
+#[test_macro(tokio::test(start_paused = true))]
+async fn unanswered_cancel(mode: StoreMode) {
+    let (store, fleet) = (store_with(2), FakeFleet::new(60_000));
+    let process = TestProcess::start(1, &store, &fleet);
+    sleep_ms(500).await;
+    let caller = intake(&store, 3);
+    caller.submit(ID, &job(2), deadline(1_000)).await;
+    store.set_mode(3, mode);
+    let outcome = caller.cancel(ID, Some("north"), deadline(2_000)).await;
+    assert_eq!(outcome, CancelOutcome::Indeterminate);
+    assert_eq!(final_stage(&process, ID, 5_000).await, "cancelled");
+    store.set_mode(3, StoreMode::Refuse);
+    let outcome = caller.cancel(ID, Some("north"), deadline(2_000)).await;
+    assert_eq!(outcome, CancelOutcome::Unavailable);
+}
+
 /// Guards against keys beyond the limit of the store for accounts with long names.
 #[tokio::test(start_paused = true)]
 async fn long_account() {
