Wait for a worker near the data only if there is one to wait for

A job whose data rack was evacuated waited until its slack had passed, beside idle workers of the open data centre.

Cause: in a pool more than half in use, a unit waits for workers near its data, whether or not any of them may be given work. It now waits beyond a second only if the workers there that take new work could hold it.

Ruled out: the measure of the use of the pool. Counting closed workers as idle would let jobs run remotely beside a full, open rack.

--- a/crates/pool/src/placement_pass.rs
+++ b/crates/pool/src/placement_pass.rs
@@ -10,7 +10,7 @@
 use crate::search_budget::SearchBudget;
 use crate::unit_order::Lateness;
 use crate::wait_reason::WaitReason;
-use crate::waiting_unit::WaitingUnit;
+use crate::waiting_unit::{RackMembers, WaitingUnit};
 use crate::worker_choice::{choose_gang, choose_worker};
 use crate::worker_kind::StepFit;
 use crate::worker_search::{StepCounts, WorkerCandidate};
@@ -33,6 +33,10 @@
         units.sort_by_key(|unit| unit.rank);
         let mut candidates = self.worker_candidates(now);
         let pool_busy = is_busy(&candidates);
+        let racks = rack_members(&candidates);
+        for unit in &mut units {
+            unit.check_local_fit(&candidates, &racks);
+        }
         self.serve_reservations(&mut units, &mut candidates, now);
         let mut blocked = BlockedNeeds::default();
         let mut searches = SearchBudget::new(self.search_round);
@@ -297,6 +301,16 @@
     }
 }
 
+fn rack_members(candidates: &[WorkerCandidate]) -> RackMembers {
+    let mut racks = RackMembers::new();
+    for (index, candidate) in candidates.iter().enumerate() {
+        if let Some(rack) = candidate.rack {
+            racks.entry(rack).or_default().push(index);
+        }
+    }
+    racks
+}
+
 /// Returns whether more than half of the accelerators or processors are in use.
 fn is_busy(candidates: &[WorkerCandidate]) -> bool {
     let (mut free, mut capacity) = (ResourceAmount::default(), ResourceAmount::default());
--- a/crates/pool/src/waiting_unit.rs
+++ b/crates/pool/src/waiting_unit.rs
@@ -23,7 +23,8 @@
 const EMPTY_WORKER_WAIT_MS: u64 = 4_000;
 /// Part of the initial slack above which single tasks leave free capacity to waiting gangs, in percent.
 const YIELD_SLACK_PERCENT: u64 = 50;
-/// Wait after which a unit may run remotely while less than half of the pool is in use, in milliseconds.
+/// Wait after which a unit may run remotely while less than half of the pool is in use, or no local worker takes new
+/// work, in milliseconds.
 const REMOTE_IDLE_WAIT_MS: u64 = 1_000;
 
 /// Tasks of a step that are ready to start, one by one or together as a gang.
@@ -40,6 +41,8 @@
     pub(crate) waited_ms: u64,
     /// Longest wait for a local worker that still meets the objective, in milliseconds.
     pub(crate) max_local_wait_ms: u64,
+    /// Whether the workers near its data that take new work could run the unit if they were empty.
+    pub(crate) fits_locally: bool,
     /// Whether the unit leaves free capacity to gangs of higher rank that wait for more of it.
     pub(crate) yields_to_gangs: bool,
 }
@@ -49,15 +52,29 @@
     ///
     /// A remote run takes several times as long (see `remote_factor` in [`CoreOptions`](crate::CoreOptions)).
     /// It waits for a local worker while that can still meet the objective, but only briefly while less than
-    /// half of the pool is in use.
+    /// half of the pool is in use, or while no local worker can be expected.
     pub(crate) fn allows_remote(&self, pool_busy: bool) -> bool {
-        if pool_busy {
+        if pool_busy && self.fits_locally {
             self.waited_ms > self.max_local_wait_ms
         } else {
             self.waited_ms > self.max_local_wait_ms.min(REMOTE_IDLE_WAIT_MS)
         }
     }
 
+    /// Looks up whether the workers near the data of the unit could run it.
+    pub(crate) fn check_local_fit(&mut self, candidates: &[WorkerCandidate], racks: &RackMembers) {
+        let Some(rack) = self.need.data_rack else { return };
+        let needed = if self.gang { self.tasks.len() } else { 1 };
+        let members = racks.get(&rack).into_iter().flatten();
+        let open = members
+            .map(|index| &candidates[*index])
+            .filter(|candidate| self.need.allows(candidate));
+        let fitting: usize = open
+            .map(|candidate| candidate.capacity.count_fitting(&self.need.amount, needed))
+            .sum();
+        self.fits_locally = fitting >= needed;
+    }
+
     /// Returns whether the unit has waited long enough to use a suspect worker.
     pub(crate) fn accepts_suspect(&self) -> bool {
         self.waited_ms > SUSPECT_WAIT_MS
@@ -90,6 +107,9 @@
     }
 }
 
+/// Candidates of each rack, by index.
+pub(crate) type RackMembers = HashMap<RackId, Vec<usize>>;
+
 /// Where the tasks of a step may or should run.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct PlaceNeed {
@@ -250,6 +270,7 @@
         value,
         waited_ms: now.millis_since(ready_at),
         max_local_wait_ms,
+        fits_locally: true,
         yields_to_gangs: !gang && yields_to_gangs(&rank, max_local_wait_ms, now),
     })
 }
--- a/crates/pool/tests/support/mod.rs
+++ b/crates/pool/tests/support/mod.rs
@@ -160,6 +160,12 @@
         }
     }
 
+    /// Lets a worker announce that it shuts down after `millis`.
+    pub(crate) fn announce_departure(&mut self, number: usize, millis: u64) {
+        self.reports[number].leaves_at = Some(self.now + millis);
+        self.core.update_worker(self.reports[number].clone(), self.now);
+    }
+
     /// Returns the stored stage of a job.
     pub(crate) fn stage(&self, id: &str) -> JobStage {
         self.records.get(id).map_or(JobStage::Queued, JobRecord::stage)
