Leave capacity to a waiting gang only if it is in the way of its start

Single tasks waited beside 56 of 64 idle accelerators for a gang that could not start before a long job ended.

Cause: tasks leave free capacity to waiting gangs of higher rank on every worker that the gang could use if it were empty; when that will be was not asked. A decision now estimates the start of a gang from the progress or the estimates of the runs, and a task leaves only what it would still occupy then. A gang behind runs without an end claims nothing, and while less than half of the pool is in use a task yields for a second at most.

Ruled out: reservations (a gang that cannot be placed has none) and the last empty workers kept for urgent work (a wait of 4 s at most).

--- a/crates/pool/src/blocked_needs.rs
+++ b/crates/pool/src/blocked_needs.rs
@@ -1,6 +1,8 @@
 use std::collections::HashSet;
 use std::sync::Arc;
 
+use arbutuspick_model::ClockTime;
+
 use crate::ResourceAmount;
 use crate::free_bounds::LabelBounds;
 use crate::label_index::RequiredLabel;
@@ -22,7 +24,7 @@
     accepts_suspect: bool,
     accepts_slow: bool,
     avoids_empty_workers: bool,
-    yields_to_gangs: bool,
+    yields_until: Option<ClockTime>,
 }
 
 impl PlacementNeed {
@@ -38,7 +40,7 @@
             accepts_suspect: unit.accepts_suspect(),
             accepts_slow: unit.accepts_slow(),
             avoids_empty_workers: unit.avoids_empty_workers(),
-            yields_to_gangs: unit.yields_to_gangs,
+            yields_until: unit.yields_until,
         }
     }
 }
--- a/crates/pool/src/contested_workers.rs
+++ b/crates/pool/src/contested_workers.rs
@@ -1,22 +1,30 @@
+use arbutuspick_model::ClockTime;
+
+use crate::capacity_forecast::CapacityForecast;
 use crate::waiting_unit::WaitingUnit;
 use crate::worker_search::{WorkerCandidate, rack_capacities};
 
-/// Marks the workers that a gang waits for, so that single tasks of lower rank leave their free capacity to it.
+/// Marks the workers that a gang waits for, so that single tasks of lower rank leave free capacity to it which they
+/// would still occupy when the gang can start.
 ///
-/// A gang that the workers could not hold even if they were empty marks none: what is left to it stays idle. Returns
-/// whether the gang waits for any worker.
+/// A gang that the workers could not hold even if they were empty marks none, nor does one that waits for runs without
+/// an end: what is left to it stays idle. Gangs of low rank whose start is not estimated any more are left all free
+/// capacity, as if they could start at any moment. Returns whether the gang waits for any worker.
 pub(crate) fn mark_contested(
     unit: &WaitingUnit,
     candidates: &mut [WorkerCandidate],
+    forecast: &mut CapacityForecast,
     pool_busy: bool,
 ) -> bool {
     let count = unit.tasks.len();
     let is_open = |candidate: &WorkerCandidate| unit.need.allows(candidate) && unit.accepts(candidate);
     if candidates
         .iter()
-        .all(|candidate| candidate.contested || !is_open(candidate))
+        .all(|candidate| candidate.contested_until.is_some() || !is_open(candidate))
     {
-        return candidates.iter().any(|candidate| candidate.contested);
+        return candidates
+            .iter()
+            .any(|candidate| candidate.contested_until.is_some());
     }
     let holding: Vec<_> = if unit.same_rack {
         let racks = rack_capacities(candidates, &unit.need, count, is_open).into_iter();
@@ -42,8 +50,27 @@
     if fitting < count {
         return false;
     }
-    for candidate in candidates {
-        candidate.contested |= may_hold(candidate);
+    let may_estimate = forecast.take_estimate();
+    let forecast = &*forecast;
+    let start_on = |allowed: &dyn Fn(&WorkerCandidate) -> bool| {
+        let numbered = candidates.iter().enumerate();
+        let open = numbered.filter(|(_, candidate)| may_hold(candidate) && allowed(candidate));
+        forecast.gang_start(&unit.need, count, open)
+    };
+    let start: Option<ClockTime> = if !may_estimate {
+        Some(forecast.now)
+    } else if holding.is_empty() || anywhere {
+        start_on(&|_| true)
+    } else {
+        let racks = holding.iter();
+        racks
+            .filter_map(|rack| start_on(&|candidate| candidate.rack == *rack))
+            .min()
+    };
+    let Some(start) = start else { return false };
+    for candidate in candidates.iter_mut().filter(|candidate| may_hold(candidate)) {
+        let until = candidate.contested_until.map_or(start, |until| until.min(start));
+        candidate.contested_until = Some(until);
     }
     true
 }
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -7,6 +7,7 @@
 //! An order may be sent only after the records that were taken together with it are stored.
 
 mod blocked_needs;
+mod capacity_forecast;
 mod capacity_reservation;
 mod contested_workers;
 mod core_options;
--- a/crates/pool/src/placement_pass.rs
+++ b/crates/pool/src/placement_pass.rs
@@ -36,11 +36,13 @@
         let racks = rack_members(&candidates);
         for unit in &mut units {
             unit.check_local_fit(&candidates, &racks);
+            unit.limit_yield(pool_busy);
         }
         self.serve_reservations(&mut units, &mut candidates, now);
         let mut blocked = BlockedNeeds::default();
         let mut searches = SearchBudget::new(self.search_round);
         let mut placed_work = None;
+        let mut forecast = None;
         let mut gangs_wait = false;
         let mut waiting = Vec::new();
         for unit in &units {
@@ -69,7 +71,8 @@
             }
             let is_reserved = matches!(outcome, PreemptionOutcome::Awaited | PreemptionOutcome::Stopped);
             if unit.gang && !is_reserved && unit.rank.lateness != Lateness::Overdue {
-                gangs_wait |= mark_contested(unit, &mut candidates, pool_busy);
+                let forecast = forecast.get_or_insert_with(|| self.capacity_forecast(&candidates, now));
+                gangs_wait |= mark_contested(unit, &mut candidates, forecast, pool_busy);
             }
         }
         self.search_round = searches.next_round();
@@ -91,7 +94,7 @@
         match self.jobs[unit.key].step_fits.get(unit.step) {
             Some(StepFit::NoWorker) => WaitReason::NoWorker,
             Some(StepFit::TooLarge) => WaitReason::TooLarge,
-            _ if unit.yields_to_gangs && gangs_wait => WaitReason::BehindOthers,
+            _ if unit.yields_until.is_some() && gangs_wait => WaitReason::BehindOthers,
             _ => WaitReason::NoCapacity,
         }
     }
@@ -117,7 +120,7 @@
             free: view.free(),
             capacity: view.report.capacity,
             rack: view.rack,
-            contested: false,
+            contested_until: None,
             service: view.report.service.clone(),
             labels: view.labels.clone(),
             suspect: view.health.is_suspect(now),
--- a/crates/pool/src/waiting_unit.rs
+++ b/crates/pool/src/waiting_unit.rs
@@ -23,6 +23,8 @@
 const EMPTY_WORKER_WAIT_MS: u64 = 4_000;
 /// Part of the initial slack above which single tasks leave free capacity to waiting gangs, in percent.
 const YIELD_SLACK_PERCENT: u64 = 50;
+/// Time for which a unit yields to gangs while less than half of the pool is in use, in milliseconds.
+const IDLE_YIELD_MS: u64 = 1_000;
 /// Wait after which a unit may run remotely while less than half of the pool is in use, or no local worker takes new
 /// work, in milliseconds.
 const REMOTE_IDLE_WAIT_MS: u64 = 1_000;
@@ -43,8 +45,9 @@
     pub(crate) max_local_wait_ms: u64,
     /// Whether the workers near its data that take new work could run the unit if they were empty.
     pub(crate) fits_locally: bool,
-    /// Whether the unit leaves free capacity to gangs of higher rank that wait for more of it.
-    pub(crate) yields_to_gangs: bool,
+    /// Expected end of the tasks if they start now, for a unit that leaves free capacity to gangs of higher rank which
+    /// could start before that end.
+    pub(crate) yields_until: Option<ClockTime>,
 }
 
 impl WaitingUnit {
@@ -61,6 +64,13 @@
         }
     }
 
+    /// Ends the yield to gangs early while less than half of the pool is in use: what is left to them would be idle.
+    pub(crate) fn limit_yield(&mut self, pool_busy: bool) {
+        if !pool_busy && self.waited_ms > IDLE_YIELD_MS {
+            self.yields_until = None;
+        }
+    }
+
     /// Looks up whether the workers near the data of the unit could run it.
     pub(crate) fn check_local_fit(&mut self, candidates: &[WorkerCandidate], racks: &RackMembers) {
         let Some(rack) = self.need.data_rack else { return };
@@ -87,7 +97,8 @@
 
     /// Returns whether the unit may use the worker: not a slow one at first, nor one that it leaves to gangs.
     pub(crate) fn accepts(&self, candidate: &WorkerCandidate) -> bool {
-        let is_left_to_gangs = candidate.contested && self.yields_to_gangs;
+        let overlaps = |start: ClockTime| self.yields_until.is_some_and(|end| end > start);
+        let is_left_to_gangs = candidate.contested_until.is_some_and(overlaps);
         !is_left_to_gangs && (!candidate.slow || self.accepts_slow())
     }
 
@@ -239,6 +250,7 @@
     }
     let due_at = occurrence.due_at;
     let (gang, same_rack) = (body.gang, body.gang && body.same_rack);
+    let estimate_ms = body.estimate_ms;
     let need = TaskNeed {
         amount: body.amount(),
         service: job.rule.service.clone(),
@@ -271,7 +283,8 @@
         waited_ms: now.millis_since(ready_at),
         max_local_wait_ms,
         fits_locally: true,
-        yields_to_gangs: !gang && yields_to_gangs(&rank, max_local_wait_ms, now),
+        yields_until: (!gang && yields_to_gangs(&rank, max_local_wait_ms, now))
+            .then(|| now + rounded_up_ms(estimate_ms)),
     })
 }
 
@@ -285,6 +298,12 @@
     early && rank.slack_ms(now) * 100 > max_local_wait_ms * YIELD_SLACK_PERCENT
 }
 
+/// Rounds a time up by less than a quarter, so that units with similar estimates share the answers of a decision.
+fn rounded_up_ms(millis: u64) -> u64 {
+    let unit = (millis.max(4) / 4).next_power_of_two() / 2;
+    millis.next_multiple_of(unit.max(1))
+}
+
 pub(crate) fn job_value(job: &JobEntry, mean_work: &HashMap<Arc<str>, u64>) -> JobValue {
     JobValue {
         priority: job.rule.priority,
--- a/crates/pool/src/worker_search.rs
+++ b/crates/pool/src/worker_search.rs
@@ -6,6 +6,8 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 
+use arbutuspick_model::ClockTime;
+
 use crate::label_index::{LabelId, RequiredLabel};
 use crate::worker_speed::SpeedTier;
 use crate::{ResourceAmount, WorkerKey};
@@ -33,8 +35,8 @@
     pub(crate) suspect: bool,
     /// Whether it is used only by units that have waited `SLOW_WAIT_MS` for other workers.
     pub(crate) slow: bool,
-    /// Whether a gang of higher rank waits for more free capacity on workers like this one.
-    pub(crate) contested: bool,
+    /// When a gang of higher rank is expected to start, if it waits for more free capacity on workers like this one.
+    pub(crate) contested_until: Option<ClockTime>,
     /// Speed in comparison with other workers, by the run times of earlier tasks.
     pub(crate) tier: SpeedTier,
 }
