Do not call a repeated submission "not stored" while the first one is open

A client got 504 for a job, repeated the submission to the same VM and got 503, which says that the job never runs. The store then carried out the first write, and the job ran with 56 accelerators.

Cause: the outcome was judged by the calls of one request only. A process now remembers for a minute which jobs have a submission without an answer.

lost_answers::refused_repetition failed before and passes.

--- a/crates/dispatch/src/job_intake.rs
+++ b/crates/dispatch/src/job_intake.rs
@@ -9,6 +9,7 @@
 use crate::BootClock;
 use crate::intake_key::{REQUEST_RETENTION_MS, cancel_key, withdrawal_key};
 use crate::leader_record::{INTAKE_TABLE, PROGRESS_TABLE};
+use crate::open_submissions::OpenSubmissions;
 use crate::row_store::{
     RowCondition, RowEntry, RowStore, RowTransaction, RowWrite, StoreError, TransactOutcome,
 };
@@ -59,7 +60,7 @@
     Withdrawn,
     /// The body does not fit a row of the store, so the job is never stored.
     TooLarge,
-    /// This request has not stored the job and will not store it later.
+    /// The job is not stored, and no request through this process will store it later.
     NotStored,
     /// The job may have been stored; the same request can safely be repeated.
     Indeterminate,
@@ -118,6 +119,7 @@
     clock: BootClock,
     options: IntakeOptions,
     withdrawals: Arc<WithdrawalBudget>,
+    open_submissions: Arc<OpenSubmissions>,
 }
 
 impl<S> JobIntake<S>
@@ -130,6 +132,7 @@
             store,
             clock,
             withdrawals: Arc::new(WithdrawalBudget::new(options.max_withdrawals)),
+            open_submissions: Arc::default(),
             options,
         }
     }
@@ -146,8 +149,15 @@
         match self.write("submit", id, &transaction, deadline).await {
             WriteOutcome::Committed => SubmitOutcome::Accepted { repeated: false },
             WriteOutcome::Conflict(rows) => conflict_outcome(&rows, body.body_hash),
+            // An earlier submission of the job may still be carried out.
+            WriteOutcome::NotStored if self.open_submissions.contains(id, self.clock.now()) => {
+                SubmitOutcome::Indeterminate
+            }
             WriteOutcome::NotStored => SubmitOutcome::NotStored,
-            WriteOutcome::Indeterminate => SubmitOutcome::Indeterminate,
+            WriteOutcome::Indeterminate => {
+                self.open_submissions.insert(id, self.clock.now());
+                SubmitOutcome::Indeterminate
+            }
         }
     }
 
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -24,6 +24,7 @@
 mod leader_run;
 mod loop_meter;
 mod member_list;
+mod open_submissions;
 mod order_sender;
 mod peer_probe;
 mod policy_cache;
--- a/crates/dispatch/tests/lost_answers.rs
+++ b/crates/dispatch/tests/lost_answers.rs
@@ -6,6 +6,7 @@
 use support::{FakeFleet, StoreMode, TestProcess, deadline, final_stage, job, sleep_ms, store_with};
 
 const ID: &str = "00000000000000aa";
+const OTHER_ID: &str = "00000000000000bb";
 
 /// Guards against a duplicate job, or a refusal, after the answer to the first submission was lost.
 #[tokio::test(start_paused = true)]
@@ -36,6 +37,34 @@
     assert_eq!(final_stage(&process, ID, 8_000).await, "completed");
 }
 
+/// Guards against the outcome "not stored", after which callers give up, for a repeated submission that the store refuses
+/// while it still carries out the first one.
+#[tokio::test(start_paused = true)]
+async fn refused_repetition() {
+    let (store, fleet) = (store_with(2), FakeFleet::new(1_000));
+    let process = TestProcess::start(1, &store, &fleet);
+    sleep_ms(500).await;
+    store.set_mode(1, StoreMode::DelayWrites);
+    let first = process.intake.submit(ID, &job(2), deadline(1_500)).await;
+    store.set_mode(1, StoreMode::Refuse);
+    let again = process.intake.submit(ID, &job(2), deadline(1_500)).await;
+    let other = process.intake.submit(OTHER_ID, &job(2), deadline(1_500)).await;
+    assert_eq!(
+        (first, again, other),
+        (
+            SubmitOutcome::Indeterminate,
+            SubmitOutcome::Indeterminate,
+            SubmitOutcome::NotStored
+        )
+    );
+    store.set_mode(1, StoreMode::Normal);
+    assert_eq!(final_stage(&process, ID, 8_000).await, "completed");
+    sleep_ms(60_000).await;
+    store.set_mode(1, StoreMode::Refuse);
+    let later = process.intake.submit(ID, &job(2), deadline(1_500)).await;
+    assert_eq!(later, SubmitOutcome::NotStored, "remembered for good");
+}
+
 /// Guards against callers that wait until their deadline although another VM could serve them.
 #[tokio::test(start_paused = true)]
 async fn hanging_store() {
