--- a/crates/dispatch/tests/early_cancels.rs
+++ b/crates/dispatch/tests/early_cancels.rs
@@ -36,7 +36,9 @@
     let caller = intake(&store, 3);
     store.set_mode(1, StoreMode::SlowPages);
     let process = TestProcess::start(1, &store, &fleet);
+    let until = deadline(5_000);
     while store.keys("seat").is_empty() {
+        assert!(deadline(0) < until, "no leader was elected");
         sleep_ms(1).await;
     }
     // Both other tables are read at the same time in 300 ms, then the pages of the requests in as long each.
--- a/crates/dispatch/tests/leader_change.rs
+++ b/crates/dispatch/tests/leader_change.rs
@@ -142,7 +142,9 @@
             .epoch
     };
     let former = epoch(&store);
+    let until = deadline(5_000);
     while epoch(&store) == former {
+        assert!(deadline(0) < until, "no other leader was elected");
         sleep_ms(20).await;
     }
     sleep_ms(300).await;
