Give the parts of the pool crate folders of their own

38 files lay in one folder, and 12 of them used each other in a circle around pool_core.rs, most of them only for the keys. The keys of jobs, workers and racks are now in keys.rs below all others, and the rest is in jobs, workers, placement and preemption. Only paths and module names change: the comparison of both trees without names and comments shows the moved keys and imports and no other difference. preemption.rs is called preemption_pass.rs, like placement_pass.rs, since the folder has the name now.

--- a/crates/pool/src/job_entry.rs
+++ b/crates/pool/src/jobs/job_entry.rs
@@ -3,8 +3,8 @@
 
 use arbutuspick_model::ClockTime;
 
-use crate::wait_reason::WaitReason;
-use crate::worker_kind::StepFit;
+use crate::placement::wait_reason::WaitReason;
+use crate::workers::worker_kind::StepFit;
 use crate::{
     JobBody, JobRecord, JobStage, OccurrenceRecord, QueueRule, StepBody, TaskName, TaskRecord, WorkerKey,
 };
--- a/crates/pool/src/job_value.rs
+++ b/crates/pool/src/jobs/job_value.rs
@@ -3,7 +3,7 @@
 //! The values follow the users' requirements: by priority, one value on time and one when late. Three tenths
 //! of it are fixed and the rest grows with the work of the job.
 
-use crate::unit_order::Lateness;
+use crate::placement::unit_order::Lateness;
 
 /// One unit of value in fixed-point arithmetic.
 pub(crate) const VALUE_UNIT: u64 = 1_000_000;
--- a/crates/pool/src/placement_restore.rs
+++ b/crates/pool/src/jobs/placement_restore.rs
@@ -4,9 +4,10 @@
 
 use arbutuspick_model::ClockTime;
 
-use crate::job_entry::{OccurrenceEntry, PlacementStage, TaskEntry, TaskPlacement};
-use crate::pool_core::{JobKey, PoolCore};
-use crate::worker_view::{RunAllocation, WorkerView};
+use crate::jobs::job_entry::{OccurrenceEntry, PlacementStage, TaskEntry, TaskPlacement};
+use crate::keys::JobKey;
+use crate::pool_core::PoolCore;
+use crate::workers::worker_view::{RunAllocation, WorkerView};
 use crate::{JobBody, TaskRecord, WorkerKey, WorkerReport};
 
 /// Returns the entry of an occurrence with the recorded progress of its tasks.
--- a/crates/pool/src/blocked_needs.rs
+++ b/crates/pool/src/placement/blocked_needs.rs
@@ -4,10 +4,11 @@
 use arbutuspick_model::ClockTime;
 
 use crate::ResourceAmount;
-use crate::free_bounds::LabelBounds;
-use crate::label_index::RequiredLabel;
-use crate::waiting_unit::WaitingUnit;
-use crate::worker_search::{RackId, StepCounts, WorkerCandidate};
+use crate::keys::RackId;
+use crate::placement::free_bounds::LabelBounds;
+use crate::placement::waiting_unit::WaitingUnit;
+use crate::placement::worker_search::{StepCounts, WorkerCandidate};
+use crate::workers::label_index::RequiredLabel;
 
 /// All that decides whether a unit can start on the free capacity of a decision. Units with the same need share
 /// one answer.
--- a/crates/pool/src/capacity_forecast.rs
+++ b/crates/pool/src/placement/capacity_forecast.rs
@@ -4,10 +4,10 @@
 
 use arbutuspick_model::ClockTime;
 
-use crate::job_entry::{PlacementStage, TaskEntry};
+use crate::jobs::job_entry::{PlacementStage, TaskEntry};
+use crate::placement::worker_search::{TaskNeed, WorkerCandidate};
 use crate::pool_core::PoolCore;
-use crate::run_pace::remaining_run_ms;
-use crate::worker_search::{TaskNeed, WorkerCandidate};
+use crate::workers::run_pace::remaining_run_ms;
 use crate::{ResourceAmount, StepBody, WorkerKey};
 
 /// Maximum number of gangs in a decision whose start is estimated; the work for each grows with the number of runs.
--- a/crates/pool/src/contested_workers.rs
+++ b/crates/pool/src/placement/contested_workers.rs
@@ -1,8 +1,8 @@
 use arbutuspick_model::ClockTime;
 
-use crate::capacity_forecast::CapacityForecast;
-use crate::waiting_unit::WaitingUnit;
-use crate::worker_search::{WorkerCandidate, rack_capacities};
+use crate::placement::capacity_forecast::CapacityForecast;
+use crate::placement::waiting_unit::WaitingUnit;
+use crate::placement::worker_search::{WorkerCandidate, rack_capacities};
 
 /// Marks the workers that a gang waits for, so that single tasks of lower rank leave free capacity to it which they
 /// would still occupy when the gang can start.
--- a/crates/pool/src/free_bounds.rs
+++ b/crates/pool/src/placement/free_bounds.rs
@@ -1,8 +1,8 @@
 use std::collections::HashMap;
 
 use crate::ResourceAmount;
-use crate::label_index::RequiredLabel;
-use crate::worker_search::{TaskNeed, WorkerCandidate};
+use crate::placement::worker_search::{TaskNeed, WorkerCandidate};
+use crate::workers::label_index::RequiredLabel;
 
 /// Number of free accelerators from which on workers are not told apart.
 const MAX_ACCELERATORS: usize = 64;
--- a/crates/pool/src/placement_pass.rs
+++ b/crates/pool/src/placement/placement_pass.rs
@@ -1,20 +1,20 @@
-//! Places waiting units on workers, in the order of [`unit_order`](crate::unit_order).
+//! Places waiting units on workers, in the order of [`unit_order`](crate::placement::unit_order).
 
 use arbutuspick_model::ClockTime;
 
-use crate::blocked_needs::{BlockedNeeds, PlacementNeed};
-use crate::contested_workers::mark_contested;
-use crate::job_entry::{PlacementStage, RunProgress, TaskPlacement};
+use crate::jobs::job_entry::{PlacementStage, RunProgress, TaskPlacement};
+use crate::placement::blocked_needs::{BlockedNeeds, PlacementNeed};
+use crate::placement::contested_workers::mark_contested;
+use crate::placement::search_budget::SearchBudget;
+use crate::placement::unit_order::Lateness;
+use crate::placement::wait_reason::WaitReason;
+use crate::placement::waiting_unit::{RackMembers, WaitingUnit};
+use crate::placement::worker_choice::{choose_gang, choose_worker};
+use crate::placement::worker_search::{StepCounts, WorkerCandidate};
 use crate::pool_core::{LatencySample, PoolCore};
-use crate::preemption::PreemptionOutcome;
-use crate::search_budget::SearchBudget;
-use crate::unit_order::Lateness;
-use crate::wait_reason::WaitReason;
-use crate::waiting_unit::{RackMembers, WaitingUnit};
-use crate::worker_choice::{choose_gang, choose_worker};
-use crate::worker_kind::StepFit;
-use crate::worker_search::{StepCounts, WorkerCandidate};
-use crate::worker_view::RunAllocation;
+use crate::preemption::preemption_pass::PreemptionOutcome;
+use crate::workers::worker_kind::StepFit;
+use crate::workers::worker_view::RunAllocation;
 use crate::{JobStage, PoolOrder, ResourceAmount, StartOrder, WorkerKey};
 
 /// Time after which an order to start must not be sent, in milliseconds.
--- a/crates/pool/src/unit_order.rs
+++ b/crates/pool/src/placement/unit_order.rs
@@ -9,7 +9,7 @@
 
 use arbutuspick_model::ClockTime;
 
-use crate::job_value::JobValue;
+use crate::jobs::job_value::JobValue;
 
 /// Multiple of the objective up to which finished work is late rather than worthless.
 const LATE_FACTOR: u64 = 3;
--- a/crates/pool/src/wait_reason.rs
+++ b/crates/pool/src/placement/wait_reason.rs
@@ -3,8 +3,8 @@
 use std::collections::BTreeMap;
 use std::fmt;
 
+use crate::placement::waiting_unit::WaitingUnit;
 use crate::pool_core::PoolCore;
-use crate::waiting_unit::WaitingUnit;
 
 /// Maximum number of jobs named in a log line.
 const MAX_LOGGED_JOBS: usize = 8;
--- a/crates/pool/src/waiting_unit.rs
+++ b/crates/pool/src/placement/waiting_unit.rs
@@ -6,12 +6,14 @@
 use arbutuspick_model::ClockTime;
 
 use crate::ResourceAmount;
-use crate::job_entry::JobEntry;
-use crate::job_value::JobValue;
-use crate::label_index::RequiredLabel;
-use crate::pool_core::{JobKey, PoolCore};
-use crate::unit_order::{Lateness, UnitRank, UnitTiming, unit_rank};
-use crate::worker_search::{RackId, TaskNeed, WorkerCandidate};
+use crate::jobs::job_entry::JobEntry;
+use crate::jobs::job_value::JobValue;
+use crate::keys::JobKey;
+use crate::keys::RackId;
+use crate::placement::unit_order::{Lateness, UnitRank, UnitTiming, unit_rank};
+use crate::placement::worker_search::{TaskNeed, WorkerCandidate};
+use crate::pool_core::PoolCore;
+use crate::workers::label_index::RequiredLabel;
 
 /// Wait after which a task may return to a suspect worker on which it failed, in milliseconds.
 const SUSPECT_WAIT_MS: u64 = 600;
--- a/crates/pool/src/worker_choice.rs
+++ b/crates/pool/src/placement/worker_choice.rs
@@ -3,12 +3,13 @@
 use std::ops::RangeInclusive;
 
 use crate::WorkerKey;
-use crate::preemption_plan::{PreemptionPlan, VictimIndex, choose_victims};
-use crate::waiting_unit::WaitingUnit;
-use crate::worker_search::{
-    RackId, StepCounts, WorkerCandidate, best_candidate, gang_candidates, rack_capacities, rack_fits,
+use crate::keys::RackId;
+use crate::placement::waiting_unit::WaitingUnit;
+use crate::placement::worker_search::{
+    StepCounts, WorkerCandidate, best_candidate, gang_candidates, rack_capacities, rack_fits,
 };
-use crate::worker_speed::SpeedTier;
+use crate::preemption::preemption_plan::{PreemptionPlan, VictimIndex, choose_victims};
+use crate::workers::worker_speed::SpeedTier;
 
 /// One in this many workers is kept empty for urgent work and gangs while others have free capacity.
 const EMPTY_WORKER_DIVISOR: usize = 8;
--- a/crates/pool/src/worker_search.rs
+++ b/crates/pool/src/placement/worker_search.rs
@@ -8,18 +8,10 @@
 
 use arbutuspick_model::ClockTime;
 
-use crate::label_index::{LabelId, RequiredLabel};
-use crate::worker_speed::SpeedTier;
-use crate::{ResourceAmount, WorkerKey};
-
-/// Number of a rack in this process.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub(crate) struct RackId(pub(crate) usize);
-
-impl RackId {
-    /// A rack without workers.
-    pub(crate) const UNKNOWN: Self = Self(usize::MAX);
-}
+use crate::ResourceAmount;
+use crate::keys::{RackId, WorkerKey};
+use crate::workers::label_index::{LabelId, RequiredLabel};
+use crate::workers::worker_speed::SpeedTier;
 
 /// A schedulable worker during one decision, with the resources that are still free.
 #[derive(Clone, Debug)]
--- a/crates/pool/src/pool_core.rs
+++ b/crates/pool/src/pool_core.rs
@@ -2,17 +2,18 @@
 use std::sync::Arc;
 
 use arbutuspick_model::{ClockTime, PlatformTime};
-use slotmap::{SlotMap, new_key_type};
-
-use crate::capacity_reservation::CapacityReservation;
-use crate::job_entry::{JobEntry, OccurrenceEntry, PlacementStage, TaskEntry};
-use crate::label_index::LabelIndex;
-use crate::placement_restore::restored_occurrence;
-use crate::rack_index::RackIndex;
-use crate::run_release::RunRelease;
-use crate::wait_reason::WaitReason;
-use crate::worker_kind::WorkerKinds;
-use crate::worker_view::WorkerView;
+use slotmap::SlotMap;
+
+use crate::jobs::job_entry::{JobEntry, OccurrenceEntry, PlacementStage, TaskEntry};
+use crate::jobs::placement_restore::restored_occurrence;
+use crate::jobs::run_release::RunRelease;
+use crate::keys::JobKey;
+use crate::placement::wait_reason::WaitReason;
+use crate::preemption::capacity_reservation::CapacityReservation;
+use crate::workers::label_index::LabelIndex;
+use crate::workers::rack_index::RackIndex;
+use crate::workers::worker_kind::WorkerKinds;
+use crate::workers::worker_view::WorkerView;
 use crate::{
     CoreOptions, JobBody, JobRecord, JobStage, PoolOrder, PoolPolicy, QueueRule, StopOrder, StopReason,
     TaskName, WorkerKey, WorkerReport,
@@ -21,10 +22,6 @@
 /// Number of open tasks of a job from which on its further occurrences wait until some of them are done.
 const MAX_OPEN_TASKS: usize = 10_000;
 
-new_key_type! {
-    pub(crate) struct JobKey;
-}
-
 /// A job record that has to be stored before the orders taken with it are sent.
 #[derive(Clone, Debug, PartialEq)]
 pub struct RecordChange {
--- a/crates/pool/src/capacity_reservation.rs
+++ b/crates/pool/src/preemption/capacity_reservation.rs
@@ -4,9 +4,10 @@
 
 use arbutuspick_model::ClockTime;
 
-use crate::pool_core::{JobKey, LatencySample, PoolCore};
-use crate::waiting_unit::WaitingUnit;
-use crate::worker_search::WorkerCandidate;
+use crate::keys::JobKey;
+use crate::placement::waiting_unit::WaitingUnit;
+use crate::placement::worker_search::WorkerCandidate;
+use crate::pool_core::{LatencySample, PoolCore};
 use crate::{ResourceAmount, StopReason, TaskName, WorkerKey};
 
 /// Maximum number of runs and workers named in a log line.
--- a/crates/pool/src/preemption.rs
+++ b/crates/pool/src/preemption/preemption_pass.rs
@@ -6,15 +6,16 @@
 
 use arbutuspick_model::ClockTime;
 
-use crate::blocked_needs::PlacementNeed;
-use crate::capacity_reservation::{AwaitedRun, CapacityReservation};
-use crate::job_entry::PlacementStage;
-use crate::pool_core::{JobKey, PoolCore};
-use crate::unit_order::Lateness;
-use crate::victim_list::{PlacedWork, PreemptionLimits, PreemptionRight, PreemptionSearch};
-use crate::waiting_unit::WaitingUnit;
-use crate::worker_choice::choose_preemption;
-use crate::worker_search::WorkerCandidate;
+use crate::jobs::job_entry::PlacementStage;
+use crate::keys::JobKey;
+use crate::placement::blocked_needs::PlacementNeed;
+use crate::placement::unit_order::Lateness;
+use crate::placement::waiting_unit::WaitingUnit;
+use crate::placement::worker_choice::choose_preemption;
+use crate::placement::worker_search::WorkerCandidate;
+use crate::pool_core::PoolCore;
+use crate::preemption::capacity_reservation::{AwaitedRun, CapacityReservation};
+use crate::preemption::victim_list::{PlacedWork, PreemptionLimits, PreemptionRight, PreemptionSearch};
 use crate::{StopReason, TaskName, WorkerKey};
 
 /// Slack below which a unit may stop other runs, in milliseconds; a stop takes up to 900 ms.
--- a/crates/pool/src/preemption_plan.rs
+++ b/crates/pool/src/preemption/preemption_plan.rs
@@ -5,8 +5,8 @@
 //! end by themselves in time are waited for, which loses nothing.
 
 use crate::ResourceAmount;
-use crate::free_bounds::LabelBounds;
-use crate::worker_search::{StepCounts, TaskNeed, WorkerCandidate};
+use crate::placement::free_bounds::LabelBounds;
+use crate::placement::worker_search::{StepCounts, TaskNeed, WorkerCandidate};
 
 /// A run or gang that may be stopped or ends soon.
 #[derive(Clone, Debug)]
--- a/crates/pool/src/victim_list.rs
+++ b/crates/pool/src/preemption/victim_list.rs
@@ -4,15 +4,16 @@
 
 use arbutuspick_model::ClockTime;
 
-use crate::blocked_needs::PlacementNeed;
-use crate::job_entry::{JobEntry, OccurrenceEntry, PlacementStage, TaskEntry};
-use crate::job_value::{JobValue, lost_work_cost};
-use crate::pool_core::{JobKey, PoolCore};
-use crate::preemption_plan::{VictimGroup, VictimIndex};
-use crate::run_pace::remaining_run_ms;
-use crate::unit_order::UnitTiming;
-use crate::waiting_unit::{UnitContext, job_value, remaining_ms};
-use crate::worker_search::WorkerCandidate;
+use crate::jobs::job_entry::{JobEntry, OccurrenceEntry, PlacementStage, TaskEntry};
+use crate::jobs::job_value::{JobValue, lost_work_cost};
+use crate::keys::JobKey;
+use crate::placement::blocked_needs::PlacementNeed;
+use crate::placement::unit_order::UnitTiming;
+use crate::placement::waiting_unit::{UnitContext, job_value, remaining_ms};
+use crate::placement::worker_search::WorkerCandidate;
+use crate::pool_core::PoolCore;
+use crate::preemption::preemption_plan::{VictimGroup, VictimIndex};
+use crate::workers::run_pace::remaining_run_ms;
 use crate::{ResourceAmount, StepBody, TaskName, WorkerKey};
 
 /// Multiple of the cost of lost work that each earlier preemption of the task adds.
--- a/crates/pool/src/state_dump.rs
+++ b/crates/pool/src/state_dump.rs
@@ -6,7 +6,7 @@
 use arbutuspick_model::ClockTime;
 
 use crate::WaitReason;
-use crate::job_entry::{JobEntry, TaskEntry};
+use crate::jobs::job_entry::{JobEntry, TaskEntry};
 use crate::pool_core::PoolCore;
 
 impl PoolCore {
--- a/crates/pool/src/listing_apply.rs
+++ b/crates/pool/src/workers/listing_apply.rs
@@ -5,12 +5,13 @@
 use arbutuspick_model::ClockTime;
 
 use crate::WorkerListing;
-use crate::job_entry::PlacementStage;
-use crate::job_record::MAX_CHECKPOINT_BYTES;
-use crate::pool_core::{JobKey, PoolCore};
-use crate::run_release::RunRelease;
-use crate::worker_speed::speed_observation;
-use crate::worker_view::RunAllocation;
+use crate::jobs::job_entry::PlacementStage;
+use crate::jobs::job_record::MAX_CHECKPOINT_BYTES;
+use crate::jobs::run_release::RunRelease;
+use crate::keys::JobKey;
+use crate::pool_core::PoolCore;
+use crate::workers::worker_speed::speed_observation;
+use crate::workers::worker_view::RunAllocation;
 use crate::{
     EndKind, JobStage, ResourceAmount, RunEnd, RunStatus, StartAnswer, StopReason, TaskName, WorkerKey,
 };
@@ -387,6 +388,8 @@
 
     /// Returns the free resources of a worker.
     pub fn free_resources(&self, worker: WorkerKey) -> Option<ResourceAmount> {
-        self.workers.get(worker).map(crate::worker_view::WorkerView::free)
+        self.workers
+            .get(worker)
+            .map(crate::workers::worker_view::WorkerView::free)
     }
 }
--- a/crates/pool/src/progress_check.rs
+++ b/crates/pool/src/workers/progress_check.rs
@@ -5,10 +5,11 @@
 
 use arbutuspick_model::ClockTime;
 
-use crate::job_entry::{PlacementStage, TaskEntry};
-use crate::pool_core::{JobKey, PoolCore};
-use crate::run_pace::{PaceEvidence, RunPace, StepDurations, judge_pace, min_total_ms};
-use crate::run_release::RunRelease;
+use crate::jobs::job_entry::{PlacementStage, TaskEntry};
+use crate::jobs::run_release::RunRelease;
+use crate::keys::JobKey;
+use crate::pool_core::PoolCore;
+use crate::workers::run_pace::{PaceEvidence, RunPace, StepDurations, judge_pace, min_total_ms};
 use crate::{StepBody, StopReason, TaskName, WorkerKey};
 
 /// Time without progress after which a run counts as stalled, in milliseconds; listings are a second apart.
--- a/crates/pool/src/rack_index.rs
+++ b/crates/pool/src/workers/rack_index.rs
@@ -1,7 +1,7 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 
-use crate::worker_search::RackId;
+use crate::keys::RackId;
 
 /// Numbers the racks of the pool, so that decisions compare numbers instead of names.
 #[derive(Debug, Default)]
--- a/crates/pool/src/run_pace.rs
+++ b/crates/pool/src/workers/run_pace.rs
@@ -8,8 +8,8 @@
 use arbutuspick_model::ClockTime;
 
 use crate::WorkerKey;
-use crate::job_entry::{RunProgress, StepEntry, TaskEntry};
-use crate::pool_core::JobKey;
+use crate::jobs::job_entry::{RunProgress, StepEntry, TaskEntry};
+use crate::keys::JobKey;
 
 /// Minimum observed work of a run, in milliseconds: its start is known to within some tens of milliseconds.
 const MIN_OBSERVED_MS: u64 = 500;
--- a/crates/pool/src/worker_kind.rs
+++ b/crates/pool/src/workers/worker_kind.rs
@@ -3,9 +3,9 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 
-use crate::job_entry::JobEntry;
-use crate::label_index::{LabelId, RequiredLabel};
+use crate::jobs::job_entry::JobEntry;
 use crate::pool_core::PoolCore;
+use crate::workers::label_index::{LabelId, RequiredLabel};
 use crate::{ResourceAmount, StepBody};
 
 /// Whether the known workers could run a step if they were empty.
--- a/crates/pool/src/worker_restart.rs
+++ b/crates/pool/src/workers/worker_restart.rs
@@ -2,10 +2,10 @@
 
 use arbutuspick_model::ClockTime;
 
-use crate::job_entry::PlacementStage;
+use crate::jobs::job_entry::PlacementStage;
+use crate::jobs::run_release::RunRelease;
 use crate::pool_core::PoolCore;
-use crate::run_release::RunRelease;
-use crate::worker_view::{RunAllocation, WorkerView};
+use crate::workers::worker_view::{RunAllocation, WorkerView};
 use crate::{TaskName, WorkerKey, WorkerReport};
 
 /// Time for which a run that may have begun on a restarted worker is kept while the worker does not answer,
--- a/crates/pool/src/worker_speed.rs
+++ b/crates/pool/src/workers/worker_speed.rs
@@ -5,8 +5,8 @@
 
 use arbutuspick_model::ClockTime;
 
-use crate::job_entry::{StepEntry, TaskEntry, TaskPlacement};
-use crate::run_pace::StepDurations;
+use crate::jobs::job_entry::{StepEntry, TaskEntry, TaskPlacement};
+use crate::workers::run_pace::StepDurations;
 use crate::{StepBody, WorkerKey};
 
 /// Weight of the assumption that a worker has the usual speed, in observed runs.
--- a/crates/pool/src/worker_view.rs
+++ b/crates/pool/src/workers/worker_view.rs
@@ -2,19 +2,13 @@
 use std::sync::Arc;
 
 use arbutuspick_model::ClockTime;
-use slotmap::new_key_type;
 
-use crate::label_index::LabelId;
-use crate::worker_health::WorkerHealth;
-use crate::worker_search::RackId;
-use crate::worker_speed::SpeedEstimate;
+use crate::keys::{RackId, WorkerKey};
+use crate::workers::label_index::LabelId;
+use crate::workers::worker_health::WorkerHealth;
+use crate::workers::worker_speed::SpeedEstimate;
 use crate::{ResourceAmount, TaskName};
 
-new_key_type! {
-    /// Key of one incarnation of a worker; a restart under the same id gets another key.
-    pub struct WorkerKey;
-}
-
 /// Entry of one incarnation of a worker in the worker registry, where workers announce themselves.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct WorkerReport {
