Repeat a stop only after the time that a worker may take for one

They were repetitions of other stops: a stop was ordered again after 700 ms, while workers of some deployments take up to 900 ms, and the repetition had a cause of its own.

An order is now repeated 500 ms after the longest stop of the settings, and keeps the cause of the first.

--- a/crates/pool/src/jobs/placement_restore.rs
+++ b/crates/pool/src/jobs/placement_restore.rs
@@ -111,7 +111,7 @@
                         amount,
                         // Any listing without the run shows that the run has ended.
                         expected_since: Some(ClockTime(0)),
-                        stop_ordered_at: None,
+                        ordered_stop: None,
                         listed: false,
                     },
                 );
--- a/crates/pool/src/placement/placement_pass.rs
+++ b/crates/pool/src/placement/placement_pass.rs
@@ -288,7 +288,7 @@
             RunAllocation {
                 amount: unit.need.amount,
                 expected_since: None,
-                stop_ordered_at: None,
+                ordered_stop: None,
                 listed: false,
             },
         );
--- a/crates/pool/src/pool_core.rs
+++ b/crates/pool/src/pool_core.rs
@@ -13,7 +13,7 @@
 use crate::workers::label_index::LabelIndex;
 use crate::workers::rack_index::RackIndex;
 use crate::workers::worker_kind::WorkerKinds;
-use crate::workers::worker_view::WorkerView;
+use crate::workers::worker_view::{OrderedStop, WorkerView};
 use crate::{
     CoreOptions, JobBody, JobRecord, JobStage, PoolOrder, PoolPolicy, QueueRule, StopOrder, StopReason,
     TaskName, WorkerKey, WorkerReport,
@@ -410,28 +410,31 @@
         self.track_final_record(&job.id, now);
     }
 
-    /// Orders a stop, unless one was ordered within the last `STOP_REPEAT_MS`.
+    /// Orders a stop, unless the latest order may still take effect. A repeated order keeps the reason of the first.
     pub(crate) fn order_stop(
         &mut self,
         task: TaskName,
         run: u32,
         worker: WorkerKey,
-        reason: StopReason,
+        mut reason: StopReason,
         now: ClockTime,
     ) {
-        /// Time after which a stop is repeated while the run is still listed, in milliseconds.
-        const STOP_REPEAT_MS: u64 = 700;
+        /// Time beyond the longest stop after which an order is repeated while the run is still listed, in milliseconds.
+        const REPEAT_MARGIN_MS: u64 = 500;
+        let repeat_ms = self.options.stop_ms + REPEAT_MARGIN_MS;
         let Some(view) = self.workers.get_mut(worker) else {
             return;
         };
         if let Some(allocation) = view.allocations.get_mut(&(task.clone(), run)) {
-            if allocation
-                .stop_ordered_at
-                .is_some_and(|at| now.millis_since(at) < STOP_REPEAT_MS)
-            {
+            let ordered = allocation.ordered_stop;
+            if ordered.is_some_and(|stop| now.millis_since(stop.ordered_at) < repeat_ms) {
                 return;
             }
-            allocation.stop_ordered_at = Some(now);
+            reason = ordered.map_or(reason, |stop| stop.reason);
+            allocation.ordered_stop = Some(OrderedStop {
+                ordered_at: now,
+                reason,
+            });
         }
         self.orders.push(PoolOrder::Stop(StopOrder {
             task,
--- a/crates/pool/src/preemption/capacity_reservation.rs
+++ b/crates/pool/src/preemption/capacity_reservation.rs
@@ -95,7 +95,9 @@
                 blockers.push(format!("{}:not schedulable", view.report.id));
             }
             for ((task, run), allocation) in &view.allocations {
-                let stop_ms = allocation.stop_ordered_at.map(|at| now.millis_since(at));
+                let stop_ms = allocation
+                    .ordered_stop
+                    .map(|stop| now.millis_since(stop.ordered_at));
                 blockers.push(format!(
                     "{}:{task}/{run}:stop_ordered_ms={stop_ms:?}",
                     view.report.id
--- a/crates/pool/src/workers/listing_apply.rs
+++ b/crates/pool/src/workers/listing_apply.rs
@@ -206,7 +206,7 @@
                 RunAllocation {
                     amount,
                     expected_since: Some(now),
-                    stop_ordered_at: None,
+                    ordered_stop: None,
                     listed: true,
                 },
             );
--- a/crates/pool/src/workers/worker_restart.rs
+++ b/crates/pool/src/workers/worker_restart.rs
@@ -273,7 +273,7 @@
                     amount: allocation.amount,
                     // Orders of an earlier leader have no effect after a listing with a newer epoch.
                     expected_since: allocation.expected_since.filter(|_| allocation.is_restored()),
-                    stop_ordered_at: None,
+                    ordered_stop: None,
                     listed: false,
                 },
             );
--- a/crates/pool/src/workers/worker_view.rs
+++ b/crates/pool/src/workers/worker_view.rs
@@ -7,7 +7,7 @@
 use crate::workers::label_index::LabelId;
 use crate::workers::worker_health::WorkerHealth;
 use crate::workers::worker_speed::SpeedEstimate;
-use crate::{ResourceAmount, TaskName};
+use crate::{ResourceAmount, StopReason, TaskName};
 
 /// Entry of one incarnation of a worker in the worker registry, where workers announce themselves.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -39,6 +39,14 @@
     }
 }
 
+/// The latest order to stop a run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct OrderedStop {
+    pub(crate) ordered_at: ClockTime,
+    /// Reason of the first order for the run.
+    pub(crate) reason: StopReason,
+}
+
 /// Resources that a run takes on a worker until its end is known.
 #[derive(Clone, Debug)]
 pub(crate) struct RunAllocation {
@@ -46,8 +54,7 @@
     /// Time from which a listing without the run shows that the run has ended; `None` until the start is
     /// confirmed.
     pub(crate) expected_since: Option<ClockTime>,
-    /// Time of the latest order to stop the run.
-    pub(crate) stop_ordered_at: Option<ClockTime>,
+    pub(crate) ordered_stop: Option<OrderedStop>,
     /// Whether this incarnation of the worker has listed the run. An answer to a start is no proof of that: it
     /// may come from another incarnation under the same id.
     pub(crate) listed: bool,
