Take a task as done when an earlier run of it has ended as done

A worker that is cut off until its lease expires may have finished runs before. It lists them when it is back, after the tasks were started elsewhere.

The current run is now stopped, and the task or its gang is done.

--- a/crates/pool/src/pool_order.rs
+++ b/crates/pool/src/pool_order.rs
@@ -19,6 +19,8 @@
     GangBroken,
     /// The answer to the start was lost, and the run must not begin later.
     StartUnconfirmed,
+    /// An earlier run of the task has ended as done.
+    AlreadyDone,
     /// The run is not the current run of any known task.
     Unexpected,
 }
--- a/crates/pool/src/workers/listing_apply.rs
+++ b/crates/pool/src/workers/listing_apply.rs
@@ -235,6 +235,9 @@
             }
         }
         let Some((key, task)) = self.current_task(name, end.run, worker) else {
+            if end.kind == EndKind::Done {
+                self.finish_earlier_run(name, end.run, now);
+            }
             return;
         };
         let has_checkpoint = is_storable(name, &end.checkpoint);
@@ -296,6 +299,47 @@
         self.close_occurrence(key, name.occurrence, now);
     }
 
+    /// Marks a task, or its whole gang, as done by a run that is not the current one, and stops the current one.
+    ///
+    /// A worker that is cut off until its lease expires may have finished a run before. It lists the end when it is back,
+    /// after the task was started elsewhere.
+    fn finish_earlier_run(&mut self, name: &TaskName, run: u32, now: ClockTime) {
+        let Some(key) = self.job_index.get(&name.job).copied() else {
+            return;
+        };
+        let job = &mut self.jobs[key];
+        let Some(body) = job.body.steps.get(name.step as usize) else {
+            return;
+        };
+        let (gang, endless) = (body.gang, body.endless);
+        let Some(occurrence) = job.occurrences.get_mut(&name.occurrence) else {
+            return;
+        };
+        let tasks = &mut occurrence.steps[name.step as usize].tasks;
+        let is_open = tasks.get(name.index as usize).is_some_and(|task| !task.done);
+        if endless || !is_open {
+            return;
+        }
+        let mut current_runs = Vec::new();
+        for (index, task) in tasks.iter_mut().enumerate() {
+            if gang || index == name.index as usize {
+                task.done = true;
+                let placement = task.placement.take();
+                current_runs.extend(placement.map(|placement| (index, task.run, placement.worker)));
+            }
+        }
+        log::info!(
+            "[run] task={name} run={run} ended=Done stopped_runs={}",
+            current_runs.len()
+        );
+        for (index, current_run, worker) in current_runs {
+            let member = self.jobs[key].task_name(name.occurrence, name.step as usize, index);
+            self.order_stop(member, current_run, worker, StopReason::AlreadyDone, now);
+        }
+        self.mark_changed(key);
+        self.close_occurrence(key, name.occurrence, now);
+    }
+
     /// Counts a failed run; a task or gang that has used up its attempts fails the job.
     fn fail_task(&mut self, key: JobKey, name: &TaskName, worker: WorkerKey, now: ClockTime) {
         let job = &mut self.jobs[key];
