Bound the time for which capacity is left to a gang, and log long waits

A forecast of a gang's start adds up expected ends of runs. With run times of a long tail the gang seems to start at any moment for as long as a run takes longer than expected, and single tasks left capacity to it until half of their slack had passed, which is hours for jobs of hours. A gang now has a claim that expires 6 s after the first forecast and is made anew after a pause of 3 s.

The reason of a wait of 3 s is logged once for each step, with the gang to which capacity is left and for how long.

Ruled out: a limit for each single task, which leaves a gang without a turn under a steady stream of them (stream_of_tasks).

--- a/crates/pool/src/jobs/job_entry.rs
+++ b/crates/pool/src/jobs/job_entry.rs
@@ -3,6 +3,7 @@
 
 use arbutuspick_model::ClockTime;
 
+use crate::placement::contested_workers::GangClaim;
 use crate::placement::wait_reason::WaitReason;
 use crate::workers::worker_kind::StepFit;
 use crate::{
@@ -113,6 +114,10 @@
     pub(crate) run_times: Vec<(WorkerKey, u64)>,
     /// Why the tasks that are ready to start waited at the latest decision that placed none of them.
     pub(crate) wait_reason: Option<WaitReason>,
+    /// Whether the reason of a long wait was logged.
+    pub(crate) long_wait_logged: bool,
+    /// Period in which capacity is left to the step, if it is a gang.
+    pub(crate) claim: Option<GangClaim>,
     /// Round of the latest search for runs to preempt.
     pub(crate) search_round: u64,
 }
@@ -137,6 +142,8 @@
             ready_at: None,
             run_times: Vec::new(),
             wait_reason: None,
+            long_wait_logged: false,
+            claim: None,
             search_round: 0,
         });
         Self {
--- a/crates/pool/src/placement/contested_workers.rs
+++ b/crates/pool/src/placement/contested_workers.rs
@@ -1,9 +1,46 @@
+//! Capacity that is left to waiting gangs.
+
 use arbutuspick_model::ClockTime;
 
 use crate::placement::capacity_forecast::CapacityForecast;
 use crate::placement::waiting_unit::WaitingUnit;
 use crate::placement::worker_search::{WorkerCandidate, rack_capacities};
 
+/// Time beyond its expected start for which capacity is left to a gang, in milliseconds.
+const CLAIM_GRACE_MS: u64 = 6_000;
+/// Time for which a gang that did not start as expected leaves capacity to others, in milliseconds; more than a single
+/// task may wait beside free capacity.
+const CLAIM_PAUSE_MS: u64 = 3_000;
+
+/// Period in which capacity is left to a waiting gang.
+///
+/// Load pattern: runs take several times as long as expected, so a gang does not start when it was to, again and
+/// again, while single tasks leave capacity to it that stays idle.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct GangClaim {
+    pub(crate) expires_at: ClockTime,
+    resumes_at: ClockTime,
+}
+
+impl GangClaim {
+    /// Returns whether capacity is left to a gang that is expected to start at `start`. A claim that has expired is
+    /// replaced after a pause.
+    pub(crate) fn holds(claim: &mut Option<Self>, start: ClockTime, now: ClockTime) -> bool {
+        match claim {
+            Some(claim) if now <= claim.expires_at => true,
+            Some(claim) if now < claim.resumes_at => false,
+            _ => {
+                let expires_at = start + CLAIM_GRACE_MS;
+                *claim = Some(Self {
+                    expires_at,
+                    resumes_at: expires_at + CLAIM_PAUSE_MS,
+                });
+                true
+            }
+        }
+    }
+}
+
 /// Marks the workers that a gang waits for, so that single tasks of lower rank leave free capacity to it which they
 /// would still occupy when the gang can start.
 ///
@@ -14,6 +51,7 @@
     unit: &WaitingUnit,
     candidates: &mut [WorkerCandidate],
     forecast: &mut CapacityForecast,
+    claim: &mut Option<GangClaim>,
     pool_busy: bool,
 ) -> bool {
     let count = unit.tasks.len();
@@ -67,7 +105,9 @@
             .filter_map(|rack| start_on(&|candidate| candidate.rack == *rack))
             .min()
     };
-    let Some(start) = start else { return false };
+    let Some(start) = start.filter(|start| GangClaim::holds(claim, *start, forecast.now)) else {
+        return false;
+    };
     for candidate in candidates.iter_mut().filter(|candidate| may_hold(candidate)) {
         let until = candidate.contested_until.map_or(start, |until| until.min(start));
         candidate.contested_until = Some(until);
--- a/crates/pool/src/placement/placement_pass.rs
+++ b/crates/pool/src/placement/placement_pass.rs
@@ -3,6 +3,7 @@
 use arbutuspick_model::ClockTime;
 
 use crate::jobs::job_entry::{PlacementStage, RunProgress, TaskPlacement};
+use crate::keys::JobKey;
 use crate::placement::blocked_needs::{BlockedNeeds, PlacementNeed};
 use crate::placement::contested_workers::mark_contested;
 use crate::placement::search_budget::SearchBudget;
@@ -43,7 +44,7 @@
         let mut searches = SearchBudget::new(self.search_round);
         let mut placed_work = None;
         let mut forecast = None;
-        let mut gangs_wait = false;
+        let mut gangs_wait = None;
         let mut waiting = Vec::new();
         for unit in &units {
             if unit.tasks.is_empty() {
@@ -72,11 +73,18 @@
             let is_reserved = matches!(outcome, PreemptionOutcome::Awaited | PreemptionOutcome::Stopped);
             if unit.gang && !is_reserved && unit.rank.lateness != Lateness::Overdue {
                 let forecast = forecast.get_or_insert_with(|| self.capacity_forecast(&candidates, now));
-                gangs_wait |= mark_contested(unit, &mut candidates, forecast, pool_busy);
+                let occurrence = self.jobs[unit.key].occurrences.get_mut(&unit.occurrence);
+                let Some(step) = occurrence.map(|occurrence| &mut occurrence.steps[unit.step]) else {
+                    continue;
+                };
+                let waits = mark_contested(unit, &mut candidates, forecast, &mut step.claim, pool_busy);
+                if waits && gangs_wait.is_none() {
+                    gangs_wait = Some(unit.key);
+                }
             }
         }
         self.search_round = searches.next_round();
-        self.record_wait_reasons(&waiting);
+        self.record_wait_reasons(&waiting, gangs_wait, now);
     }
 
     /// Returns whether capacity is reserved for the unit that is not free yet.
@@ -89,12 +97,12 @@
         })
     }
 
-    /// Returns why a unit waits that was not placed; `gangs_wait` is whether capacity is left to gangs.
-    fn wait_reason(&self, unit: &WaitingUnit, gangs_wait: bool) -> WaitReason {
+    /// Returns why a unit waits that was not placed; `gangs_wait` names the first gang to which capacity is left.
+    fn wait_reason(&self, unit: &WaitingUnit, gangs_wait: Option<JobKey>) -> WaitReason {
         match self.jobs[unit.key].step_fits.get(unit.step) {
             Some(StepFit::NoWorker) => WaitReason::NoWorker,
             Some(StepFit::TooLarge) => WaitReason::TooLarge,
-            _ if unit.yields_until.is_some() && gangs_wait => WaitReason::BehindOthers,
+            _ if unit.yields_until.is_some() && gangs_wait.is_some() => WaitReason::BehindOthers,
             _ => WaitReason::NoCapacity,
         }
     }
--- a/crates/pool/src/placement/wait_reason.rs
+++ b/crates/pool/src/placement/wait_reason.rs
@@ -3,11 +3,17 @@
 use std::collections::BTreeMap;
 use std::fmt;
 
+use arbutuspick_model::ClockTime;
+
+use crate::keys::JobKey;
 use crate::placement::waiting_unit::WaitingUnit;
 use crate::pool_core::PoolCore;
 
-/// Maximum number of jobs named in a log line.
+/// Maximum number of jobs named in a log line, and of units named in a decision.
 const MAX_LOGGED_JOBS: usize = 8;
+/// Wait from which on the reason is logged for each unit, in milliseconds; callers are promised a start within it if
+/// there is capacity.
+const LONG_WAIT_MS: u64 = 3_000;
 
 /// Why tasks that are ready to start wait.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -67,7 +73,13 @@
     }
 
     /// Stores why units wait; logs units that begin or cease to wait for other workers, in one line for each reason.
-    pub(crate) fn record_wait_reasons(&mut self, waiting: &[(&WaitingUnit, WaitReason)]) {
+    pub(crate) fn record_wait_reasons(
+        &mut self,
+        waiting: &[(&WaitingUnit, WaitReason)],
+        first_gang: Option<JobKey>,
+        now: ClockTime,
+    ) {
+        self.log_long_waits(waiting, first_gang, now);
         self.wait_counts.clear();
         let mut changes: BTreeMap<WaitReason, ReasonChange> = BTreeMap::new();
         for (unit, reason) in waiting {
@@ -97,4 +109,43 @@
             );
         }
     }
+
+    /// Logs once for each unit why it has waited for long, and the first gang to which capacity is left meanwhile.
+    fn log_long_waits(
+        &mut self,
+        waiting: &[(&WaitingUnit, WaitReason)],
+        first_gang: Option<JobKey>,
+        now: ClockTime,
+    ) {
+        let mut logged = 0;
+        for (unit, reason) in waiting.iter().filter(|(unit, _)| unit.waited_ms > LONG_WAIT_MS) {
+            if logged == MAX_LOGGED_JOBS {
+                return;
+            }
+            let Some(job) = self.jobs.get_mut(unit.key) else {
+                continue;
+            };
+            let Some(occurrence) = job.occurrences.get_mut(&unit.occurrence) else {
+                continue;
+            };
+            if std::mem::replace(&mut occurrence.steps[unit.step].long_wait_logged, true) {
+                continue;
+            }
+            logged += 1;
+            let gang = first_gang.filter(|_| *reason == WaitReason::BehindOthers);
+            let gang = gang.and_then(|key| self.jobs.get(key));
+            let steps = gang.iter().flat_map(|job| job.occurrences.values());
+            let claims = steps.flat_map(|occurrence| &occurrence.steps);
+            let left_ms = claims.filter_map(|step| step.claim).map(|claim| claim.expires_at);
+            log::info!(
+                "[wait] job={} step={} tasks={} waited_ms={} reason={reason} behind={} for_ms={}",
+                self.jobs[unit.key].id,
+                unit.step,
+                unit.tasks.len(),
+                unit.waited_ms,
+                gang.map_or("-", |job| job.id.as_ref()),
+                left_ms.max().map_or(0, |until| until.millis_since(now)),
+            );
+        }
+    }
 }
--- a/crates/pool/tests/gang_turns.rs
+++ b/crates/pool/tests/gang_turns.rs
@@ -147,3 +147,31 @@
     wait(&mut pool, 400);
     assert_eq!(pool.running_count("gang"), 8);
 }
+
+/// Guards against capacity that stays idle for as long as the runs last that a gang waits for, and against a gang that
+/// gives up its turn for good.
+#[test]
+fn expired_claim() {
+    let mut pool = pool_with_gang(6, lasting(step(8, 1), 1_000));
+    pool.advance(2_000);
+    // The tasks may wait for minutes until half of their slack has passed.
+    pool.submit(
+        "single",
+        body("bulk", "north", vec![lasting(step(4, 1), 300_000)]),
+    );
+    wait(&mut pool, 5_000);
+    assert_eq!(pool.running_count("single"), 0, "capacity is left to the gang");
+    wait(&mut pool, 4_000);
+    assert_eq!(pool.running_count("single"), 4, "the claim has expired");
+    pool.submit(
+        "later",
+        body("bulk", "north", vec![lasting(step(4, 1), 300_000)]),
+    );
+    wait(&mut pool, 5_000);
+    pool.submit(
+        "last",
+        body("bulk", "north", vec![lasting(step(4, 1), 300_000)]),
+    );
+    wait(&mut pool, 1_000);
+    assert_eq!(pool.running_count("last"), 0, "the gang has no claim after the pause");
+}
