Keep client accounts within their caps

A client account may have a cap: processors, memory and accelerators that it may run on all workers together. Nothing read it, so accounts ran more than they may.

Each allocation on a worker names the account of its run, and each decision counts the accounts anew from the allocations; a start beyond the cap does not happen. Units that wait for their cap have a wait reason of their own, and nothing is reserved, left free or preempted for them; urgent work stops less urgent runs of its own account only.

Ruled out: a running total for each account, which would drift with a missed end; and holding back all starts after a change of the leader until each worker is listed, which stops an account for the length of a lease.

--- a/crates/pool/src/placement/placement_pass.rs
+++ b/crates/pool/src/placement/placement_pass.rs
@@ -2,6 +2,7 @@
 
 use arbutuspick_model::ClockTime;
 
+use crate::accounts::account_ledger::AccountLedger;
 use crate::jobs::job_entry::{PlacementStage, RunProgress, TaskPlacement};
 use crate::placement::blocked_needs::{BlockedNeeds, PlacementNeed};
 use crate::placement::contested_workers::mark_contested;
@@ -38,7 +39,8 @@
             unit.check_local_fit(&candidates, &racks);
             unit.limit_yield(pool_busy);
         }
-        self.serve_reservations(&mut units, &mut candidates, now);
+        let mut ledger = self.account_ledger(now);
+        self.serve_reservations(&mut units, &mut candidates, &mut ledger, now);
         let mut blocked = BlockedNeeds::default();
         let mut searches = SearchBudget::new(self.search_round);
         let mut placed_work = None;
@@ -52,15 +54,25 @@
                 }
                 continue;
             }
-            let unplaced = self.place_unit(unit, &mut candidates, &mut blocked, pool_busy, now);
+            let unplaced = self.place_unit(unit, &mut candidates, &mut ledger, &mut blocked, pool_busy, now);
             if unplaced == 0 {
                 continue;
             }
-            waiting.push((unit, self.wait_reason(unit, gangs_wait)));
+            // Nothing is freed or left free for tasks that the cap of their account keeps from starting.
+            let open = ledger.startable_after_stops(unit, unplaced);
+            waiting.push((unit, self.wait_reason(unit, &ledger, gangs_wait)));
+            if open == 0 {
+                let work = placed_work.get_or_insert_with(|| self.placed_work(&candidates, &context, now));
+                if self.preempt_own_account(unit, unplaced, &ledger, work, now) {
+                    ledger.take(unit, unplaced);
+                    placed_work = None;
+                }
+                continue;
+            }
             let mut outcome = PreemptionOutcome::Excluded;
             if searches.allows(self.search_round_of(unit)) {
                 let work = placed_work.get_or_insert_with(|| self.placed_work(&candidates, &context, now));
-                outcome = self.preempt_for(unit, unplaced, &mut candidates, work, pool_busy, now);
+                outcome = self.preempt_for(unit, open, &mut candidates, work, pool_busy, now);
             }
             if outcome != PreemptionOutcome::Excluded {
                 searches.count();
@@ -70,6 +82,9 @@
                 placed_work = None;
             }
             let is_reserved = matches!(outcome, PreemptionOutcome::Awaited | PreemptionOutcome::Stopped);
+            if is_reserved {
+                ledger.take(unit, open);
+            }
             if unit.gang && !is_reserved && unit.rank.lateness != Lateness::Overdue {
                 let forecast = forecast.get_or_insert_with(|| self.capacity_forecast(&candidates, now));
                 gangs_wait |= mark_contested(unit, &mut candidates, forecast, pool_busy);
@@ -90,10 +105,11 @@
     }
 
     /// Returns why a unit waits that was not placed; `gangs_wait` is whether capacity is left to gangs.
-    fn wait_reason(&self, unit: &WaitingUnit, gangs_wait: bool) -> WaitReason {
+    fn wait_reason(&self, unit: &WaitingUnit, ledger: &AccountLedger, gangs_wait: bool) -> WaitReason {
         match self.jobs[unit.key].step_fits.get(unit.step) {
             Some(StepFit::NoWorker) => WaitReason::NoWorker,
             Some(StepFit::TooLarge) => WaitReason::TooLarge,
+            _ if ledger.startable(unit, unit.needed_together()) == 0 => WaitReason::AccountCap,
             _ if unit.yields_until.is_some() && gangs_wait => WaitReason::BehindOthers,
             _ => WaitReason::NoCapacity,
         }
@@ -135,10 +151,15 @@
         &mut self,
         unit: &WaitingUnit,
         candidates: &mut [WorkerCandidate],
+        ledger: &mut AccountLedger,
         blocked: &mut BlockedNeeds,
         pool_busy: bool,
         now: ClockTime,
     ) -> usize {
+        let startable = ledger.startable(unit, unit.tasks.len());
+        if startable == 0 {
+            return unit.tasks.len();
+        }
         let need = PlacementNeed::of_unit(unit, pool_busy);
         if blocked.contains(unit, &need, candidates) {
             return unit.tasks.len();
@@ -155,6 +176,7 @@
                 self.start_task(unit, *task, run, candidates[*index].worker, choice.remote, now);
                 placed.push((*task, candidates[*index].worker));
             }
+            ledger.take(unit, placed.len());
             self.log_placed(unit, &placed, choice.remote, now);
             return 0;
         }
@@ -162,6 +184,9 @@
         let mut placed = Vec::with_capacity(unit.tasks.len());
         let mut any_remote = false;
         for task in &unit.tasks {
+            if placed.len() == startable {
+                break;
+            }
             let avoided_worker = self.avoided_worker(unit, *task);
             let Some((index, remote)) = choose_worker(unit, candidates, &counts, avoided_worker, pool_busy)
             else {
@@ -178,6 +203,7 @@
             placed.push((*task, candidates[index].worker));
             any_remote |= remote;
         }
+        ledger.take(unit, placed.len());
         self.log_placed(unit, &placed, any_remote, now);
         unit.tasks.len() - placed.len()
     }
@@ -287,6 +313,7 @@
             (name.clone(), run),
             RunAllocation {
                 amount: unit.need.amount,
+                account: Some(unit.account.clone()),
                 expected_since: None,
                 stop_ordered_at: None,
                 listed: false,
