--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -24,6 +24,7 @@
 mod leader_record;
 mod leader_run;
 mod leading_cost;
+mod learned_rows;
 mod loop_meter;
 mod member_list;
 mod open_submissions;
