--- a/crates/dispatch/tests/leader_handover.rs
+++ b/crates/dispatch/tests/leader_handover.rs
@@ -12,6 +12,7 @@
     run_dispatch,
 };
 use arbutuspick_pool::CoreOptions;
+use arbutuspick_server::{ClientGuard, ListenerLimits};
 use prost::Message;
 use support::{
     CONFIG_TABLE, FakeFleet, FakeStore, StoreMode, WORKER_TABLE, deadline, decode_policy, decode_workers,
@@ -69,6 +70,7 @@
         use_probe: use_probe.clone(),
         address: listener.local_addr().unwrap(),
         tables: &[],
+        guard: ClientGuard::new("peers", ListenerLimits::derive(512, 4096).peers),
     };
     let context = Arc::new(DispatchContext {
         store: store.clone(),
--- a/crates/dispatch/tests/relayed_calls.rs
+++ b/crates/dispatch/tests/relayed_calls.rs
@@ -9,6 +9,7 @@
     SubmitOutcome, UseProbe,
 };
 use arbutuspick_pool::JobStage;
+use arbutuspick_server::{ClientGuard, ListenerLimits};
 use support::{FakeStore, StoreMode, deadline, job};
 use tokio::net::TcpListener;
 
@@ -34,6 +35,7 @@
             use_probe: UseProbe::default(),
             address: listener.local_addr().unwrap(),
             tables: &[],
+            guard: ClientGuard::new("peers", ListenerLimits::derive(512, 4096).peers),
         };
         intakes.push(JobIntake::new(relayed.clone(), clock, IntakeOptions::default()));
         tokio::spawn(relayed.run(listener, options));
