--- a/crates/pool/src/jobs/placement_restore.rs
+++ b/crates/pool/src/jobs/placement_restore.rs
@@ -113,6 +113,7 @@
                         expected_since: Some(ClockTime(0)),
                         stop_ordered_at: None,
                         listed: false,
+                        unexpected_since: None,
                     },
                 );
                 if let Some(task) = self.jobs[key].task_mut(&name) {
--- a/crates/pool/src/placement/placement_pass.rs
+++ b/crates/pool/src/placement/placement_pass.rs
@@ -277,6 +277,7 @@
             since: now,
             remote,
         });
+        task.stop_cause = None;
         task.progress = RunProgress {
             is_start_unknown: !task.checkpoint.is_empty(),
             ..RunProgress::default()
@@ -290,6 +291,7 @@
                 expected_since: None,
                 stop_ordered_at: None,
                 listed: false,
+                unexpected_since: None,
             },
         );
         self.orders.push(PoolOrder::Start(StartOrder {
