--- a/crates/dispatch/src/leader_run.rs
+++ b/crates/dispatch/src/leader_run.rs
@@ -26,6 +26,7 @@
 };
 use crate::learned_rows::{append_learned, read_learned, restore_learned};
 use crate::loop_meter::{LoopMeter, PassPhase};
+use crate::loss_report::LossReport;
 use crate::progress_rows::ProgressRows;
 use crate::row_store::{RowEntry, RowStore, RowWrite, read_table};
 use crate::worker_client::WorkerClient;
@@ -79,6 +80,7 @@
     leaderless_since: ClockTime,
     meter: LoopMeter,
     load: Arc<LeaderLoad>,
+    losses: LossReport,
 }
 
 /// Why a leader stopped.
@@ -137,6 +139,7 @@
             leaderless_since,
             meter: LoopMeter::new(acquired_at),
             load: Arc::default(),
+            losses: LossReport::new(acquired_at),
             context,
         }
     }
@@ -528,6 +531,7 @@
         self.core.decide(now, self.context.clock.wall());
         let orders = self.core.take_orders();
         record_latencies(self.core.take_latency_samples());
+        self.losses.record(&self.core.take_losses(), now);
         let changes = self.core.take_changes();
         let acknowledged: Vec<(WorkerKey, u64)> = self
             .sessions
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -26,6 +26,7 @@
 mod leading_cost;
 mod learned_rows;
 mod loop_meter;
+mod loss_report;
 mod member_list;
 mod open_submissions;
 mod order_sender;
--- a/crates/pool/src/accounts/ended_runs.rs
+++ b/crates/pool/src/accounts/ended_runs.rs
@@ -87,6 +87,7 @@
                     expected_since: Some(ClockTime(0)),
                     ordered_stop: None,
                     listed: false,
+                    unexpected_since: None,
                 };
                 view.allocations.insert((run.task_name(id), run.run), allocation);
             }
--- a/crates/pool/src/placement/placement_pass.rs
+++ b/crates/pool/src/placement/placement_pass.rs
@@ -9,6 +9,7 @@
 use crate::placement::contested_workers::mark_contested;
 use crate::placement::search_budget::SearchBudget;
 use crate::placement::unit_order::Lateness;
+use crate::placement::urgent_room::mark_urgent_room;
 use crate::placement::wait_reason::WaitReason;
 use crate::placement::waiting_unit::{RackMembers, WaitingUnit};
 use crate::placement::worker_choice::{choose_gang, choose_worker};
@@ -35,6 +36,10 @@
         units.sort_by_key(|unit| unit.rank);
         let mut candidates = self.worker_candidates(now);
         let pool_busy = is_busy(&candidates);
+        for (service, demand) in &mut self.urgent_demand {
+            mark_urgent_room(&mut candidates, service, demand.expected_workers(now));
+        }
+        let has_urgent_room = candidates.iter().any(|candidate| candidate.urgent_room);
         let racks = rack_members(&candidates);
         for unit in &mut units {
             unit.check_local_fit(&candidates, &racks);
@@ -61,7 +66,7 @@
             }
             // Nothing is freed or left free for tasks that the cap of their account keeps from starting.
             let open = ledger.startable_after_stops(unit, unplaced);
-            waiting.push((unit, self.wait_reason(unit, &ledger, gangs_wait)));
+            waiting.push((unit, self.wait_reason(unit, &ledger, gangs_wait, has_urgent_room)));
             if open == 0 {
                 let work = placed_work.get_or_insert_with(|| self.placed_work(&candidates, &context, now));
                 if self.preempt_own_account(unit, unplaced, &ledger, work, now) {
@@ -118,12 +123,14 @@
         unit: &WaitingUnit,
         ledger: &AccountLedger,
         gangs_wait: Option<JobKey>,
+        has_urgent_room: bool,
     ) -> WaitReason {
         match self.jobs[unit.key].step_fits.get(unit.step) {
             Some(StepFit::NoWorker) => WaitReason::NoWorker,
             Some(StepFit::TooLarge) => WaitReason::TooLarge,
             _ if ledger.startable(unit, unit.needed_together()) == 0 => WaitReason::AccountCap,
             _ if unit.yields_until.is_some() && gangs_wait.is_some() => WaitReason::BehindOthers,
+            _ if unit.leaves_urgent_room && has_urgent_room => WaitReason::BehindOthers,
             _ => WaitReason::NoCapacity,
         }
     }
@@ -155,6 +162,7 @@
             suspect: view.health.is_suspect(now),
             slow: view.health.is_slow(now),
             tier: view.speed.tier(),
+            urgent_room: false,
         });
         candidates.collect()
     }
@@ -316,6 +324,7 @@
             since: now,
             remote,
         });
+        task.stop_cause = None;
         task.progress = RunProgress {
             is_start_unknown: !task.checkpoint.is_empty(),
             ..RunProgress::default()
@@ -330,6 +339,7 @@
                 expected_since: None,
                 ordered_stop: None,
                 listed: false,
+                unexpected_since: None,
             },
         );
         self.orders.push(PoolOrder::Start(StartOrder {
--- a/crates/pool/src/workers/listing_apply.rs
+++ b/crates/pool/src/workers/listing_apply.rs
@@ -7,6 +7,7 @@
 use crate::WorkerListing;
 use crate::jobs::job_entry::PlacementStage;
 use crate::jobs::job_record::MAX_CHECKPOINT_BYTES;
+use crate::jobs::loss_ledger::{LossCause, run_core_ms};
 use crate::jobs::run_release::RunRelease;
 use crate::keys::JobKey;
 use crate::pool_core::PoolCore;
@@ -124,8 +125,10 @@
             self.stop_unexpected(worker, name, status.run, now);
             return;
         };
-        if is_storable(name, &status.checkpoint) {
+        task.progress.present_since.get_or_insert(now);
+        if is_storable(name, &status.checkpoint) && task.checkpoint != status.checkpoint {
             task.checkpoint = status.checkpoint.clone();
+            task.progress.saved_at = Some(now);
         }
         let Some(placement) = &mut task.placement else {
             return;
@@ -150,7 +153,7 @@
             self.stop_task(key, name, StopReason::Unexpected, now);
         }
         if !checkpoint.is_empty() {
-            self.share_checkpoint(key, name, &checkpoint);
+            self.share_checkpoint(key, name, &checkpoint, now);
         }
     }
 
@@ -169,13 +172,22 @@
     }
 
     /// Copies the checkpoint of one member to its whole gang, which resumes from a single checkpoint.
-    fn share_checkpoint(&mut self, key: JobKey, name: &TaskName, checkpoint: &std::sync::Arc<str>) {
+    fn share_checkpoint(
+        &mut self,
+        key: JobKey,
+        name: &TaskName,
+        checkpoint: &std::sync::Arc<str>,
+        now: ClockTime,
+    ) {
         let step = name.step as usize;
         if !self.jobs[key].body.steps.get(step).is_some_and(|step| step.gang) {
             return;
         }
         if let Some(occurrence) = self.jobs[key].occurrences.get_mut(&name.occurrence) {
             for member in &mut occurrence.steps[step].tasks {
+                if member.checkpoint != *checkpoint {
+                    member.progress.saved_at = Some(now);
+                }
                 member.checkpoint = checkpoint.clone();
             }
         }
@@ -216,6 +228,7 @@
                     expected_since: Some(now),
                     ordered_stop: None,
                     listed: true,
+                    unexpected_since: Some(now),
                 },
             );
         }
@@ -235,7 +248,13 @@
         };
         self.mark_begun(name);
         if let Some(view) = self.workers.get_mut(worker) {
-            view.allocations.remove(&(name.clone(), end.run));
+            let allocation = view.allocations.remove(&(name.clone(), end.run));
+            if let Some(allocation) = allocation
+                && let Some(since) = allocation.unexpected_since
+            {
+                let lost = allocation.amount.core_equivalents() * now.millis_since(since);
+                self.losses.charge(LossCause::Unexpected, lost);
+            }
             match end.kind {
                 EndKind::Done => view.health.record_success(),
                 EndKind::Failed => view.record_failure(&name.job, now),
@@ -250,6 +269,9 @@
         };
         let has_checkpoint = is_storable(name, &end.checkpoint);
         if has_checkpoint {
+            if task.checkpoint != end.checkpoint {
+                task.progress.saved_at = Some(now);
+            }
             task.checkpoint = end.checkpoint.clone();
         }
         let level = if end.kind == EndKind::Done {
@@ -259,12 +281,12 @@
         };
         log::log!(level, "[run] task={name} run={} ended={:?}", end.run, end.kind);
         if has_checkpoint {
-            self.share_checkpoint(key, name, &end.checkpoint);
+            self.share_checkpoint(key, name, &end.checkpoint, now);
         }
         match end.kind {
             EndKind::Done => self.finish_task(key, name, now),
             EndKind::Failed => self.fail_task(key, name, worker, now),
-            _ => self.requeue_task(name, end.run, worker, RunRelease::Ended, now),
+            kind => self.requeue_task(name, end.run, worker, RunRelease::Ended(kind), now),
         }
     }
 
@@ -318,6 +340,7 @@
         let Some(occurrence) = job.occurrences.get_mut(&name.occurrence) else {
             return;
         };
+        let mut lost_core_ms = 0;
         let tasks = &mut occurrence.steps[name.step as usize].tasks;
         let is_open = tasks.get(name.index as usize).is_some_and(|task| !task.done);
         if endless || !is_open {
@@ -327,10 +350,13 @@
         for (index, task) in tasks.iter_mut().enumerate() {
             if gang || index == name.index as usize {
                 task.done = true;
+                lost_core_ms += run_core_ms(body, task, now);
                 let placement = task.placement.take();
                 current_runs.extend(placement.map(|placement| (index, task.run, placement.worker)));
             }
         }
+        let cause = LossCause::of_stop(StopReason::AlreadyDone);
+        self.losses.charge(cause, lost_core_ms);
         log::info!(
             "[run] task={name} run={run} ended=Done stopped_runs={}",
             current_runs.len()
@@ -366,7 +392,7 @@
             }
         }
         self.mark_changed(key);
-        self.requeue_task(name, run, worker, RunRelease::Ended, now);
+        self.requeue_task(name, run, worker, RunRelease::Ended(EndKind::Failed), now);
         if failures >= limit && !endless {
             self.end_job(key, JobStage::Failed, now);
         }
@@ -400,6 +426,7 @@
                 {
                     placement.stage = PlacementStage::Running;
                     placement.since = at;
+                    task.progress.present_since = Some(at);
                 }
             }
             StartAnswer::Refused | StartAnswer::NotSent => {
--- a/crates/pool/src/workers/progress_check.rs
+++ b/crates/pool/src/workers/progress_check.rs
@@ -8,10 +8,12 @@
 use arbutuspick_model::ClockTime;
 
 use crate::jobs::job_entry::{PlacementStage, StepEntry, TaskEntry, TaskPlacement};
+use crate::jobs::loss_ledger::LossCause;
 use crate::jobs::run_release::RunRelease;
 use crate::keys::JobKey;
 use crate::placement::waiting_unit::remaining_ms;
 use crate::pool_core::PoolCore;
+use crate::workers::departure_check::must_leave;
 use crate::workers::move_target::{FreeWorkers, TargetNeed};
 use crate::workers::run_move::{GainHistory, MoveCase, START_MARGIN_MS, WorkerDoubt};
 use crate::workers::run_pace::{StepPace, log_ms, min_total_ms};
@@ -148,7 +150,8 @@
                     shuns_worker,
                 };
                 if let Some(leaves_at) = self.leaves_at(placement.worker) {
-                    if self.leaves_too_soon(place, task, placement, leaves_at, now) {
+                    let factor = self.remote_factor(placement);
+                    if must_leave(place.body, task, factor, leaves_at, now) {
                         moves.push(new_move(StopReason::WorkerLeaving, false));
                     }
                     continue;
@@ -166,7 +169,7 @@
             }
         }
         for (key, name) in broken_gangs {
-            self.stop_gang(key, &name, now);
+            self.stop_gang(key, &name, LossCause::MemberLost, now);
         }
         let mut stopped_gangs = HashSet::new();
         for run in moves {
@@ -259,21 +262,6 @@
         self.workers.get(worker)?.report.leaves_at
     }
 
-    /// Returns whether the worker leaves before the run ends, which can resume elsewhere.
-    fn leaves_too_soon(
-        &self,
-        place: &StepPlace,
-        task: &TaskEntry,
-        placement: TaskPlacement,
-        leaves_at: ClockTime,
-        now: ClockTime,
-    ) -> bool {
-        let left_percent = u64::from(100 - task.progress.percent.min(100));
-        let left_ms = place.body.estimate_ms * self.remote_factor(placement) * left_percent / 100;
-        let saved = place.body.checkpoints && !task.checkpoint.is_empty();
-        saved && now + left_ms > leaves_at
-    }
-
     /// Returns whether the worker is to be shunned if the run is so slow that it should be moved.
     fn slow_run(
         &self,
@@ -367,7 +355,7 @@
         // The end of one member ends the whole gang anyway; stopping all members at once is faster.
         let step = run.name.step as usize;
         if self.jobs[run.key].body.steps[step].gang {
-            self.stop_gang(run.key, &run.name, now);
+            self.stop_gang(run.key, &run.name, LossCause::of_stop(run.reason), now);
         }
     }
 
