--- a/crates/pool/src/placement/worker_search.rs
+++ b/crates/pool/src/placement/worker_search.rs
@@ -11,7 +11,7 @@
 use crate::ResourceAmount;
 use crate::keys::{RackId, WorkerKey};
 use crate::workers::label_index::{LabelId, RequiredLabel};
-use crate::workers::worker_speed::SpeedTier;
+use crate::workers::worker_speed::{SpeedPreference, SpeedTier};
 
 /// A schedulable worker during one decision, with the resources that are still free.
 #[derive(Clone, Debug)]
@@ -100,12 +100,13 @@
     }
 }
 
-/// Returns the candidate for one task: not suspect if possible, then on the side of the pool that is kept for it,
-/// then with the least capacity left over.
+/// Returns the candidate for one task: not suspect if possible, then on the side of the pool that is kept for it, of
+/// the preferred speed, and with the least capacity left over.
 pub(crate) fn best_candidate<F>(
     candidates: &[WorkerCandidate],
     need: &TaskNeed,
     counts: &StepCounts,
+    preference: SpeedPreference,
     allowed: F,
 ) -> Option<usize>
 where
@@ -119,11 +120,12 @@
         (
             candidate.suspect,
             candidate.is_misplaced(need),
+            preference.order(candidate.tier),
             left.dominant_share(&candidate.capacity),
             index,
         )
     });
-    scored.min().map(|(_, _, _, index)| index)
+    scored.min().map(|(_, _, _, _, index)| index)
 }
 
 /// Returns allowed candidates for `count` tasks, or `None` if not all tasks fit.
