Limit what clients can hold, and close stalled connections to make room

Cause: neither connections nor the memory of their requests were bounded. A body took up to 256 KB on each connection, and many times that in small chunks, each of which kept its own buffer; a head took up to 417 KB; a frame of a relayed call took 2 MB on each of 128 connections.

The new crate arbutuspick-server has the HTTP server of the adapter and a ledger that decides, without input or output, which connections are admitted, how much memory each may reserve, and which are closed to make room. Bytes are reserved before they are read, a declared body as a whole, so that the refusal comes before the body. Each listener has its own part of the memory and the descriptors in the settings, so that a crowd at one leaves the others theirs. The relay uses the same ledger for its frames.

Ruled out: one ledger for all listeners, since a crowd at the readiness probe could then take the room of callers; and a fixed reading time, since slow callers inside the limits are served as long as nobody needs the room.

--- a/crates/dispatch/src/relay_server.rs
+++ b/crates/dispatch/src/relay_server.rs
@@ -1,13 +1,14 @@
 //! Server side of the relay: makes calls to the store for processes that cannot reach it.
 
+use std::io;
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
-use futures::{SinkExt, StreamExt};
+use arbutuspick_server::{ClientGuard, ConnectionLease};
+use bytes::{Buf, Bytes, BytesMut};
 use prost::Message;
+use tokio::io::{AsyncReadExt, AsyncWriteExt, BufReader};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::Semaphore;
 use tokio::task::JoinSet;
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
@@ -20,9 +21,7 @@
 pub(crate) const MAX_FRAME_BYTES: usize = 2 * 1024 * 1024;
 /// Upper bound for the deadline of a relayed call, in milliseconds.
 const MAX_CALL_MS: u64 = 5_000;
-/// Maximum number of connections; a large deployment has some tens of entry VMs with a few connections each.
-const MAX_CONNECTIONS: usize = 128;
-/// Time without a call after which a connection is closed, in seconds.
+/// Time without a whole call, or for a reply, after which a connection is closed, in seconds.
 const IDLE_TIMEOUT_S: u64 = 30;
 /// Delay after a failure to accept a connection, in milliseconds.
 const ACCEPT_RETRY_DELAY_MS: u64 = 50;
@@ -48,22 +47,27 @@
 }
 
 /// Serves relayed calls for as long as the process runs.
-pub(crate) async fn serve_relay<S>(listener: TcpListener, context: Arc<RelayContext<S>>)
+pub(crate) async fn serve_relay<S>(listener: TcpListener, guard: ClientGuard, context: Arc<RelayContext<S>>)
 where
     S: RowStore,
 {
-    let permits = Arc::new(Semaphore::new(MAX_CONNECTIONS));
     let mut connections = JoinSet::new();
     loop {
         while connections.try_join_next().is_some() {}
         match listener.accept().await {
             Ok((stream, _)) => {
                 // Above the limit the connection is closed, and the caller tries another peer.
-                if let Ok(permit) = permits.clone().try_acquire_owned() {
+                if let Some(lease) = guard.connect() {
                     let context = context.clone();
                     connections.spawn(async move {
-                        serve_connection(stream, &context).await;
-                        drop(permit);
+                        tokio::select! {
+                            () = lease.closed() => {}
+                            result = serve_connection(stream, &lease, &context) => {
+                                if let Err(error) = result {
+                                    log::debug!("[relay] connection failed: {error}");
+                                }
+                            }
+                        }
                     });
                 }
             }
@@ -75,36 +79,72 @@
     }
 }
 
-async fn serve_connection<S>(stream: TcpStream, context: &RelayContext<S>)
+async fn serve_connection<S>(
+    stream: TcpStream,
+    lease: &ConnectionLease,
+    context: &RelayContext<S>,
+) -> io::Result<()>
 where
     S: RowStore,
 {
     if let Err(error) = stream.set_nodelay(true) {
         log::debug!("[relay] cannot set TCP_NODELAY: {error}");
     }
-    let mut frames = relay_stream(stream);
+    let mut stream = BufReader::new(stream);
+    let timeout = Duration::from_secs(IDLE_TIMEOUT_S);
     loop {
-        let idle = Duration::from_secs(IDLE_TIMEOUT_S);
-        let Ok(Some(Ok(frame))) = tokio::time::timeout(idle, frames.next()).await else {
-            return;
+        let frame = tokio::time::timeout(timeout, read_frame(&mut stream, lease)).await??;
+        let (body, is_executed) = match frame {
+            Some(frame) => (execute(frame, context).await, true),
+            None => (
+                ReplyBody::NotExecuted("the relay has no room for the call".into()),
+                false,
+            ),
         };
-        let body = execute(frame, context).await;
-        let reply = RelayReply { body: Some(body) };
-        if let Err(error) = frames.send(Bytes::from(reply.encode_to_vec())).await {
-            log::debug!("[relay] cannot send a reply: {error}");
-            return;
+        let reply = RelayReply { body: Some(body) }.encode_to_vec();
+        lease.respond(reply.len(), is_executed);
+        let length = u32::try_from(reply.len()).map_err(io::Error::other)?;
+        let mut head = Bytes::copy_from_slice(&length.to_be_bytes()).chain(reply.as_slice());
+        tokio::time::timeout(timeout, stream.write_all_buf(&mut head)).await??;
+        lease.finish();
+        if !is_executed {
+            // The rest of the frame is not read.
+            return Ok(());
         }
     }
 }
 
-async fn execute<S>(frame: BytesMut, context: &RelayContext<S>) -> ReplyBody
+/// Reads one frame; returns `None` if there is no room for it.
+async fn read_frame(stream: &mut BufReader<TcpStream>, lease: &ConnectionLease) -> io::Result<Option<Bytes>> {
+    let length = stream.read_u32().await? as usize;
+    if length > MAX_FRAME_BYTES {
+        return Err(io::Error::new(
+            io::ErrorKind::InvalidData,
+            "the frame is too long",
+        ));
+    }
+    if !lease.reserve(length) {
+        return Ok(None);
+    }
+    let mut frame = BytesMut::new();
+    let mut rest = stream.take(length as u64);
+    while frame.len() < length {
+        let received = rest.read_buf(&mut frame).await?;
+        if received == 0 || !lease.receive(received) {
+            return Err(io::ErrorKind::UnexpectedEof.into());
+        }
+    }
+    Ok(lease.run().then(|| frame.freeze()))
+}
+
+async fn execute<S>(frame: Bytes, context: &RelayContext<S>) -> ReplyBody
 where
     S: RowStore,
 {
     if context.health.is_unreachable() {
         return ReplyBody::NotExecuted("the relay cannot reach the store either".into());
     }
-    let call = match RelayCall::decode(frame.freeze()) {
+    let call = match RelayCall::decode(frame) {
         Ok(call) => call,
         Err(error) => return ReplyBody::NotExecuted(format!("cannot decode the call: {error}")),
     };
--- a/crates/dispatch/src/relayed_store.rs
+++ b/crates/dispatch/src/relayed_store.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use arbutuspick_model::ClockTime;
+use arbutuspick_server::ClientGuard;
 use tokio::net::TcpListener;
 
 use crate::member_list::{MEMBER_TABLE, MemberRecord, watch_members};
@@ -44,6 +45,8 @@
     pub address: SocketAddr,
     /// Tables that a relayed call may access besides those of this crate.
     pub tables: KnownTables,
+    /// Limits what the calls of other processes can hold.
+    pub guard: ClientGuard,
 }
 
 impl<S> RelayedStore<S>
@@ -82,7 +85,7 @@
             election_delay_ms: options.election_delay_ms,
         };
         tokio::join!(
-            serve_relay(listener, context),
+            serve_relay(listener, options.guard, context),
             watch_members(&self.direct, self.clock, &options.vm, record, |peers| {
                 self.client.set_peers(peers);
             }),
--- a/crates/dispatch/tests/leader_handover.rs
+++ b/crates/dispatch/tests/leader_handover.rs
@@ -10,6 +10,7 @@
     follow_policy, run_dispatch,
 };
 use arbutuspick_pool::CoreOptions;
+use arbutuspick_server::{ClientGuard, ListenerLimits};
 use prost::Message;
 use support::{
     CONFIG_TABLE, FakeFleet, FakeStore, StoreMode, WORKER_TABLE, decode_policy, decode_workers, store_with,
@@ -37,6 +38,7 @@
         election_delay_ms,
         address: listener.local_addr().unwrap(),
         tables: &[],
+        guard: ClientGuard::new("peers", ListenerLimits::derive(512, 4096).peers),
     };
     let context = Arc::new(DispatchContext {
         store: store.clone(),
--- a/crates/dispatch/tests/relayed_calls.rs
+++ b/crates/dispatch/tests/relayed_calls.rs
@@ -8,6 +8,7 @@
     BootClock, IntakeOptions, JobIntake, RelayOptions, RelayedStore, StatusOutcome, SubmitOutcome,
 };
 use arbutuspick_pool::JobStage;
+use arbutuspick_server::{ClientGuard, ListenerLimits};
 use support::{FakeStore, StoreMode, deadline, job};
 use tokio::net::TcpListener;
 
@@ -32,6 +33,7 @@
             election_delay_ms: 0,
             address: listener.local_addr().unwrap(),
             tables: &[],
+            guard: ClientGuard::new("peers", ListenerLimits::derive(512, 4096).peers),
         };
         intakes.push(JobIntake::new(relayed.clone(), clock, IntakeOptions::default()));
         tokio::spawn(relayed.run(listener, options));
--- /dev/null
+++ b/crates/server/src/client_guard.rs
@@ -0,0 +1,202 @@
+use std::sync::Arc;
+
+use arbutuspick_model::ClockTime;
+use metrics::Gauge;
+use parking_lot::Mutex;
+use slotmap::SecondaryMap;
+use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
+
+use crate::{Admission, ClientLedger, ClientLimits, ClosureReason, ConnectionKey};
+
+#[derive(Debug)]
+struct GuardState {
+    ledger: ClientLedger,
+    /// Tokens that end the tasks of the connections.
+    closers: SecondaryMap<ConnectionKey, CancellationToken>,
+}
+
+#[derive(Debug)]
+struct GuardShared {
+    listener: &'static str,
+    started_at: Instant,
+    state: Mutex<GuardState>,
+    connection_gauge: Gauge,
+    byte_gauge: Gauge,
+}
+
+/// Carries out the decisions of a [`ClientLedger`] for the connections of one listener.
+#[derive(Clone, Debug)]
+pub struct ClientGuard {
+    shared: Arc<GuardShared>,
+}
+
+/// A connection that is admitted; its memory is returned when the lease is dropped.
+#[derive(Debug)]
+pub struct ConnectionLease {
+    shared: Arc<GuardShared>,
+    key: ConnectionKey,
+    closed: CancellationToken,
+}
+
+impl ClientGuard {
+    /// Creates the guard of a listener; `listener` names it in metrics and log lines.
+    pub fn new(listener: &'static str, limits: ClientLimits) -> Self {
+        log::info!(
+            "[server] listener={listener} max_connections={} max_bytes={}",
+            limits.max_connections,
+            limits.max_bytes
+        );
+        let state = GuardState {
+            ledger: ClientLedger::new(limits),
+            closers: SecondaryMap::new(),
+        };
+        let shared = GuardShared {
+            listener,
+            started_at: Instant::now(),
+            state: Mutex::new(state),
+            connection_gauge: metrics::gauge!("arbutuspick_client_connections", "listener" => listener),
+            byte_gauge: metrics::gauge!("arbutuspick_client_bytes", "listener" => listener),
+        };
+        Self {
+            shared: Arc::new(shared),
+        }
+    }
+
+    /// Admits a connection, or returns `None` if there is no room for it.
+    pub fn connect(&self) -> Option<Arc<ConnectionLease>> {
+        let closed = CancellationToken::new();
+        let admission = self.shared.decide(|ledger, now| ledger.connect(now));
+        let Admission::Admitted(key) = admission else {
+            self.shared.record_refusal("connections");
+            return None;
+        };
+        self.shared.state.lock().closers.insert(key, closed.clone());
+        self.shared.record_load();
+        Some(Arc::new(ConnectionLease {
+            shared: self.shared.clone(),
+            key,
+            closed,
+        }))
+    }
+}
+
+impl GuardShared {
+    /// Makes a decision, and closes the connections that it names.
+    fn decide<D, T>(&self, decide: D) -> T
+    where
+        D: FnOnce(&mut ClientLedger, ClockTime) -> T,
+    {
+        let elapsed_ms = u64::try_from(self.started_at.elapsed().as_millis()).unwrap_or(u64::MAX);
+        let mut state = self.state.lock();
+        let decision = decide(&mut state.ledger, ClockTime(elapsed_ms));
+        let closures = state.ledger.take_closures();
+        for closure in &closures {
+            if let Some(closer) = state.closers.get(closure.key) {
+                closer.cancel();
+            }
+        }
+        drop(state);
+        for closure in closures {
+            let reason = reason_name(closure.reason);
+            log::info!(
+                "[server] listener={} closed a connection reason={reason} held_bytes={}",
+                self.listener,
+                closure.held_bytes
+            );
+            metrics::counter!(
+                "arbutuspick_client_closures_total", "listener" => self.listener, "reason" => reason
+            )
+            .increment(1);
+        }
+        decision
+    }
+
+    fn record_refusal(&self, reason: &'static str) {
+        log::info!(
+            "[server] listener={} refused a client reason={reason}",
+            self.listener
+        );
+        metrics::counter!(
+            "arbutuspick_client_refusals_total", "listener" => self.listener, "reason" => reason
+        )
+        .increment(1);
+    }
+
+    #[allow(clippy::cast_precision_loss)]
+    fn record_load(&self) {
+        let state = self.state.lock();
+        self.connection_gauge.set(state.ledger.open_connections() as f64);
+        self.byte_gauge.set(state.ledger.held_bytes() as f64);
+    }
+}
+
+fn reason_name(reason: ClosureReason) -> &'static str {
+    match reason {
+        ClosureReason::Stalled => "stalled",
+        ClosureReason::Idle => "idle",
+        ClosureReason::Slow => "slow",
+    }
+}
+
+impl ConnectionLease {
+    /// Waits until the connection has to be closed.
+    pub async fn closed(&self) {
+        self.closed.cancelled().await;
+    }
+
+    /// Records bytes that were received; returns whether the connection may receive more.
+    pub fn receive(&self, bytes: usize) -> bool {
+        let admitted = self
+            .shared
+            .decide(|ledger, now| ledger.receive(self.key, bytes, now));
+        self.count_refusal(admitted)
+    }
+
+    /// Reserves memory for the body of a request that is still arriving; returns whether there is room.
+    pub fn reserve(&self, bytes: usize) -> bool {
+        let admitted = self
+            .shared
+            .decide(|ledger, now| ledger.reserve(self.key, bytes, now));
+        self.count_refusal(admitted)
+    }
+
+    /// Records that a request is being processed; returns false if the connection is being closed.
+    pub fn run(&self) -> bool {
+        self.shared.decide(|ledger, _| ledger.run(self.key))
+    }
+
+    /// Records that a request has a response of this size.
+    pub fn respond(&self, bytes: usize, is_served: bool) {
+        self.shared
+            .decide(|ledger, now| ledger.respond(self.key, bytes, is_served, now));
+    }
+
+    /// Records that part of a response was sent.
+    pub fn send(&self) {
+        self.shared.decide(|ledger, now| ledger.send(self.key, now));
+    }
+
+    /// Records that everything was sent.
+    pub fn finish(&self) {
+        self.shared.decide(|ledger, now| ledger.finish(self.key, now));
+    }
+
+    fn count_refusal(&self, admitted: bool) -> bool {
+        if !admitted && !self.closed.is_cancelled() {
+            self.shared.record_refusal("memory");
+            self.shared.record_load();
+        }
+        admitted
+    }
+}
+
+impl Drop for ConnectionLease {
+    fn drop(&mut self) {
+        let mut state = self.shared.state.lock();
+        state.ledger.disconnect(self.key);
+        state.closers.remove(self.key);
+        drop(state);
+        self.shared.record_load();
+    }
+}
--- /dev/null
+++ b/crates/server/src/client_ledger.rs
@@ -0,0 +1,232 @@
+use arbutuspick_model::ClockTime;
+use slotmap::SlotMap;
+
+use crate::ClientLimits;
+pub use crate::connection_entry::ClosureReason;
+use crate::connection_entry::{
+    CONNECTION_BYTES, ConnectionEntry, ConnectionKey, ConnectionPhase, FIRST_BUFFER_BYTES, GROWN_BUFFER_BYTES,
+};
+
+/// Largest request that may use the part of the memory that is reserved for small requests, in bytes.
+const SMALL_REQUEST_BYTES: usize = 16 * 1024;
+/// Part of the memory that is reserved for small requests and new connections, as a divisor.
+const SMALL_REQUEST_DIVISOR: usize = 8;
+
+/// Whether a connection is admitted.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Admission {
+    /// The connection is served.
+    Admitted(ConnectionKey),
+    /// There is no room, and no other connection may be closed.
+    Refused,
+}
+
+/// A connection that has to be closed to make room.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Closure {
+    /// The connection.
+    pub key: ConnectionKey,
+    /// Why this one was chosen.
+    pub reason: ClosureReason,
+    /// Memory that it holds, in bytes.
+    pub held_bytes: usize,
+}
+
+/// Decides which connections of a listener are admitted, and which are closed to make room.
+///
+/// Load pattern: many clients at once that each send less than the limits allow, and most of which stop just short of
+/// the end of a request and stay connected, while ordinary callers come and go. Without pressure nothing is closed.
+///
+/// A connection whose request is being processed is never closed. The memory of a connection that is being closed
+/// counts as free at once, since its task is dropped before it can receive more.
+#[derive(Debug)]
+pub struct ClientLedger {
+    limits: ClientLimits,
+    connections: SlotMap<ConnectionKey, ConnectionEntry>,
+    /// Connections that are not being closed.
+    open_connections: usize,
+    /// Memory of these connections, in bytes.
+    held_bytes: usize,
+    /// Connections that were chosen since [`Self::take_closures`] was last called.
+    closures: Vec<Closure>,
+}
+
+impl ClientLedger {
+    /// Creates an empty ledger.
+    pub fn new(limits: ClientLimits) -> Self {
+        Self {
+            limits,
+            connections: SlotMap::with_key(),
+            open_connections: 0,
+            held_bytes: 0,
+            closures: Vec::new(),
+        }
+    }
+
+    /// Returns the number of connections that are not being closed.
+    pub fn open_connections(&self) -> usize {
+        self.open_connections
+    }
+
+    /// Returns the memory of these connections, in bytes.
+    pub fn held_bytes(&self) -> usize {
+        self.held_bytes
+    }
+
+    /// Returns the connections that have to be closed; each is returned once.
+    pub fn take_closures(&mut self) -> Vec<Closure> {
+        std::mem::take(&mut self.closures)
+    }
+
+    /// Decides on a new connection.
+    pub fn connect(&mut self, now: ClockTime) -> Admission {
+        while self.open_connections >= self.limits.max_connections {
+            if !self.close_one(None, now) {
+                return Admission::Refused;
+            }
+        }
+        if !self.make_room(None, CONNECTION_BYTES, now) {
+            return Admission::Refused;
+        }
+        self.open_connections += 1;
+        self.held_bytes += CONNECTION_BYTES;
+        Admission::Admitted(self.connections.insert(ConnectionEntry::new(now)))
+    }
+
+    /// Records bytes that were received; returns whether the connection may receive more.
+    pub fn receive(&mut self, key: ConnectionKey, bytes: usize, now: ClockTime) -> bool {
+        let Some(entry) = self.open_entry(key) else {
+            return false;
+        };
+        if entry.phase == ConnectionPhase::Idle {
+            entry.phase = ConnectionPhase::Receiving;
+            entry.started_at = now;
+            entry.received_bytes = 0;
+        }
+        entry.progressed_at = now;
+        entry.received_bytes = entry.received_bytes.saturating_add(bytes);
+        if entry.has_grown || entry.received_bytes < FIRST_BUFFER_BYTES {
+            return true;
+        }
+        if !self.make_room(Some(key), GROWN_BUFFER_BYTES, now) {
+            return false;
+        }
+        if let Some(entry) = self.connections.get_mut(key) {
+            entry.has_grown = true;
+            self.held_bytes += GROWN_BUFFER_BYTES;
+        }
+        true
+    }
+
+    /// Reserves memory for the body of a request that is still arriving; returns whether there is room.
+    pub fn reserve(&mut self, key: ConnectionKey, bytes: usize, now: ClockTime) -> bool {
+        let Some(entry) = self.open_entry(key) else {
+            return false;
+        };
+        if entry.phase != ConnectionPhase::Receiving {
+            entry.phase = ConnectionPhase::Receiving;
+            entry.progressed_at = now;
+        }
+        if !self.make_room(Some(key), bytes, now) {
+            return false;
+        }
+        if let Some(entry) = self.connections.get_mut(key) {
+            entry.request_bytes += bytes;
+            self.held_bytes += bytes;
+        }
+        true
+    }
+
+    /// Records that a request is being processed; returns false if the connection is being closed.
+    pub fn run(&mut self, key: ConnectionKey) -> bool {
+        let Some(entry) = self.open_entry(key) else {
+            return false;
+        };
+        entry.phase = ConnectionPhase::Running;
+        true
+    }
+
+    /// Records that a request has a response of this size, which takes the place of the request.
+    pub fn respond(&mut self, key: ConnectionKey, bytes: usize, is_served: bool, now: ClockTime) {
+        if let Some(entry) = self.open_entry(key) {
+            let request_bytes = std::mem::replace(&mut entry.request_bytes, bytes);
+            entry.phase = ConnectionPhase::Responding;
+            entry.progressed_at = now;
+            entry.is_served |= is_served;
+            self.held_bytes = self.held_bytes - request_bytes + bytes;
+        }
+    }
+
+    /// Records that part of a response was sent.
+    pub fn send(&mut self, key: ConnectionKey, now: ClockTime) {
+        if let Some(entry) = self.open_entry(key) {
+            entry.progressed_at = now;
+        }
+    }
+
+    /// Records that everything was sent.
+    pub fn finish(&mut self, key: ConnectionKey, now: ClockTime) {
+        let Some(entry) = self.open_entry(key) else {
+            return;
+        };
+        if entry.phase == ConnectionPhase::Responding {
+            let request_bytes = std::mem::take(&mut entry.request_bytes);
+            entry.phase = ConnectionPhase::Idle;
+            entry.progressed_at = now;
+            self.held_bytes -= request_bytes;
+        }
+    }
+
+    /// Removes a connection that has ended.
+    pub fn disconnect(&mut self, key: ConnectionKey) {
+        if let Some(entry) = self.connections.remove(key)
+            && !entry.is_closing
+        {
+            self.open_connections -= 1;
+            self.held_bytes -= entry.held_bytes();
+        }
+    }
+
+    fn open_entry(&mut self, key: ConnectionKey) -> Option<&mut ConnectionEntry> {
+        self.connections.get_mut(key).filter(|entry| !entry.is_closing)
+    }
+
+    /// Closes other connections until `bytes` are free; returns false if that is not possible, and closes none if it
+    /// is certain not to be.
+    fn make_room(&mut self, requester: Option<ConnectionKey>, bytes: usize, now: ClockTime) -> bool {
+        let limit = if bytes <= SMALL_REQUEST_BYTES {
+            self.limits.max_bytes
+        } else {
+            self.limits.max_bytes - self.limits.max_bytes / SMALL_REQUEST_DIVISOR
+        };
+        while self.held_bytes + bytes > limit {
+            if bytes > limit || !self.close_one(requester, now) {
+                return false;
+            }
+        }
+        true
+    }
+
+    /// Closes the connection with the strongest reason and, among these, the longest time.
+    fn close_one(&mut self, requester: Option<ConnectionKey>, now: ClockTime) -> bool {
+        let candidates = self
+            .connections
+            .iter()
+            .filter(|(key, _)| Some(*key) != requester)
+            .filter_map(|(key, entry)| entry.closable(now).map(|order| (order, key)));
+        let Some(((reason, _), key)) = candidates.min() else {
+            return false;
+        };
+        let entry = &mut self.connections[key];
+        entry.is_closing = true;
+        let held_bytes = entry.held_bytes();
+        self.open_connections -= 1;
+        self.held_bytes -= held_bytes;
+        self.closures.push(Closure {
+            key,
+            reason,
+            held_bytes,
+        });
+        true
+    }
+}
--- /dev/null
+++ b/crates/server/src/client_limits.rs
@@ -0,0 +1,67 @@
+use crate::connection_entry::CONNECTION_BYTES;
+
+/// Part of the memory that clients may hold, as a divisor; the rest is for the scheduler and its clients.
+const MEMORY_DIVISOR: usize = 4;
+/// Descriptors that the platform reserves for files.
+const FILE_DESCRIPTORS: usize = 200;
+/// Part of the sockets that callers may use, as a divisor; the rest is for the store, workers and peers.
+const CALLER_SOCKET_DIVISOR: usize = 2;
+/// Part of the sockets that peers may use, as a divisor.
+const PEER_SOCKET_DIVISOR: usize = 8;
+/// Maximum number of connections of peers; a large deployment has some tens of entry VMs with a few each.
+const MAX_PEER_CONNECTIONS: usize = 128;
+/// Maximum number of connections of probes and of readers of metrics.
+const MAX_PROBE_CONNECTIONS: usize = 16;
+/// Least number of connections of a listener.
+const MIN_CONNECTIONS: usize = 8;
+
+/// What the clients of one listener may hold together.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ClientLimits {
+    /// Maximum number of connections.
+    pub max_connections: usize,
+    /// Maximum memory in bytes.
+    pub max_bytes: usize,
+}
+
+/// Limits of the listeners of a process. A crowd at one listener leaves the others their part.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ListenerLimits {
+    /// Callers and operators.
+    pub callers: ClientLimits,
+    /// Readiness probes.
+    pub readiness: ClientLimits,
+    /// Readers of metrics and state dumps.
+    pub metrics: ClientLimits,
+    /// Other processes of the deployment.
+    pub peers: ClientLimits,
+}
+
+impl ListenerLimits {
+    /// Derives the limits from the memory and the number of descriptors of the process.
+    ///
+    /// ```
+    /// use arbutuspick_server::ListenerLimits;
+    /// let limits = ListenerLimits::derive(120, 3_075);
+    /// assert_eq!((limits.callers.max_connections, limits.callers.max_bytes), (600, 19_660_800));
+    /// ```
+    pub fn derive(memory_mb: usize, max_descriptors: usize) -> Self {
+        let bytes = memory_mb.saturating_mul(1024 * 1024) / MEMORY_DIVISOR;
+        let sockets = max_descriptors.saturating_sub(FILE_DESCRIPTORS);
+        let limits = |max_connections: usize, sixteenths: usize| {
+            let max_bytes = bytes / 16 * sixteenths;
+            // Connections alone take at most half of the memory, so that bodies have room.
+            let affordable = max_bytes / 2 / CONNECTION_BYTES;
+            ClientLimits {
+                max_connections: max_connections.min(affordable).max(MIN_CONNECTIONS),
+                max_bytes,
+            }
+        };
+        Self {
+            callers: limits(sockets / CALLER_SOCKET_DIVISOR, 10),
+            readiness: limits(MAX_PROBE_CONNECTIONS, 1),
+            metrics: limits(MAX_PROBE_CONNECTIONS, 1),
+            peers: limits((sockets / PEER_SOCKET_DIVISOR).min(MAX_PEER_CONNECTIONS), 4),
+        }
+    }
+}
--- /dev/null
+++ b/crates/server/src/client_stream.rs
@@ -0,0 +1,92 @@
+use std::io;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::task::{Context, Poll, ready};
+
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+
+use crate::ConnectionLease;
+
+/// A TCP connection whose progress is recorded in the ledger of its listener.
+#[derive(Debug)]
+pub(crate) struct ClientStream {
+    stream: TcpStream,
+    lease: Arc<ConnectionLease>,
+    /// Whether bytes were written since the last flush.
+    has_written: bool,
+}
+
+impl ClientStream {
+    pub(crate) fn new(stream: TcpStream, lease: Arc<ConnectionLease>) -> Self {
+        Self {
+            stream,
+            lease,
+            has_written: false,
+        }
+    }
+
+    fn record_write(&mut self, result: &Poll<io::Result<usize>>) {
+        if let Poll::Ready(Ok(1..)) = result {
+            self.has_written = true;
+            self.lease.send();
+        }
+    }
+}
+
+impl AsyncRead for ClientStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let filled = buffer.filled().len();
+        ready!(Pin::new(&mut self.stream).poll_read(context, buffer))?;
+        let received = buffer.filled().len() - filled;
+        if received > 0 && !self.lease.receive(received) {
+            return Poll::Ready(Err(io::Error::new(
+                io::ErrorKind::OutOfMemory,
+                "no room for the request",
+            )));
+        }
+        Poll::Ready(Ok(()))
+    }
+}
+
+impl AsyncWrite for ClientStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        let result = Pin::new(&mut self.stream).poll_write(context, bytes);
+        self.record_write(&result);
+        result
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        slices: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        let result = Pin::new(&mut self.stream).poll_write_vectored(context, slices);
+        self.record_write(&result);
+        result
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    /// Called once nothing is left to write.
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        if std::mem::take(&mut self.has_written) {
+            self.lease.finish();
+        }
+        Pin::new(&mut self.stream).poll_flush(context)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(context)
+    }
+}
--- /dev/null
+++ b/crates/server/src/http_server.rs
@@ -0,0 +1,122 @@
+use std::convert::Infallible;
+use std::error::Error;
+use std::future::Future;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use hyper::body::{Body, Incoming};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Request, Response};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::JoinSet;
+use tokio_util::sync::CancellationToken;
+
+use crate::client_stream::ClientStream;
+use crate::{ClientBody, ClientGuard, ConnectionLease};
+
+/// Maximum size of a head in bytes; configurations permit 16 KB.
+pub const MAX_HEAD_BYTES: usize = 24 * 1024;
+/// Value of the `Retry-After` header of a refusal, in seconds; another VM may have room.
+pub const RETRY_AFTER_S: u64 = 1;
+/// Timeout for the headers of the next request on a connection, in seconds.
+const HEADER_TIMEOUT_S: u64 = 20;
+/// Delay after a failed accept, in milliseconds; file descriptors may be exhausted.
+const ACCEPT_RETRY_DELAY_MS: u64 = 50;
+
+/// Serves connections until `shutdown` is cancelled, then completes the requests that were received.
+pub async fn serve<H, F, B>(
+    listener: TcpListener,
+    guard: ClientGuard,
+    shutdown: CancellationToken,
+    handler: H,
+) where
+    H: Fn(Request<ClientBody>) -> F + Send + Sync + 'static,
+    F: Future<Output = Response<B>> + Send + 'static,
+    B: Body<Data = Bytes> + Send + 'static,
+    B::Error: Into<Box<dyn Error + Send + Sync>>,
+{
+    let handler = Arc::new(handler);
+    let mut connections = JoinSet::new();
+    loop {
+        while connections.try_join_next().is_some() {}
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = shutdown.cancelled() => break,
+        };
+        match accepted {
+            Ok((stream, _)) => match guard.connect() {
+                Some(lease) => {
+                    connections.spawn(serve_connection(stream, lease, shutdown.clone(), handler.clone()));
+                }
+                None => refuse(&stream),
+            },
+            Err(error) => {
+                log::warn!("[server] cannot accept a connection: {error}");
+                tokio::time::sleep(Duration::from_millis(ACCEPT_RETRY_DELAY_MS)).await;
+            }
+        }
+    }
+    while connections.join_next().await.is_some() {}
+}
+
+/// Sends a refusal without waiting for the request, which is not read.
+fn refuse(stream: &TcpStream) {
+    let response = format!(
+        "HTTP/1.1 503 Service Unavailable\r\nretry-after: {RETRY_AFTER_S}\r\nconnection: close\r\n\
+         content-length: 0\r\n\r\n"
+    );
+    if let Err(error) = stream.try_write(response.as_bytes()) {
+        log::debug!("[server] cannot send a refusal: {error}");
+    }
+}
+
+async fn serve_connection<H, F, B>(
+    stream: TcpStream,
+    lease: Arc<ConnectionLease>,
+    shutdown: CancellationToken,
+    handler: Arc<H>,
+) where
+    H: Fn(Request<ClientBody>) -> F + Send + Sync + 'static,
+    F: Future<Output = Response<B>> + Send + 'static,
+    B: Body<Data = Bytes> + Send + 'static,
+    B::Error: Into<Box<dyn Error + Send + Sync>>,
+{
+    if let Err(error) = stream.set_nodelay(true) {
+        log::debug!("[server] cannot set TCP_NODELAY: {error}");
+    }
+    let service = service_fn(|request: Request<Incoming>| {
+        let (handler, lease) = (handler.clone(), lease.clone());
+        async move {
+            lease.run();
+            let request = request.map(|incoming| ClientBody::new(incoming, lease.clone()));
+            let response = handler(request).await;
+            let size = response.body().size_hint().lower();
+            lease.respond(
+                usize::try_from(size).unwrap_or(usize::MAX),
+                response.status().is_success(),
+            );
+            Ok::<_, Infallible>(response)
+        }
+    });
+    let stream = ClientStream::new(stream, lease.clone());
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(Duration::from_secs(HEADER_TIMEOUT_S))
+        .max_buf_size(MAX_HEAD_BYTES)
+        .serve_connection(TokioIo::new(stream), service);
+    tokio::pin!(connection);
+    let result = tokio::select! {
+        result = connection.as_mut() => result,
+        () = lease.closed() => return,
+        () = shutdown.cancelled() => {
+            connection.as_mut().graceful_shutdown();
+            connection.as_mut().await
+        }
+    };
+    if let Err(error) = result {
+        log::debug!("[server] connection failed: {error}");
+    }
+}
--- /dev/null
+++ b/crates/server/src/lib.rs
@@ -0,0 +1,20 @@
+//! HTTP/1.1 server for clients outside the control of the operators, and the limits on what they can hold.
+//!
+//! Each listener has a [`ClientGuard`] with its part of the memory and descriptors of the VM. A connection holds a
+//! [`ConnectionLease`]; bytes are reserved before they are read and returned when the response is written or the
+//! connection ends. [`ClientLedger`] decides which connections are admitted and which are closed to make room.
+
+mod client_body;
+mod client_guard;
+mod client_ledger;
+mod client_limits;
+mod client_stream;
+mod connection_entry;
+mod http_server;
+
+pub use client_body::{BodyError, ClientBody};
+pub use client_guard::{ClientGuard, ConnectionLease};
+pub use client_ledger::{Admission, ClientLedger, Closure, ClosureReason};
+pub use client_limits::{ClientLimits, ListenerLimits};
+pub use connection_entry::ConnectionKey;
+pub use http_server::{MAX_HEAD_BYTES, RETRY_AFTER_S, serve};
