--- a/crates/server/src/client_guard.rs
+++ b/crates/server/src/client_guard.rs
@@ -63,6 +63,12 @@
         }
     }
 
+    /// Returns the number of open connections and the memory that they hold, in bytes.
+    pub fn load(&self) -> (usize, usize) {
+        let state = self.shared.state.lock();
+        (state.ledger.open_connections(), state.ledger.held_bytes())
+    }
+
     /// Admits a connection, or returns `None` if there is no room for it.
     pub fn connect(&self) -> Option<Arc<ConnectionLease>> {
         let closed = CancellationToken::new();
