--- a/crates/dispatch/src/relay_server.rs
+++ b/crates/dispatch/src/relay_server.rs
@@ -4,20 +4,18 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use arbutuspick_server::{ClientGuard, ConnectionLease};
-use bytes::{Buf, Bytes, BytesMut};
+use arbutuspick_server::{ClientGuard, ConnectionLease, read_frame};
+use bytes::{Buf, Bytes};
 use prost::Message;
-use tokio::io::{AsyncReadExt, AsyncWriteExt, BufReader};
+use tokio::io::{AsyncWriteExt, BufReader};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::JoinSet;
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
 use crate::BootClock;
-use crate::leading_cost::ProcessLimits;
 use crate::relay_message::{CallBody, KnownTables, RelayCall, RelayReply, ReplyBody, known_table};
 use crate::row_store::{RowStore, StoreError};
 use crate::store_health::StoreHealth;
-use crate::succession::{SuccessionCall, UseProbe};
 
 /// Maximum size of a frame in bytes: a commit or a page of rows, which the store limits to 1 MB of text.
 pub(crate) const MAX_FRAME_BYTES: usize = 2 * 1024 * 1024;
@@ -46,9 +44,6 @@
     pub(crate) health: Arc<StoreHealth>,
     pub(crate) clock: BootClock,
     pub(crate) tables: KnownTables,
-    pub(crate) limits: ProcessLimits,
-    pub(crate) use_probe: UseProbe,
-    pub(crate) succession: Arc<SuccessionCall>,
 }
 
 /// Serves relayed calls for as long as the process runs.
@@ -98,7 +93,7 @@
     let mut stream = BufReader::new(stream);
     let timeout = Duration::from_secs(IDLE_TIMEOUT_S);
     loop {
-        let frame = tokio::time::timeout(timeout, read_frame(&mut stream, lease)).await??;
+        let frame = tokio::time::timeout(timeout, read_frame(&mut stream, lease, MAX_FRAME_BYTES)).await??;
         let (body, is_executed) = match frame {
             Some(frame) => (execute(frame, context).await, true),
             None => (
@@ -119,29 +114,6 @@
     }
 }
 
-/// Reads one frame; returns `None` if there is no room for it.
-async fn read_frame(stream: &mut BufReader<TcpStream>, lease: &ConnectionLease) -> io::Result<Option<Bytes>> {
-    let length = stream.read_u32().await? as usize;
-    if length > MAX_FRAME_BYTES {
-        return Err(io::Error::new(
-            io::ErrorKind::InvalidData,
-            "the frame is too long",
-        ));
-    }
-    if !lease.reserve(length) {
-        return Ok(None);
-    }
-    let mut frame = BytesMut::new();
-    let mut rest = stream.take(length as u64);
-    while frame.len() < length {
-        let received = rest.read_buf(&mut frame).await?;
-        if received == 0 || !lease.receive(received) {
-            return Err(io::ErrorKind::UnexpectedEof.into());
-        }
-    }
-    Ok(lease.run().then(|| frame.freeze()))
-}
-
 async fn execute<S>(frame: Bytes, context: &RelayContext<S>) -> ReplyBody
 where
     S: RowStore,
@@ -159,17 +131,9 @@
         message: "the call names an unknown table".into(),
     };
     let table = |name: &str| known_table(context.tables, name).ok_or_else(unknown);
-    if let Some(CallBody::Succeed(_)) = call.body {
-        let usage = context.use_probe.measure();
-        return ReplyBody::Accepted(
-            context
-                .succession
-                .accept(context.limits, usage, context.clock.now()),
-        );
-    }
     metrics::counter!("arbutuspick_relayed_calls_total", "side" => "server").increment(1);
     let reply = match call.body {
-        None | Some(CallBody::Succeed(_)) => return ReplyBody::NotExecuted("the call has no body".into()),
+        None => return ReplyBody::NotExecuted("the call has no body".into()),
         Some(CallBody::Transact(transaction)) => match transaction.into_transaction(context.tables) {
             Some(transaction) => context
                 .health
