--- a/crates/dispatch/src/leader_run.rs
+++ b/crates/dispatch/src/leader_run.rs
@@ -650,6 +650,7 @@
         metrics::gauge!("arbutuspick_jobs").set(summary.jobs as f64);
         metrics::gauge!("arbutuspick_waiting_tasks").set(summary.waiting_tasks as f64);
         metrics::gauge!("arbutuspick_placed_tasks").set(summary.placed_tasks as f64);
+        metrics::gauge!("arbutuspick_urgent_room_workers").set(self.core.urgent_room() as f64);
         metrics::gauge!("arbutuspick_listed_workers").set(summary.listed_workers as f64);
         let speeds = self.core.speed_summary();
         for (tier, workers) in [
--- a/crates/pool/src/placement/placement_pass.rs
+++ b/crates/pool/src/placement/placement_pass.rs
@@ -39,7 +39,10 @@
         for (service, demand) in &mut self.urgent_demand {
             mark_urgent_room(&mut candidates, service, demand.expected_workers(now));
         }
-        let has_urgent_room = candidates.iter().any(|candidate| candidate.urgent_room);
+        self.urgent_room = candidates
+            .iter()
+            .filter(|candidate| candidate.urgent_room)
+            .count();
         let racks = rack_members(&candidates);
         for unit in &mut units {
             unit.check_local_fit(&candidates, &racks);
@@ -66,7 +69,7 @@
             }
             // Nothing is freed or left free for tasks that the cap of their account keeps from starting.
             let open = ledger.startable_after_stops(unit, unplaced);
-            waiting.push((unit, self.wait_reason(unit, &ledger, gangs_wait, has_urgent_room)));
+            waiting.push((unit, self.wait_reason(unit, &ledger, gangs_wait)));
             if open == 0 {
                 let work = placed_work.get_or_insert_with(|| self.placed_work(&candidates, &context, now));
                 if self.preempt_own_account(unit, unplaced, &ledger, work, now) {
@@ -123,14 +126,13 @@
         unit: &WaitingUnit,
         ledger: &AccountLedger,
         gangs_wait: Option<JobKey>,
-        has_urgent_room: bool,
     ) -> WaitReason {
         match self.jobs[unit.key].step_fits.get(unit.step) {
             Some(StepFit::NoWorker) => WaitReason::NoWorker,
             Some(StepFit::TooLarge) => WaitReason::TooLarge,
             _ if ledger.startable(unit, unit.needed_together()) == 0 => WaitReason::AccountCap,
             _ if unit.yields_until.is_some() && gangs_wait.is_some() => WaitReason::BehindOthers,
-            _ if unit.leaves_urgent_room && has_urgent_room => WaitReason::BehindOthers,
+            _ if unit.leaves_urgent_room && self.urgent_room > 0 => WaitReason::BehindOthers,
             _ => WaitReason::NoCapacity,
         }
     }
