--- a/crates/pool/src/workers/listing_apply.rs
+++ b/crates/pool/src/workers/listing_apply.rs
@@ -350,7 +350,7 @@
         for (index, task) in tasks.iter_mut().enumerate() {
             if gang || index == name.index as usize {
                 task.done = true;
-                lost_core_ms += run_core_ms(body, task, now);
+                lost_core_ms += task.placement.map_or(0, |_| run_core_ms(body, task, now));
                 let placement = task.placement.take();
                 current_runs.extend(placement.map(|placement| (index, task.run, placement.worker)));
             }
