Serve the entry daemon with the same limits, and refuse truthfully

The entry daemon served its callers without limits on connections, and each of 256 peers could hold a frame of 4 MB. Both now use arbutuspick-server: the HTTP server with the router of the daemon as its handler, and the frame reader that the relay uses. New settings memory_mb and max_descriptors; the defaults have room for the connections of all waiters.

--- a/crates/dispatch/src/relay_server.rs
+++ b/crates/dispatch/src/relay_server.rs
@@ -4,10 +4,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use arbutuspick_server::{ClientGuard, ConnectionLease};
-use bytes::{Buf, Bytes, BytesMut};
+use arbutuspick_server::{ClientGuard, ConnectionLease, read_frame};
+use bytes::{Buf, Bytes};
 use prost::Message;
-use tokio::io::{AsyncReadExt, AsyncWriteExt, BufReader};
+use tokio::io::{AsyncWriteExt, BufReader};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::JoinSet;
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
@@ -93,7 +93,7 @@
     let mut stream = BufReader::new(stream);
     let timeout = Duration::from_secs(IDLE_TIMEOUT_S);
     loop {
-        let frame = tokio::time::timeout(timeout, read_frame(&mut stream, lease)).await??;
+        let frame = tokio::time::timeout(timeout, read_frame(&mut stream, lease, MAX_FRAME_BYTES)).await??;
         let (body, is_executed) = match frame {
             Some(frame) => (execute(frame, context).await, true),
             None => (
@@ -114,29 +114,6 @@
     }
 }
 
-/// Reads one frame; returns `None` if there is no room for it.
-async fn read_frame(stream: &mut BufReader<TcpStream>, lease: &ConnectionLease) -> io::Result<Option<Bytes>> {
-    let length = stream.read_u32().await? as usize;
-    if length > MAX_FRAME_BYTES {
-        return Err(io::Error::new(
-            io::ErrorKind::InvalidData,
-            "the frame is too long",
-        ));
-    }
-    if !lease.reserve(length) {
-        return Ok(None);
-    }
-    let mut frame = BytesMut::new();
-    let mut rest = stream.take(length as u64);
-    while frame.len() < length {
-        let received = rest.read_buf(&mut frame).await?;
-        if received == 0 || !lease.receive(received) {
-            return Err(io::ErrorKind::UnexpectedEof.into());
-        }
-    }
-    Ok(lease.run().then(|| frame.freeze()))
-}
-
 async fn execute<S>(frame: Bytes, context: &RelayContext<S>) -> ReplyBody
 where
     S: RowStore,
--- a/crates/entry/src/api/api_body.rs
+++ b/crates/entry/src/api/api_body.rs
@@ -1,4 +1,5 @@
 use arbutuspick_model::FieldError;
+use arbutuspick_server::BodyError;
 use axum::body::to_bytes;
 use axum::extract::{FromRequest, Request};
 use axum::http::StatusCode;
@@ -35,25 +36,35 @@
         let limit = context.settings.limits.body_bytes;
         match to_bytes(request.into_body(), limit).await {
             Ok(bytes) => Ok(Self(bytes)),
-            Err(error) if is_too_long(&error) => {
-                let rule = format!("must have at most {limit} bytes");
-                Err(ApiError::new(
-                    StatusCode::PAYLOAD_TOO_LARGE,
-                    "body_too_large",
-                    format!("field \"body\": {rule}"),
-                )
-                .with_detail("limit_bytes", &limit))
-            }
-            Err(error) => Err(ApiError::new(
-                StatusCode::BAD_REQUEST,
-                "body_cut",
-                format!("the body did not arrive whole: {error}"),
-            )),
+            Err(error) => Err(match body_error(&error) {
+                Some(BodyError::TooLarge { .. }) => {
+                    let rule = format!("must have at most {limit} bytes");
+                    ApiError::new(
+                        StatusCode::PAYLOAD_TOO_LARGE,
+                        "body_too_large",
+                        format!("field \"body\": {rule}"),
+                    )
+                    .with_detail("limit_bytes", &limit)
+                }
+                Some(BodyError::Overloaded) => ApiError::overloaded(),
+                _ => ApiError::new(
+                    StatusCode::BAD_REQUEST,
+                    "body_cut",
+                    format!("the body did not arrive whole: {error}"),
+                ),
+            }),
         }
     }
 }
 
-fn is_too_long(error: &axum::Error) -> bool {
-    let source = std::error::Error::source(error);
-    source.is_some_and(<dyn std::error::Error>::is::<http_body_util::LengthLimitError>)
+/// Returns the error of the server under the errors of the framework.
+fn body_error(error: &axum::Error) -> Option<&BodyError> {
+    let mut source = std::error::Error::source(error);
+    while let Some(error) = source {
+        if let Some(error) = error.downcast_ref() {
+            return Some(error);
+        }
+        source = error.source();
+    }
+    None
 }
--- a/crates/entry/src/api/api_error.rs
+++ b/crates/entry/src/api/api_error.rs
@@ -72,6 +72,13 @@
         error.with_retry_after(PLATFORM_RETRY_AFTER_S)
     }
 
+    /// The body was not read, since requests take too much memory.
+    pub(crate) fn overloaded() -> Self {
+        let message =
+            "this call ran nothing: there is no room for its body now; an earlier call may have run";
+        Self::new(StatusCode::SERVICE_UNAVAILABLE, "overloaded", message).with_retry_after(RETRY_AFTER_S)
+    }
+
     /// An internal error, whose cause is logged and not shown to the caller.
     pub(crate) fn internal<Cause>(cause: Cause) -> Self
     where
--- a/crates/entry/src/daemon/entry_daemon.rs
+++ b/crates/entry/src/daemon/entry_daemon.rs
@@ -1,15 +1,18 @@
-use std::future::IntoFuture;
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
 use arbutuspick_peer::PeerServer;
-use axum::serve::ListenerExt;
+use arbutuspick_server::{ClientGuard, ListenerLimits, descriptor_limit, serve};
+use axum::body::Body;
+use axum::response::IntoResponse;
 use snafu::{ResultExt, Snafu};
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::task::JoinHandle;
 use tokio::time::{sleep, timeout};
+use tokio_util::sync::CancellationToken;
+use tower::ServiceExt;
 
 use super::entry_context::hello_message;
 use super::holder_task::run_summaries;
@@ -20,7 +23,7 @@
 use crate::jobs::run_job_rescue;
 use crate::requests::refuse_all;
 use crate::watch::{run_health_checks, run_queue_ticks, run_vm_list_poll};
-use crate::{ExitStatus, Settings};
+use crate::{EntryLimits, ExitStatus, Settings};
 
 /// Why the daemon could not start.
 #[derive(Debug, Snafu)]
@@ -54,7 +57,7 @@
     /// Address for other entry VMs.
     pub peer_address: SocketAddr,
     context: Arc<EntryContext>,
-    http: JoinHandle<io::Result<()>>,
+    http: JoinHandle<()>,
 }
 
 impl EntryDaemon {
@@ -67,7 +70,9 @@
         let http_address = listener.local_addr().context(BindSnafu { field, address })?;
         let (field, address) = ("peer_listen", settings.peer_listen);
         let server = PeerServer::bind(address, hello_message(&settings));
+        let limits = listener_limits(&settings);
         let server = server.await.context(BindSnafu { field, address })?;
+        let server = server.with_limits(limits.peers);
         let peer_address = server.local_addr().context(BindSnafu { field, address })?;
         let context = Arc::new(EntryContext::new(settings, peer_address));
         log::info!(
@@ -104,7 +109,7 @@
         context.router.queue.close();
         let finish = async {
             // The server ends once all connections have sent the responses to requests in flight.
-            if let Ok(Err(error)) = http.await {
+            if let Err(error) = http.await {
                 log::error!("[api] the HTTP server failed: {error}");
             }
             context.stop.tracker.close();
@@ -124,20 +129,35 @@
     }
 }
 
-fn start_http(context: &Arc<EntryContext>, listener: TcpListener) -> JoinHandle<io::Result<()>> {
+fn listener_limits(settings: &Settings) -> ListenerLimits {
+    let EntryLimits {
+        memory_mb,
+        max_descriptors,
+        ..
+    } = settings.limits;
+    ListenerLimits::derive(memory_mb, max_descriptors.min(descriptor_limit()))
+}
+
+fn start_http(context: &Arc<EntryContext>, listener: TcpListener) -> JoinHandle<()> {
     let router = api_router(Arc::clone(context));
-    let drain_begins = {
-        let context = Arc::clone(context);
-        async move { context.stop.wait_for_phase(StopPhase::Draining).await }
-    };
-    // Without TCP_NODELAY, small responses could wait for the acknowledgement of earlier ones.
-    let listener = listener.tap_io(|stream| {
-        if let Err(error) = stream.set_nodelay(true) {
-            log::debug!("[api] setting TCP_NODELAY failed: {error}");
+    let body_limit = context.settings.limits.body_bytes;
+    let guard = ClientGuard::new("callers", listener_limits(&context.settings).callers);
+    let drain = CancellationToken::new();
+    {
+        let (context, drain) = (Arc::clone(context), drain.clone());
+        tokio::spawn(async move {
+            context.stop.wait_for_phase(StopPhase::Draining).await;
+            drain.cancel();
+        });
+    }
+    tokio::spawn(serve(listener, guard, drain, move |request| {
+        let router = router.clone();
+        async move {
+            let request = request.map(|body| Body::new(body.with_limit(body_limit)));
+            let response = router.oneshot(request).await;
+            response.unwrap_or_else(|error| match error {}).into_response()
         }
-    });
-    let server = axum::serve(listener, router).with_graceful_shutdown(drain_begins);
-    tokio::spawn(server.into_future())
+    }))
 }
 
 fn start_tasks(context: &Arc<EntryContext>) {
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -28,8 +28,8 @@
 //! Codes are `invalid_field`, `body_cut`, `bad_request` (400), `unauthenticated` (401), `forbidden` (403),
 //! `not_found` (404), `method_not_allowed` (405), `key_reused`, `job_ended`, `job_busy`, `no_result`,
 //! `order_superseded`, `wrong_state`, `shortfall`, `no_turn`, `turn_busy`, `proposal_decided`, `proposal_busy`
-//! (409), `body_too_large` (413), `internal` (500), `result_damaged` (502), `platform_unavailable`, `not_ready`
-//! (503), `not_run` (409, 422, 429 or 503, with the reason) and `unknown` (504, with the reason).
+//! (409), `body_too_large` (413), `internal` (500), `result_damaged` (502), `platform_unavailable`, `not_ready`,
+//! `overloaded` (503), `not_run` (409, 422, 429 or 503, with the reason) and `unknown` (504, with the reason).
 
 mod api;
 mod command;
--- a/crates/entry/src/settings/entry_limits.rs
+++ b/crates/entry/src/settings/entry_limits.rs
@@ -9,6 +9,10 @@
 pub struct EntryLimits {
     /// Largest request body in bytes.
     pub body_bytes: usize,
+    /// Memory that the process may use, in megabytes.
+    pub memory_mb: usize,
+    /// Number of descriptors that the process may open.
+    pub max_descriptors: usize,
     /// Longest deadline of a request to a service.
     pub max_deadline: Duration,
     /// Longest time that a caller waits for the end of a job in one request.
@@ -27,6 +31,9 @@
     fn default() -> Self {
         Self {
             body_bytes: 1024 * 1024,
+            // Room for the connections of all waiters.
+            memory_mb: 1024,
+            max_descriptors: 16_384,
             max_deadline: Duration::from_secs(25),
             max_wait: Duration::from_secs(25),
             balancer_lag: Duration::from_secs(2),
@@ -49,6 +56,12 @@
         Ok(Self {
             body_bytes: check_range("limits.body_bytes", raw.body_bytes, defaults.body_bytes as u64)?
                 as usize,
+            memory_mb: check_range("limits.memory_mb", raw.memory_mb, defaults.memory_mb as u64)? as usize,
+            max_descriptors: check_range(
+                "limits.max_descriptors",
+                raw.max_descriptors,
+                defaults.max_descriptors as u64,
+            )? as usize,
             max_deadline: check_millis(
                 "limits.max_deadline_ms",
                 raw.max_deadline_ms,
--- a/crates/entry/src/settings/raw_settings.rs
+++ b/crates/entry/src/settings/raw_settings.rs
@@ -73,6 +73,10 @@
 pub struct RawLimits {
     /// Largest request body in bytes.
     pub body_bytes: Option<u64>,
+    /// Memory that the process may use, in megabytes.
+    pub memory_mb: Option<u64>,
+    /// Number of descriptors that the process may open.
+    pub max_descriptors: Option<u64>,
     /// Longest deadline of a request to a service.
     pub max_deadline_ms: Option<u64>,
     /// Longest time that a caller waits for the end of a job in one request.
--- a/crates/peer/src/peer_server.rs
+++ b/crates/peer/src/peer_server.rs
@@ -4,18 +4,23 @@
 use std::time::Duration;
 
 use arbutuspick_model::VmName;
+use arbutuspick_server::{ClientGuard, ClientLimits, ConnectionLease, read_frame};
+use futures::SinkExt;
 use futures::future::BoxFuture;
-use futures::{SinkExt, StreamExt};
+use tokio::io::BufReader;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Semaphore, mpsc};
 use tokio::time::{sleep, timeout};
-use tokio_util::codec::Framed;
+use tokio_util::codec::FramedWrite;
 use tokio_util::sync::CancellationToken;
 
-use crate::{Hello, PeerEnvelope, PeerMessage, frame_codec};
+use crate::{Hello, MAX_FRAME_BYTES, PeerEnvelope, PeerMessage, frame_codec};
 
-/// Maximum number of open connections; 18 data centres have about 126 entry VMs.
-const MAX_CONNECTIONS: usize = 256;
+/// Default limits; 18 data centres have about 126 entry VMs.
+const DEFAULT_LIMITS: ClientLimits = ClientLimits {
+    max_connections: 256,
+    max_bytes: 64 * 1024 * 1024,
+};
 /// Maximum number of requests that are processed concurrently per connection.
 const MAX_CONCURRENT_REQUESTS: usize = 64;
 /// A connection that receives no frame for this long is closed; peers send a heartbeat every second.
@@ -31,13 +36,25 @@
 pub struct PeerServer {
     listener: TcpListener,
     hello: Hello,
+    limits: ClientLimits,
 }
 
 impl PeerServer {
     /// Binds the listener.
     pub async fn bind(address: SocketAddr, hello: Hello) -> io::Result<Self> {
         let listener = TcpListener::bind(address).await?;
-        Ok(Self { listener, hello })
+        Ok(Self {
+            listener,
+            hello,
+            limits: DEFAULT_LIMITS,
+        })
+    }
+
+    /// Sets what all peers may hold together.
+    #[must_use]
+    pub fn with_limits(mut self, limits: ClientLimits) -> Self {
+        self.limits = limits;
+        self
     }
 
     /// Returns the address of the listener.
@@ -47,8 +64,12 @@
 
     /// Accepts connections until the token is cancelled.
     pub async fn run(self, handler: PeerHandler, stop: CancellationToken) {
-        let Self { listener, hello } = self;
-        let permits = Arc::new(Semaphore::new(MAX_CONNECTIONS));
+        let Self {
+            listener,
+            hello,
+            limits,
+        } = self;
+        let guard = ClientGuard::new("peers", limits);
         loop {
             let accepted = tokio::select! {
                 () = stop.cancelled() => return,
@@ -63,16 +84,17 @@
                     continue;
                 }
             };
-            let Ok(permit) = Arc::clone(&permits).try_acquire_owned() else {
-                log::warn!("[peer] connection from {address} refused: limit is {MAX_CONNECTIONS}");
+            let Some(lease) = guard.connect() else {
+                log::warn!("[peer] connection from {address} refused: there is no room");
                 continue;
             };
-            let connection = serve_connection(stream, hello.clone(), Arc::clone(&handler));
+            let connection =
+                serve_connection(stream, Arc::clone(&lease), hello.clone(), Arc::clone(&handler));
             let stop = stop.clone();
             tokio::spawn(async move {
-                let _permit = permit;
                 tokio::select! {
                     () = stop.cancelled() => {}
+                    () = lease.closed() => {}
                     Err(error) = connection => log::debug!("[peer] connection from {address} ended: {error}"),
                     else => {}
                 }
@@ -81,17 +103,28 @@
     }
 }
 
-async fn serve_connection(stream: TcpStream, hello: Hello, handler: PeerHandler) -> io::Result<()> {
+async fn serve_connection(
+    stream: TcpStream,
+    lease: Arc<ConnectionLease>,
+    hello: Hello,
+    handler: PeerHandler,
+) -> io::Result<()> {
     stream.set_nodelay(true)?;
-    let (mut writer, mut reader) = Framed::new(stream, frame_codec()).split();
+    let (reader, writer) = stream.into_split();
+    let (mut reader, mut writer) = (BufReader::new(reader), FramedWrite::new(writer, frame_codec()));
     let (responses, mut outgoing) = mpsc::channel::<PeerEnvelope>(MAX_CONCURRENT_REQUESTS);
     let read = async {
         let mut sender: Option<VmName> = None;
         // Notifications are handled one after the other, in order; requests are handled concurrently.
         let permits = Arc::new(Semaphore::new(MAX_CONCURRENT_REQUESTS));
-        while let Some(frame) = timeout(IDLE_TIMEOUT, reader.next()).await? {
+        loop {
+            let frame = timeout(IDLE_TIMEOUT, read_frame(&mut reader, &lease, MAX_FRAME_BYTES)).await??;
+            let Some(frame) = frame else {
+                return Err(io::Error::other("there is no room for the frame"));
+            };
             let PeerEnvelope { request_id, message } =
-                PeerEnvelope::from_frame(&frame?).map_err(invalid_data)?;
+                PeerEnvelope::from_frame(&frame).map_err(invalid_data)?;
+            drop(frame);
             match (message, &sender) {
                 (Some(PeerMessage::Hello(peer_hello)), _) => {
                     sender = Some(VmName::try_from(peer_hello.vm.as_str()).map_err(invalid_data)?);
@@ -116,8 +149,10 @@
                     });
                 }
             }
+            // Responses are written by another task, within their own timeout.
+            lease.respond(0, true);
+            lease.finish();
         }
-        Ok(())
     };
     let write = async {
         while let Some(envelope) = outgoing.recv().await {
--- a/crates/server/src/client_guard.rs
+++ b/crates/server/src/client_guard.rs
@@ -72,7 +72,7 @@
     /// Admits a connection, or returns `None` if there is no room for it.
     pub fn connect(&self) -> Option<Arc<ConnectionLease>> {
         let closed = CancellationToken::new();
-        let admission = self.shared.decide(|ledger, now| ledger.connect(now));
+        let admission = self.shared.decide(ClientLedger::connect);
         let Admission::Admitted(key) = admission else {
             self.shared.record_refusal("connections");
             return None;
--- a/crates/server/src/client_limits.rs
+++ b/crates/server/src/client_limits.rs
@@ -15,6 +15,12 @@
 /// Least number of connections of a listener.
 const MIN_CONNECTIONS: usize = 8;
 
+/// Returns the number of descriptors that the system lets the process open.
+pub fn descriptor_limit() -> usize {
+    let limit = rustix::process::getrlimit(rustix::process::Resource::Nofile).current;
+    limit.map_or(usize::MAX, |limit| usize::try_from(limit).unwrap_or(usize::MAX))
+}
+
 /// What the clients of one listener may hold together.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ClientLimits {
--- a/crates/server/src/http_server.rs
+++ b/crates/server/src/http_server.rs
@@ -19,8 +19,6 @@
 
 /// Maximum size of a head in bytes; configurations permit 16 KB.
 pub const MAX_HEAD_BYTES: usize = 24 * 1024;
-/// Value of the `Retry-After` header of a refusal, in seconds; another VM may have room.
-pub const RETRY_AFTER_S: u64 = 1;
 /// Timeout for the headers of the next request on a connection, in seconds.
 const HEADER_TIMEOUT_S: u64 = 20;
 /// Delay after a failed accept, in milliseconds; file descriptors may be exhausted.
@@ -47,12 +45,13 @@
             () = shutdown.cancelled() => break,
         };
         match accepted {
-            Ok((stream, _)) => match guard.connect() {
-                Some(lease) => {
+            Ok((stream, _)) => {
+                // Without room the connection is closed without a response: a 503 would promise that the job of a
+                // request that is not read never runs, but an earlier request may have stored it.
+                if let Some(lease) = guard.connect() {
                     connections.spawn(serve_connection(stream, lease, shutdown.clone(), handler.clone()));
                 }
-                None => refuse(&stream),
-            },
+            }
             Err(error) => {
                 log::warn!("[server] cannot accept a connection: {error}");
                 tokio::time::sleep(Duration::from_millis(ACCEPT_RETRY_DELAY_MS)).await;
@@ -62,17 +61,6 @@
     while connections.join_next().await.is_some() {}
 }
 
-/// Sends a refusal without waiting for the request, which is not read.
-fn refuse(stream: &TcpStream) {
-    let response = format!(
-        "HTTP/1.1 503 Service Unavailable\r\nretry-after: {RETRY_AFTER_S}\r\nconnection: close\r\n\
-         content-length: 0\r\n\r\n"
-    );
-    if let Err(error) = stream.try_write(response.as_bytes()) {
-        log::debug!("[server] cannot send a refusal: {error}");
-    }
-}
-
 async fn serve_connection<H, F, B>(
     stream: TcpStream,
     lease: Arc<ConnectionLease>,
--- a/crates/server/src/lib.rs
+++ b/crates/server/src/lib.rs
@@ -10,11 +10,13 @@
 mod client_limits;
 mod client_stream;
 mod connection_entry;
+mod frame_reader;
 mod http_server;
 
 pub use client_body::{BodyError, ClientBody};
 pub use client_guard::{ClientGuard, ConnectionLease};
 pub use client_ledger::{Admission, ClientLedger, Closure, ClosureReason};
-pub use client_limits::{ClientLimits, ListenerLimits};
+pub use client_limits::{ClientLimits, ListenerLimits, descriptor_limit};
 pub use connection_entry::ConnectionKey;
-pub use http_server::{MAX_HEAD_BYTES, RETRY_AFTER_S, serve};
+pub use frame_reader::read_frame;
+pub use http_server::{MAX_HEAD_BYTES, serve};
