Keep client accounts within their caps

A client account may have a cap: processors, memory and accelerators that it may run on all workers together. Nothing read it, so accounts ran more than they may.

Each allocation on a worker names the account of its run, and each decision counts the accounts anew from the allocations; a start beyond the cap does not happen. Final records name the runs that had not ended with the job, so that the next leader counts them before it has listed their workers. Units that wait for their cap have a wait reason of their own, and nothing is reserved, left free or preempted for them; urgent work stops less urgent runs of its own account only. Configurations without a cap skip all of it.

Ruled out: a running total for each account, which would drift with a missed end; and holding back all starts after a change of the leader until each worker is listed, which stops an account for the length of a lease.

--- a/crates/bench/src/pool_load.rs
+++ b/crates/bench/src/pool_load.rs
@@ -4,7 +4,7 @@
 use std::fmt::Write as _;
 use std::sync::Arc;
 
-use arbutuspick_pool::{AccountGuarantee, JobBody, PoolPolicy, QueueRule, StepBody};
+use arbutuspick_pool::{AccountRule, JobBody, PoolPolicy, QueueRule, StepBody};
 use rand::Rng;
 use rand_chacha::ChaCha8Rng;
 
@@ -176,11 +176,12 @@
         policy.queues.insert(rule.name.clone(), rule);
     }
     for account in 0..accounts {
-        let guarantee = AccountGuarantee {
+        let rule = AccountRule {
             name: format!("a{account}").as_str().into(),
             guaranteed_accelerators: accelerators * GUARANTEED_PERCENT / 100 / accounts as u64,
+            ..AccountRule::default()
         };
-        policy.accounts.insert(guarantee.name.clone(), guarantee);
+        policy.accounts.insert(rule.name.clone(), rule);
     }
     policy
 }
--- a/crates/dispatch/src/job_intake.rs
+++ b/crates/dispatch/src/job_intake.rs
@@ -299,6 +299,7 @@
         released: 0,
         occurrences: Vec::new(),
         has_begun: false,
+        remaining: Vec::new(),
     };
     RowTransaction {
         conditions: vec![
--- a/crates/dispatch/src/leader_run.rs
+++ b/crates/dispatch/src/leader_run.rs
@@ -243,7 +243,8 @@
         self.row_removals.extend(stale_rows);
         for (job, record) in &records {
             if record.stage().is_final() {
-                self.core.track_final_record(job, now);
+                self.core
+                    .restore_ended_job(job, record, now, self.earlier_lease_expiry);
             }
         }
         self.apply_intake(intake, &records);
--- a/crates/pool/src/jobs/job_entry.rs
+++ b/crates/pool/src/jobs/job_entry.rs
@@ -187,6 +187,8 @@
 #[derive(Clone, Debug)]
 pub(crate) struct JobEntry {
     pub(crate) id: Arc<str>,
+    /// Client account of the body.
+    pub(crate) account: Arc<str>,
     pub(crate) body: JobBody,
     pub(crate) spec: Arc<str>,
     pub(crate) rule: Arc<QueueRule>,
@@ -260,6 +262,7 @@
             released: self.released,
             occurrences: Vec::new(),
             has_begun: self.has_begun,
+            remaining: Vec::new(),
         };
         if self.stage.is_final() {
             return record;
--- a/crates/pool/src/jobs/job_record.rs
+++ b/crates/pool/src/jobs/job_record.rs
@@ -58,6 +58,49 @@
     /// Whether a run of any task is known to have begun; may be stored later than that was known.
     #[prost(bool, tag = "7")]
     pub has_begun: bool,
+    /// Of a job that has ended: its runs that had not, where accounts have caps.
+    #[prost(message, repeated, tag = "8")]
+    pub remaining: Vec<WorkerRuns>,
+}
+
+/// Runs on one worker that had not ended when their job did.
+#[derive(Clone, PartialEq, Message)]
+pub struct WorkerRuns {
+    /// Id of the worker.
+    #[prost(string, tag = "1")]
+    pub worker: String,
+    /// Unix milliseconds at which its process started.
+    #[prost(fixed64, tag = "2")]
+    pub worker_started_at_ms: u64,
+    /// The runs.
+    #[prost(message, repeated, tag = "3")]
+    pub runs: Vec<RemainingRun>,
+}
+
+/// A run that had not ended when its job did.
+#[derive(Clone, PartialEq, Message)]
+pub struct RemainingRun {
+    /// Number of the occurrence.
+    #[prost(uint32, tag = "1")]
+    pub occurrence: u32,
+    /// Index of the step.
+    #[prost(uint32, tag = "2")]
+    pub step: u32,
+    /// Index of the task in its step.
+    #[prost(uint32, tag = "3")]
+    pub index: u32,
+    /// Number of the run.
+    #[prost(uint32, tag = "4")]
+    pub run: u32,
+    /// Thousandths of a core that the run takes.
+    #[prost(uint64, tag = "5")]
+    pub millicores: u64,
+    /// Memory in MB that the run takes.
+    #[prost(uint64, tag = "6")]
+    pub memory_mb: u64,
+    /// Accelerators that the run takes.
+    #[prost(uint64, tag = "7")]
+    pub accelerators: u64,
 }
 
 /// The stored progress of one occurrence.
--- a/crates/pool/src/jobs/placement_restore.rs
+++ b/crates/pool/src/jobs/placement_restore.rs
@@ -96,19 +96,16 @@
                 if record.worker.is_empty() || is_done {
                     continue;
                 }
-                let id: Arc<str> = record.worker.as_str().into();
-                let known = self.worker_index.get(&id).copied();
-                // A worker may have restarted before the recorded start reached it, so a listing decides in any
-                // case whether the run is present.
-                let worker =
-                    known.unwrap_or_else(|| self.add_unknown_worker(&id, record.worker_started_at_ms, now));
+                let worker = self.restored_worker(&record.worker, record.worker_started_at_ms, now);
                 let amount = self.jobs[key].body.steps[step].amount();
+                let account = Some(self.jobs[key].account.clone());
                 let view = &mut self.workers[worker];
                 view.lease_expiry = view.lease_expiry.max(lease_expiry);
                 view.allocations.insert(
                     (name.clone(), record.run),
                     RunAllocation {
                         amount,
+                        account,
                         // Any listing without the run shows that the run has ended.
                         expected_since: Some(ClockTime(0)),
                         ordered_stop: None,
@@ -128,6 +125,15 @@
         }
     }
 
+    /// Returns the worker of a recorded run.
+    ///
+    /// It may have restarted before the recorded start reached it, so a listing decides in any case whether the run is
+    /// present.
+    pub(crate) fn restored_worker(&mut self, id: &str, started_at_ms: u64, now: ClockTime) -> WorkerKey {
+        let known = self.worker_index.get(id).copied();
+        known.unwrap_or_else(|| self.add_unknown_worker(&id.into(), started_at_ms, now))
+    }
+
     /// Adds the incarnation of a recorded run that the worker registry does not contain; it is kept until its
     /// lease has expired.
     fn add_unknown_worker(&mut self, id: &Arc<str>, started_at_ms: u64, now: ClockTime) -> WorkerKey {
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -6,6 +6,7 @@
 //!
 //! An order may be sent only after the records that were taken together with it are stored.
 
+mod accounts;
 mod core_options;
 mod jobs;
 mod keys;
@@ -21,12 +22,14 @@
 
 pub use core_options::CoreOptions;
 pub use jobs::job_body::{BodyError, JobBody, StepBody};
-pub use jobs::job_record::{JobRecord, JobStage, MAX_TASK_RECORD_BYTES, OccurrenceRecord, TaskRecord};
+pub use jobs::job_record::{
+    JobRecord, JobStage, MAX_TASK_RECORD_BYTES, OccurrenceRecord, RemainingRun, TaskRecord, WorkerRuns,
+};
 pub use keys::WorkerKey;
 pub use placement::wait_reason::WaitReason;
 pub use pool_core::{CoreSummary, LatencySample, PoolCore, RecordChange};
 pub use pool_order::{PoolOrder, StartOrder, StopOrder, StopReason};
-pub use pool_policy::{AccountGuarantee, PoolPolicy, QueueRule};
+pub use pool_policy::{AccountRule, PoolPolicy, QueueRule};
 pub use resource_amount::ResourceAmount;
 pub use task_name::TaskName;
 pub use workers::worker_listing::{EndKind, RunEnd, RunStatus, StartAnswer, WorkerListing};
--- a/crates/pool/src/placement/placement_pass.rs
+++ b/crates/pool/src/placement/placement_pass.rs
@@ -2,6 +2,7 @@
 
 use arbutuspick_model::ClockTime;
 
+use crate::accounts::account_ledger::AccountLedger;
 use crate::jobs::job_entry::{PlacementStage, RunProgress, TaskPlacement};
 use crate::keys::JobKey;
 use crate::placement::blocked_needs::{BlockedNeeds, PlacementNeed};
@@ -39,7 +40,8 @@
             unit.check_local_fit(&candidates, &racks);
             unit.limit_yield(pool_busy);
         }
-        self.serve_reservations(&mut units, &mut candidates, now);
+        let mut ledger = self.account_ledger(now);
+        self.serve_reservations(&mut units, &mut candidates, &mut ledger, now);
         let mut blocked = BlockedNeeds::default();
         let mut searches = SearchBudget::new(self.search_round);
         let mut placed_work = None;
@@ -53,15 +55,25 @@
                 }
                 continue;
             }
-            let unplaced = self.place_unit(unit, &mut candidates, &mut blocked, pool_busy, now);
+            let unplaced = self.place_unit(unit, &mut candidates, &mut ledger, &mut blocked, pool_busy, now);
             if unplaced == 0 {
                 continue;
             }
-            waiting.push((unit, self.wait_reason(unit, gangs_wait)));
+            // Nothing is freed or left free for tasks that the cap of their account keeps from starting.
+            let open = ledger.startable_after_stops(unit, unplaced);
+            waiting.push((unit, self.wait_reason(unit, &ledger, gangs_wait)));
+            if open == 0 {
+                let work = placed_work.get_or_insert_with(|| self.placed_work(&candidates, &context, now));
+                if self.preempt_own_account(unit, unplaced, &ledger, work, now) {
+                    ledger.take(unit, unplaced);
+                    placed_work = None;
+                }
+                continue;
+            }
             let mut outcome = PreemptionOutcome::Excluded;
             if searches.allows(self.search_round_of(unit)) {
                 let work = placed_work.get_or_insert_with(|| self.placed_work(&candidates, &context, now));
-                outcome = self.preempt_for(unit, unplaced, &mut candidates, work, pool_busy, now);
+                outcome = self.preempt_for(unit, open, &mut candidates, work, pool_busy, now);
             }
             if outcome != PreemptionOutcome::Excluded {
                 searches.count();
@@ -71,6 +83,9 @@
                 placed_work = None;
             }
             let is_reserved = matches!(outcome, PreemptionOutcome::Awaited | PreemptionOutcome::Stopped);
+            if is_reserved {
+                ledger.take(unit, open);
+            }
             if unit.gang && !is_reserved && unit.rank.lateness != Lateness::Overdue {
                 let forecast = forecast.get_or_insert_with(|| self.capacity_forecast(&candidates, now));
                 let occurrence = self.jobs[unit.key].occurrences.get_mut(&unit.occurrence);
@@ -98,10 +113,16 @@
     }
 
     /// Returns why a unit waits that was not placed; `gangs_wait` names the first gang to which capacity is left.
-    fn wait_reason(&self, unit: &WaitingUnit, gangs_wait: Option<JobKey>) -> WaitReason {
+    fn wait_reason(
+        &self,
+        unit: &WaitingUnit,
+        ledger: &AccountLedger,
+        gangs_wait: Option<JobKey>,
+    ) -> WaitReason {
         match self.jobs[unit.key].step_fits.get(unit.step) {
             Some(StepFit::NoWorker) => WaitReason::NoWorker,
             Some(StepFit::TooLarge) => WaitReason::TooLarge,
+            _ if ledger.startable(unit, unit.needed_together()) == 0 => WaitReason::AccountCap,
             _ if unit.yields_until.is_some() && gangs_wait.is_some() => WaitReason::BehindOthers,
             _ => WaitReason::NoCapacity,
         }
@@ -143,10 +164,15 @@
         &mut self,
         unit: &WaitingUnit,
         candidates: &mut [WorkerCandidate],
+        ledger: &mut AccountLedger,
         blocked: &mut BlockedNeeds,
         pool_busy: bool,
         now: ClockTime,
     ) -> usize {
+        let startable = ledger.startable(unit, unit.tasks.len());
+        if startable == 0 {
+            return unit.tasks.len();
+        }
         let need = PlacementNeed::of_unit(unit, pool_busy);
         if blocked.contains(unit, &need, candidates) {
             return unit.tasks.len();
@@ -163,6 +189,7 @@
                 self.start_task(unit, *task, run, candidates[*index].worker, choice.remote, now);
                 placed.push((*task, candidates[*index].worker));
             }
+            ledger.take(unit, placed.len());
             self.log_placed(unit, &placed, choice.remote, now);
             return 0;
         }
@@ -170,6 +197,9 @@
         let mut placed = Vec::with_capacity(unit.tasks.len());
         let mut any_remote = false;
         for task in &unit.tasks {
+            if placed.len() == startable {
+                break;
+            }
             let avoided_worker = self.avoided_worker(unit, *task);
             let Some((index, remote)) = choose_worker(unit, candidates, &counts, avoided_worker, pool_busy)
             else {
@@ -186,6 +216,7 @@
             placed.push((*task, candidates[index].worker));
             any_remote |= remote;
         }
+        ledger.take(unit, placed.len());
         self.log_placed(unit, &placed, any_remote, now);
         unit.tasks.len() - placed.len()
     }
@@ -295,6 +326,7 @@
             (name.clone(), run),
             RunAllocation {
                 amount: unit.need.amount,
+                account: Some(unit.account.clone()),
                 expected_since: None,
                 ordered_stop: None,
                 listed: false,
--- a/crates/pool/src/placement/wait_reason.rs
+++ b/crates/pool/src/placement/wait_reason.rs
@@ -26,15 +26,18 @@
     NoCapacity,
     /// Free capacity is left to gangs of higher rank.
     BehindOthers,
+    /// Its client account runs as much as its cap allows.
+    AccountCap,
 }
 
 impl WaitReason {
     /// All reasons.
-    pub const ALL: [Self; 4] = [
+    pub const ALL: [Self; 5] = [
         Self::NoWorker,
         Self::TooLarge,
         Self::NoCapacity,
         Self::BehindOthers,
+        Self::AccountCap,
     ];
 
     /// Returns the name of the reason in logs and metrics.
@@ -44,12 +47,13 @@
             Self::TooLarge => "too_large",
             Self::NoCapacity => "no_capacity",
             Self::BehindOthers => "behind_others",
+            Self::AccountCap => "account_cap",
         }
     }
 
-    /// Returns whether the tasks wait until other workers join the pool.
-    fn needs_workers(self) -> bool {
-        matches!(self, Self::NoWorker | Self::TooLarge)
+    /// Returns whether free workers do not help: the tasks wait until others join the pool, or for their account.
+    fn is_logged(self) -> bool {
+        matches!(self, Self::NoWorker | Self::TooLarge | Self::AccountCap)
     }
 }
 
@@ -72,7 +76,8 @@
         &self.wait_counts
     }
 
-    /// Stores why units wait; logs units that begin or cease to wait for other workers, in one line for each reason.
+    /// Stores why units wait; logs units that begin or cease to wait for other workers or for the cap
+    /// of their account, in one line for each reason.
     pub(crate) fn record_wait_reasons(
         &mut self,
         waiting: &[(&WaitingUnit, WaitReason)],
@@ -91,8 +96,8 @@
                 continue;
             };
             let previous = occurrence.steps[unit.step].wait_reason.replace(*reason);
-            let waited_for_workers = previous.is_some_and(WaitReason::needs_workers);
-            if previous == Some(*reason) || !(reason.needs_workers() || waited_for_workers) {
+            let was_logged = previous.is_some_and(WaitReason::is_logged);
+            if previous == Some(*reason) || !(reason.is_logged() || was_logged) {
                 continue;
             }
             let change = changes.entry(*reason).or_default();
--- a/crates/pool/src/placement/waiting_unit.rs
+++ b/crates/pool/src/placement/waiting_unit.rs
@@ -34,6 +34,7 @@
 /// Tasks of a step that are ready to start, one by one or together as a gang.
 pub(crate) struct WaitingUnit {
     pub(crate) key: JobKey,
+    pub(crate) account: Arc<str>,
     pub(crate) occurrence: u32,
     pub(crate) step: usize,
     pub(crate) tasks: Vec<usize>,
@@ -87,6 +88,11 @@
         self.fits_locally = fitting >= needed;
     }
 
+    /// Returns the number of tasks that can only start together.
+    pub(crate) fn needed_together(&self) -> usize {
+        if self.gang { self.tasks.len() } else { 1 }
+    }
+
     /// Returns whether the unit has waited long enough to use a suspect worker.
     pub(crate) fn accepts_suspect(&self) -> bool {
         self.waited_ms > SUSPECT_WAIT_MS
@@ -253,6 +259,7 @@
     let due_at = occurrence.due_at;
     let (gang, same_rack) = (body.gang, body.gang && body.same_rack);
     let estimate_ms = body.estimate_ms;
+    let account = job.account.clone();
     let need = TaskNeed {
         amount: body.amount(),
         service: job.rule.service.clone(),
@@ -274,6 +281,7 @@
     let ready_at = *state.ready_at.get_or_insert(now);
     Some(WaitingUnit {
         key,
+        account,
         occurrence: number,
         step,
         tasks,
--- a/crates/pool/src/pool_core.rs
+++ b/crates/pool/src/pool_core.rs
@@ -82,8 +82,8 @@
     ended_records: Vec<RecordChange>,
     /// Stored final records with the time at which each is deleted, oldest first.
     final_records: VecDeque<(ClockTime, Arc<str>)>,
-    /// Ended jobs whose final records are still stored; a body that is read again must not restart them.
-    ended_jobs: HashSet<Arc<str>>,
+    /// Ended jobs whose final records are still stored, with their client accounts; a body that is read again must not restart them.
+    pub(crate) ended_jobs: HashMap<Arc<str>, Arc<str>>,
     /// Jobs whose final records are to be deleted.
     expired_records: Vec<Arc<str>>,
 }
@@ -107,8 +107,12 @@
                 job.rule = rule.clone();
             }
         }
+        let is_new = policy.version != self.policy.version;
         self.policy = policy;
         self.worker_kinds.invalidate();
+        if is_new {
+            self.log_caps_below_guarantees();
+        }
     }
 
     /// Replaces the set of data centres that are closed for new starts.
@@ -129,13 +133,14 @@
         wall: PlatformTime,
         lease_expiry: ClockTime,
     ) {
-        if self.job_index.contains_key(id) || self.ended_jobs.contains(id) || record.stage().is_final() {
+        if self.job_index.contains_key(id) || self.ended_jobs.contains_key(id) || record.stage().is_final() {
             return;
         }
         let rule = self.queue_rule(&body);
         let arrived_at = now - wall.millis_since(PlatformTime(body.accepted_at_ms));
         let mut job = JobEntry {
             id: id.clone(),
+            account: body.account.as_str().into(),
             spec: body.spec.as_str().into(),
             critical_path_ms: body.critical_path_ms(),
             work_core_ms: body.work_core_ms(),
@@ -207,7 +212,7 @@
 
     /// Returns whether the job is known to have ended; its final record is still stored.
     pub fn has_ended(&self, id: &str) -> bool {
-        self.ended_jobs.contains(id)
+        self.ended_jobs.contains_key(id)
     }
 
     /// Marks a worker as unreachable; its runs must be listed again before it gets new work.
@@ -326,8 +331,8 @@
     }
 
     /// Schedules a stored final record for deletion after the retention period.
-    pub fn track_final_record(&mut self, id: &Arc<str>, now: ClockTime) {
-        if self.ended_jobs.insert(id.clone()) {
+    pub(crate) fn track_final_record(&mut self, id: &Arc<str>, account: &Arc<str>, now: ClockTime) {
+        if self.ended_jobs.insert(id.clone(), account.clone()).is_none() {
             self.final_records
                 .push_back((now + self.options.keep_final_ms, id.clone()));
         }
@@ -392,6 +397,7 @@
         );
         self.job_index.remove(&job.id);
         self.reservations.retain(|reservation| reservation.job != key);
+        let remaining = self.remaining_runs(&job);
         for (number, occurrence) in std::mem::take(&mut job.occurrences) {
             for (step, entry) in occurrence.steps.iter().enumerate() {
                 for (index, task) in entry.tasks.iter().enumerate() {
@@ -405,9 +411,12 @@
         job.stage = stage;
         self.ended_records.push(RecordChange {
             job: job.id.clone(),
-            record: Some(job.to_record(|_| None)),
+            record: Some(JobRecord {
+                remaining,
+                ..job.to_record(|_| None)
+            }),
         });
-        self.track_final_record(&job.id, now);
+        self.track_final_record(&job.id, &job.account, now);
     }
 
     /// Orders a stop, unless the latest order may still take effect. A repeated order keeps the reason of the first.
--- a/crates/pool/src/pool_policy.rs
+++ b/crates/pool/src/pool_policy.rs
@@ -1,6 +1,8 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 
+use crate::ResourceAmount;
+
 /// How the jobs of one queue are scheduled.
 #[derive(Clone, Debug, PartialEq)]
 pub struct QueueRule {
@@ -19,13 +21,18 @@
     pub allowance_ms: u64,
 }
 
-/// Guarantee of one client account.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct AccountGuarantee {
+/// Guarantee, limit and share of one client account.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct AccountRule {
     /// Name of the account.
     pub name: Arc<str>,
     /// Accelerators guaranteed to the account's jobs of priority 0.
     pub guaranteed_accelerators: u64,
+    /// Share of the account when all workers are in use, relative to other accounts, and the number of jobs a second
+    /// that it may expect to be served; 0 for no share.
+    pub weight: f64,
+    /// Most that the account may run on all workers together; 0 for no limit of that resource.
+    pub cap: ResourceAmount,
 }
 
 /// The part of the configuration that the scheduler uses.
@@ -35,6 +42,6 @@
     pub version: u64,
     /// Rules by queue.
     pub queues: HashMap<Arc<str>, Arc<QueueRule>>,
-    /// Guarantees by account.
-    pub accounts: HashMap<Arc<str>, AccountGuarantee>,
+    /// Rules by account.
+    pub accounts: HashMap<Arc<str>, AccountRule>,
 }
--- a/crates/pool/src/preemption/capacity_reservation.rs
+++ b/crates/pool/src/preemption/capacity_reservation.rs
@@ -4,6 +4,7 @@
 
 use arbutuspick_model::ClockTime;
 
+use crate::accounts::account_ledger::AccountLedger;
 use crate::keys::JobKey;
 use crate::placement::waiting_unit::WaitingUnit;
 use crate::placement::worker_search::WorkerCandidate;
@@ -43,6 +44,7 @@
         &mut self,
         units: &mut [WaitingUnit],
         candidates: &mut [WorkerCandidate],
+        ledger: &mut AccountLedger,
         now: ClockTime,
     ) {
         if self.reservations.is_empty() {
@@ -77,9 +79,9 @@
                 continue;
             }
             if unit.gang {
-                self.serve_gang_reservation(reservation, unit, &indices, candidates, now);
+                self.serve_gang_reservation(reservation, unit, &indices, candidates, ledger, now);
             } else {
-                self.serve_task_reservation(reservation, unit, &indices, candidates, now);
+                self.serve_task_reservation(reservation, unit, &indices, candidates, ledger, now);
             }
         }
     }
@@ -147,6 +149,7 @@
         unit: &mut WaitingUnit,
         indices: &[usize],
         candidates: &mut [WorkerCandidate],
+        ledger: &mut AccountLedger,
         now: ClockTime,
     ) {
         for index in indices {
@@ -156,7 +159,9 @@
         let fits = indices
             .iter()
             .all(|index| candidates[*index].free.covers(&ResourceAmount::default()));
-        if !fits || indices.len() != unit.tasks.len() {
+        let within_cap = ledger.startable(unit, indices.len()) == indices.len();
+        ledger.take(unit, indices.len());
+        if !fits || !within_cap || indices.len() != unit.tasks.len() {
             unit.tasks.clear();
             self.reservations.push(reservation);
             return;
@@ -188,6 +193,7 @@
         unit: &mut WaitingUnit,
         indices: &[usize],
         candidates: &mut [WorkerCandidate],
+        ledger: &mut AccountLedger,
         now: ClockTime,
     ) {
         reservation.workers.clear();
@@ -202,7 +208,9 @@
             let Some(task) = unit.tasks.first().copied() else {
                 break;
             };
-            let ready = candidates[*index].free.covers(&unit.need.amount);
+            let is_free = candidates[*index].free.covers(&unit.need.amount);
+            let ready = is_free && ledger.startable(unit, 1) > 0;
+            ledger.take(unit, 1);
             candidates[*index].free -= unit.need.amount;
             unit.tasks.remove(0);
             if ready {
--- a/crates/pool/src/preemption/preemption_pass.rs
+++ b/crates/pool/src/preemption/preemption_pass.rs
@@ -44,6 +44,14 @@
     Stopped,
 }
 
+impl WaitingUnit {
+    /// Returns whether the unit may stop runs of lower rank: it is within a guarantee, or its start is urgent.
+    pub(crate) fn may_stop_runs(&self, now: ClockTime) -> bool {
+        self.rank.inside_guarantee()
+            || self.rank.lateness != Lateness::Overdue && self.rank.slack_ms(now) < PREEMPTION_SLACK_MS
+    }
+}
+
 impl PoolCore {
     /// Stops runs of lower rank, or waits for runs that end soon; outside a guarantee only if the unit gains
     /// at least what they lose.
@@ -58,8 +66,7 @@
     ) -> PreemptionOutcome {
         let urgent = unit.rank.priority == 0;
         let on_time = unit.rank.lateness == Lateness::OnTime;
-        let may_stop = unit.rank.inside_guarantee()
-            || unit.rank.lateness != Lateness::Overdue && unit.rank.slack_ms(now) < PREEMPTION_SLACK_MS;
+        let may_stop = unit.may_stop_runs(now);
         let may_wait = urgent && on_time;
         if !may_stop && !may_wait {
             return PreemptionOutcome::Excluded;
--- a/crates/pool/src/preemption/victim_list.rs
+++ b/crates/pool/src/preemption/victim_list.rs
@@ -40,6 +40,11 @@
 }
 
 impl VictimList {
+    /// Returns the job of a group.
+    pub(crate) fn job(&self, group: usize) -> Option<JobKey> {
+        self.tasks.get(group).map(|tasks| tasks.key)
+    }
+
     /// Returns the job of a group and the names of its tasks.
     pub(crate) fn task_names(&self, core: &PoolCore, group: usize) -> Vec<(JobKey, TaskName)> {
         let tasks = &self.tasks[group];
--- a/crates/pool/src/resource_amount.rs
+++ b/crates/pool/src/resource_amount.rs
@@ -38,6 +38,16 @@
         usize::try_from(fits).unwrap_or(usize::MAX).min(limit)
     }
 
+    /// Returns `count` times this amount.
+    pub fn times(&self, count: usize) -> Self {
+        let factor = i64::try_from(count).unwrap_or(i64::MAX);
+        Self {
+            millicores: self.millicores.saturating_mul(factor),
+            memory_mb: self.memory_mb.saturating_mul(factor),
+            accelerators: self.accelerators.saturating_mul(factor),
+        }
+    }
+
     /// Returns the amount in cores; an accelerator counts as eight.
     pub fn core_equivalents(&self) -> u64 {
         let cores = u64::try_from(self.millicores.max(0)).unwrap_or(0) / 1000;
--- a/crates/pool/src/state_dump.rs
+++ b/crates/pool/src/state_dump.rs
@@ -10,7 +10,7 @@
 use crate::pool_core::PoolCore;
 
 impl PoolCore {
-    /// Returns one line for the policy and one for each worker, job and reservation.
+    /// Returns one line for the policy and one for each capped account, worker, job and reservation.
     ///
     /// `waits_for` names the reasons why tasks wait that are ready to start; it is `-` for a job without such tasks.
     ///
@@ -35,6 +35,7 @@
             self.policy.version,
             closed.join(",")
         )?;
+        self.write_accounts(text, now)?;
         for view in self.workers.values() {
             let free = view.free();
             writeln!(
--- a/crates/pool/src/workers/listing_apply.rs
+++ b/crates/pool/src/workers/listing_apply.rs
@@ -187,6 +187,8 @@
     /// Stops a run that is not the current run of any known task, and counts its resources until it ends.
     fn stop_unexpected(&mut self, worker: WorkerKey, name: &TaskName, run: u32, now: ClockTime) {
         let known = self.job_index.get(&name.job).and_then(|key| self.jobs.get(*key));
+        let account = known.map(|job| job.account.clone());
+        let account = account.or_else(|| self.ended_jobs.get(&name.job).cloned());
         let amount = known
             .and_then(|job| job.body.steps.get(name.step as usize))
             .map(crate::StepBody::amount);
@@ -194,7 +196,9 @@
             return;
         };
         let entry = (name.clone(), run);
-        if !view.allocations.contains_key(&entry) {
+        if let Some(allocation) = view.allocations.get_mut(&entry) {
+            allocation.listed = true;
+        } else {
             // The size is not known once the job has ended, so the worker counts as full.
             let amount = amount.unwrap_or(view.report.capacity);
             log::info!(
@@ -205,6 +209,7 @@
                 entry,
                 RunAllocation {
                     amount,
+                    account,
                     expected_since: Some(now),
                     ordered_stop: None,
                     listed: true,
--- a/crates/pool/src/workers/worker_restart.rs
+++ b/crates/pool/src/workers/worker_restart.rs
@@ -271,6 +271,7 @@
                 (name, run),
                 RunAllocation {
                     amount: allocation.amount,
+                    account: allocation.account.clone(),
                     // Orders of an earlier leader have no effect after a listing with a newer epoch.
                     expected_since: allocation.expected_since.filter(|_| allocation.is_restored()),
                     ordered_stop: None,
--- a/crates/pool/src/workers/worker_view.rs
+++ b/crates/pool/src/workers/worker_view.rs
@@ -51,6 +51,8 @@
 #[derive(Clone, Debug)]
 pub(crate) struct RunAllocation {
     pub(crate) amount: ResourceAmount,
+    /// Client account that the run counts for; `None` if it is not known.
+    pub(crate) account: Option<Arc<str>>,
     /// Time from which a listing without the run shows that the run has ended; `None` until the start is
     /// confirmed.
     pub(crate) expected_since: Option<ClockTime>,
--- a/crates/pool/tests/random_pool.rs
+++ b/crates/pool/tests/random_pool.rs
@@ -1,7 +1,7 @@
 //! Random histories of jobs and faults, checked against the state of simulated workers.
 //!
 //! Guards against resources allocated twice, tasks that run twice or after their end, gangs started in part,
-//! steps out of order, exceeded spread limits, starts in closed data centres or of cancelled jobs, attempts
+//! steps out of order, exceeded spread limits, starts in closed data centres, beyond the cap of an account or of cancelled jobs, attempts
 //! that are counted twice or not at all after a change of the leader, jobs that never finish, and jobs that wait while an idle worker could run them and nothing else needs it.
 
 mod support;
@@ -16,6 +16,8 @@
 const WORKERS: usize = 16;
 /// Workers that join the pool at the end, so that all jobs can run.
 const RARE_WORKERS: usize = 6;
+/// Accelerators of the widest gang.
+const WIDEST_GANG: i64 = 18 * 8;
 /// Number of histories; PROPTEST_CASES overrides it.
 const HISTORIES: u32 = 160;
 
@@ -70,6 +72,8 @@
     CloseCentre(bool),
     LoseAnswers(Option<usize>),
     ChangeLeader,
+    /// Limits the cores and accelerators of an account.
+    SetCap(&'static str, i64, i64),
     /// A job is cancelled while there is no leader.
     CancelDuringTakeover(usize),
     Advance(u64),
@@ -115,6 +119,14 @@
     prop::sample::select(kinds.to_vec()).prop_flat_map(|(kind, most)| (Just(kind), 1..=most))
 }
 
+fn any_cap() -> impl Strategy<Value = Action> {
+    let account = prop_oneof![Just("north"), Just("south")];
+    let cores = prop_oneof![1 => Just(0_i64), 1 => 1_i64..120];
+    let accelerators = prop_oneof![1 => Just(1_000_000_i64), 3 => 1_i64..70];
+    (account, cores, accelerators)
+        .prop_map(|(account, cores, accelerators)| Action::SetCap(account, cores * 1_000, accelerators))
+}
+
 fn any_action() -> impl Strategy<Value = Action> {
     prop_oneof![
         8 => any_job().prop_map(Action::Submit),
@@ -130,6 +142,7 @@
         2 => Just(Action::ChangeLeader),
         1 => any::<usize>().prop_map(Action::CancelDuringTakeover),
         1 => any_job().prop_map(Action::SubmitCancelled),
+        2 => any_cap(),
         8 => (50u64..1_500).prop_map(Action::Advance),
     ]
 }
@@ -190,6 +203,9 @@
             }
             Action::Leave(_) => {}
             Action::CloseCentre(closed) => simulation.close_centre(*closed),
+            Action::SetCap(account, millicores, accelerators) => {
+                simulation.set_cap(account, *millicores, *accelerators);
+            }
             Action::LoseAnswers(interval) => simulation.lost_answer_interval = *interval,
             Action::ChangeLeader => simulation.change_leader(),
             Action::CancelDuringTakeover(choice) => {
@@ -199,10 +215,15 @@
             Action::Advance(millis) => simulation.advance(*millis),
         }
         simulation.decide();
+        simulation.check_usage();
     }
     simulation.reconnect_all();
     simulation.close_centre(false);
     simulation.lost_answer_interval = None;
+    // Wide enough for the widest gang, so that all jobs run under it.
+    for account in ["north", "south"] {
+        simulation.set_cap(account, 0, WIDEST_GANG);
+    }
     for _ in 0..RARE_WORKERS {
         simulation.add_rare_worker();
     }
@@ -214,6 +235,14 @@
     simulation.advance(120_000);
     let unfinished = simulation.unfinished_jobs();
     assert!(unfinished.is_empty(), "unfinished jobs: {unfinished:?}");
+    for account in ["north", "south"] {
+        assert_eq!(
+            simulation.counted_usage(account),
+            Some(Default::default()),
+            "{account}"
+        );
+        simulation.set_cap(account, 0, 1_000_000);
+    }
     check_last_job(&mut simulation);
 }
 
