Rank accounts by weight while there is too little room

An account that sent many times its usual work took the room of the others, as units rank by value alone. Where the configuration gives weights, units of accounts within their share rank first, then those of accounts that use more, then those of jobs that came faster than the weight a second, more than 5 s ahead; below guarantees and before overdue work, each class by value. A job beyond the rate stops no runs. Callers whose gang or task is wider than the cap of the account are told so with the acceptance.

Ruled out: a virtual time for each account, which needs state that outlives the leader and lets one large job block its account; and 429 for jobs beyond the rate, which are served while there is room.

Configurations without weights skip it.

--- a/crates/pool/src/accounts/account_ledger.rs
+++ b/crates/pool/src/accounts/account_ledger.rs
@@ -11,7 +11,7 @@
 
 use crate::placement::waiting_unit::WaitingUnit;
 use crate::pool_core::PoolCore;
-use crate::{AccountRule, PoolPolicy, ResourceAmount};
+use crate::{AccountRule, JobBody, PoolPolicy, ResourceAmount};
 
 /// Amount that stands for a resource without a limit.
 const UNLIMITED: i64 = i64::MAX / 4;
@@ -118,6 +118,17 @@
     pub(crate) fn is_capped(&self) -> bool {
         self.cap != ResourceAmount::default()
     }
+
+    /// Returns whether a gang or a single task of the job is wider than the account may ever run, so that the job waits
+    /// until the cap is raised.
+    pub fn excludes(&self, body: &JobBody) -> bool {
+        let room = AccountUsage::new(&self.cap).room();
+        let mut steps = body.steps.iter();
+        steps.any(|step| {
+            let together = if step.gang { step.count as usize } else { 1 };
+            !room.covers(&step.amount().times(together))
+        })
+    }
 }
 
 impl PoolCore {
--- a/crates/pool/src/jobs/job_entry.rs
+++ b/crates/pool/src/jobs/job_entry.rs
@@ -189,6 +189,8 @@
     pub(crate) id: Arc<str>,
     /// Client account of the body.
     pub(crate) account: Arc<str>,
+    /// Whether the job came faster than its account may expect to be served.
+    pub(crate) beyond_rate: bool,
     pub(crate) body: JobBody,
     pub(crate) spec: Arc<str>,
     pub(crate) rule: Arc<QueueRule>,
--- a/crates/pool/src/placement/unit_order.rs
+++ b/crates/pool/src/placement/unit_order.rs
@@ -3,12 +3,14 @@
 //! Load pattern: more work than capacity. Work of priority 0 within the guarantee of its account ranks first.
 //! Other work is ordered by the value of finishing it for each unit of capacity that it still takes, so that
 //! the pool serves as many callers as possible. Work that can no longer meet its objective has a lower value,
-//! and overdue work ranks last, oldest first.
+//! and overdue work ranks last, oldest first. Where accounts have weights, work of accounts beyond their share ranks
+//! behind other work that is not overdue.
 
 use std::cmp::Reverse;
 
 use arbutuspick_model::ClockTime;
 
+use crate::accounts::account_share::ShareClass;
 use crate::jobs::job_value::JobValue;
 
 /// Multiple of the objective up to which finished work is late rather than worthless.
@@ -27,6 +29,7 @@
 pub(crate) struct UnitRank {
     outside_guarantee: bool,
     overdue: bool,
+    pub(crate) share: ShareClass,
     value_density: Reverse<u64>,
     /// Latest start with the same lateness; for overdue units the older ones are earlier.
     start_by: ClockTime,
@@ -75,6 +78,7 @@
     UnitRank {
         outside_guarantee: !inside_guarantee,
         overdue: lateness == Lateness::Overdue,
+        share: ShareClass::default(),
         value_density: Reverse(value.value_at(lateness) * SCALE / remaining_worker_us.max(1)),
         start_by: finish_by - timing.remaining_ms,
         lateness,
--- a/crates/pool/src/placement/waiting_unit.rs
+++ b/crates/pool/src/placement/waiting_unit.rs
@@ -6,6 +6,7 @@
 use arbutuspick_model::ClockTime;
 
 use crate::ResourceAmount;
+use crate::accounts::account_share::ShareClass;
 use crate::jobs::job_entry::JobEntry;
 use crate::jobs::job_value::JobValue;
 use crate::keys::JobKey;
@@ -145,6 +146,20 @@
     pub(crate) mean_work: HashMap<Arc<str>, u64>,
     /// Largest capacity among the workers, separately for each resource.
     pub(crate) largest: ResourceAmount,
+    /// Accounts that use more than their share.
+    pub(crate) over_share: HashSet<Arc<str>>,
+}
+
+impl UnitContext {
+    fn share_class(&self, job: &JobEntry) -> ShareClass {
+        if job.beyond_rate {
+            ShareClass::BeyondRate
+        } else if self.over_share.contains(&job.account) {
+            ShareClass::OverShare
+        } else {
+            ShareClass::WithinShare
+        }
+    }
 }
 
 impl PoolCore {
@@ -153,6 +168,7 @@
             guaranteed: self.jobs_inside_guarantee(),
             mean_work: self.mean_work(),
             largest: self.largest_capacity(),
+            over_share: self.accounts_over_share(),
         }
     }
 
@@ -275,7 +291,8 @@
         remaining_ms,
     };
     let inside_guarantee = context.guaranteed.contains(&key);
-    let rank = unit_rank(now, &timing, &value, remaining_worker_us, inside_guarantee);
+    let mut rank = unit_rank(now, &timing, &value, remaining_worker_us, inside_guarantee);
+    rank.share = context.share_class(job);
     let max_local_wait_ms = objective_ms.saturating_sub(job.critical_path_ms);
     let state = &mut job.occurrences.get_mut(&number)?.steps[step];
     let ready_at = *state.ready_at.get_or_insert(now);
--- a/crates/pool/src/pool_core.rs
+++ b/crates/pool/src/pool_core.rs
@@ -4,6 +4,7 @@
 use arbutuspick_model::{ClockTime, PlatformTime};
 use slotmap::SlotMap;
 
+use crate::accounts::account_share::AccountRates;
 use crate::jobs::job_entry::{JobEntry, OccurrenceEntry, PlacementStage, TaskEntry};
 use crate::jobs::placement_restore::restored_occurrence;
 use crate::jobs::run_release::RunRelease;
@@ -74,6 +75,7 @@
     pub(crate) search_round: u64,
     /// Number of waiting units for each reason, as of the latest decision.
     pub(crate) wait_counts: BTreeMap<WaitReason, usize>,
+    pub(crate) account_rates: AccountRates,
     pub(crate) orders: Vec<PoolOrder>,
     pub(crate) latency_samples: Vec<LatencySample>,
     /// Jobs whose records have changed since `take_changes`.
@@ -141,6 +143,7 @@
         let mut job = JobEntry {
             id: id.clone(),
             account: body.account.as_str().into(),
+            beyond_rate: false,
             spec: body.spec.as_str().into(),
             critical_path_ms: body.critical_path_ms(),
             work_core_ms: body.work_core_ms(),
@@ -161,6 +164,7 @@
         }
         let key = self.jobs.insert(job);
         self.job_index.insert(id.clone(), key);
+        self.account_rates.add_job(key);
         for occurrence in &record.occurrences {
             self.restore_placements(key, occurrence.number, &occurrence.tasks, now, lease_expiry);
         }
@@ -294,6 +298,7 @@
     /// Decides what to start and stop now. The `take_*` methods return the resulting orders and records.
     pub fn decide(&mut self, now: ClockTime, wall: PlatformTime) {
         self.release_occurrences(now, wall);
+        self.classify_jobs();
         self.check_leases(now);
         self.check_progress(now);
         self.update_step_fits();
--- a/crates/pool/src/pool_policy.rs
+++ b/crates/pool/src/pool_policy.rs
@@ -1,7 +1,7 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 
-use crate::ResourceAmount;
+use crate::{JobBody, ResourceAmount};
 
 /// How the jobs of one queue are scheduled.
 #[derive(Clone, Debug, PartialEq)]
@@ -45,3 +45,11 @@
     /// Rules by account.
     pub accounts: HashMap<Arc<str>, AccountRule>,
 }
+
+impl PoolPolicy {
+    /// Returns whether the cap of its account keeps a job from running, whatever else runs.
+    pub fn excludes(&self, body: &JobBody) -> bool {
+        let rule = self.accounts.get(body.account.as_str());
+        rule.is_some_and(|rule| rule.excludes(body))
+    }
+}
--- a/crates/pool/src/preemption/preemption_pass.rs
+++ b/crates/pool/src/preemption/preemption_pass.rs
@@ -6,6 +6,7 @@
 
 use arbutuspick_model::ClockTime;
 
+use crate::accounts::account_share::ShareClass;
 use crate::jobs::job_entry::PlacementStage;
 use crate::keys::JobKey;
 use crate::placement::blocked_needs::PlacementNeed;
@@ -48,7 +49,9 @@
     /// Returns whether the unit may stop runs of lower rank: it is within a guarantee, or its start is urgent.
     pub(crate) fn may_stop_runs(&self, now: ClockTime) -> bool {
         self.rank.inside_guarantee()
-            || self.rank.lateness != Lateness::Overdue && self.rank.slack_ms(now) < PREEMPTION_SLACK_MS
+            || self.rank.share != ShareClass::BeyondRate
+                && self.rank.lateness != Lateness::Overdue
+                && self.rank.slack_ms(now) < PREEMPTION_SLACK_MS
     }
 }
 
--- a/crates/pool/tests/account_caps.rs
+++ b/crates/pool/tests/account_caps.rs
@@ -219,3 +219,23 @@
     pool.run_decision();
     assert_eq!(pool.running_count("now"), 1);
 }
+
+/// Guards against a caller who is not told that its job cannot run under the cap, and against one who is told so though
+/// the job runs in waves.
+#[parameterized(
+    wide_gang = { gang(6, 2), true },
+    gang_within = { gang(5, 2), false },
+    waves = { step(60, 2), false },
+    large_task = { step(1, 11), true },
+)]
+fn excluded_jobs(step: StepBody, is_excluded: bool) {
+    let mut policy = support::policy(0);
+    if let Some(rule) = policy.accounts.get_mut("south") {
+        rule.cap.accelerators = 10;
+    }
+    assert_eq!(
+        policy.excludes(&body("normal", "south", vec![step.clone()])),
+        is_excluded
+    );
+    assert!(!policy.excludes(&body("normal", "north", vec![step])));
+}
