Count runs of ended jobs no longer than their leases last

Final records are kept for minutes, and each new leader counted the runs that they name until it had listed the workers. Runs that had ended long ago held room under the caps on workers that could not be reached. The record now says when the job ended, and older ones are not counted. long_ended_runs fails without the check.

--- a/crates/dispatch/src/job_intake.rs
+++ b/crates/dispatch/src/job_intake.rs
@@ -300,6 +300,7 @@
         occurrences: Vec::new(),
         has_begun: false,
         remaining: Vec::new(),
+        ended_at_ms: 0,
     };
     RowTransaction {
         conditions: vec![
--- a/crates/dispatch/src/leader_run.rs
+++ b/crates/dispatch/src/leader_run.rs
@@ -239,12 +239,13 @@
         for report in (self.context.decode_workers)(&workers, now) {
             self.core.update_worker(report, now);
         }
+        let wall = self.context.clock.wall();
         let (records, stale_rows) = self.progress_rows.load(progress);
         self.row_removals.extend(stale_rows);
         for (job, record) in &records {
             if record.stage().is_final() {
                 self.core
-                    .restore_ended_job(job, record, now, self.earlier_lease_expiry);
+                    .restore_ended_job(job, record, now, wall, self.earlier_lease_expiry);
             }
         }
         self.apply_intake(intake, &records);
--- a/crates/pool/src/accounts/ended_runs.rs
+++ b/crates/pool/src/accounts/ended_runs.rs
@@ -7,7 +7,7 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use arbutuspick_model::ClockTime;
+use arbutuspick_model::{ClockTime, PlatformTime};
 use prost::Message;
 
 use crate::jobs::job_entry::JobEntry;
@@ -15,6 +15,8 @@
 use crate::workers::worker_view::RunAllocation;
 use crate::{AccountRule, JobRecord, RemainingRun, ResourceAmount, TaskName, WorkerKey, WorkerRuns};
 
+/// Time beyond the length of a lease after which a run of an ended job has ended or is listed, in milliseconds.
+const ENDED_MARGIN_MS: u64 = 4_000;
 /// Maximum size of the runs in a final record, in bytes; the record has to fit a row of the store.
 const MAX_REMAINING_BYTES: usize = 32_000;
 
@@ -63,7 +65,8 @@
         remaining
     }
 
-    /// Adds a job that an earlier leader ended; its runs may go on until their workers are listed or `lease_expiry`.
+    /// Adds a job that an earlier leader ended. Its runs may go on until their workers are listed or `lease_expiry`, unless it
+    /// ended so long ago that no lease which it left behind is still valid.
     ///
     /// Workers must be added first.
     pub fn restore_ended_job(
@@ -71,10 +74,15 @@
         id: &Arc<str>,
         record: &JobRecord,
         now: ClockTime,
+        wall: PlatformTime,
         lease_expiry: ClockTime,
     ) {
         let account: Arc<str> = record.account.as_str().into();
         self.track_final_record(id, &account, now);
+        let ended_ms = wall.millis_since(PlatformTime(record.ended_at_ms));
+        if ended_ms > self.options.lease_ms + ENDED_MARGIN_MS {
+            return;
+        }
         for runs in &record.remaining {
             let worker = self.restored_worker(&runs.worker, runs.worker_started_at_ms, now);
             let view = &mut self.workers[worker];
--- a/crates/pool/src/jobs/job_entry.rs
+++ b/crates/pool/src/jobs/job_entry.rs
@@ -265,6 +265,7 @@
             occurrences: Vec::new(),
             has_begun: self.has_begun,
             remaining: Vec::new(),
+            ended_at_ms: 0,
         };
         if self.stage.is_final() {
             return record;
--- a/crates/pool/src/jobs/job_record.rs
+++ b/crates/pool/src/jobs/job_record.rs
@@ -61,6 +61,9 @@
     /// Of a job that has ended: its runs that had not, where accounts have caps.
     #[prost(message, repeated, tag = "8")]
     pub remaining: Vec<WorkerRuns>,
+    /// Unix milliseconds at which a job with `remaining` runs ended.
+    #[prost(fixed64, tag = "9")]
+    pub ended_at_ms: u64,
 }
 
 /// Runs on one worker that had not ended when their job did.
--- a/crates/pool/src/pool_core.rs
+++ b/crates/pool/src/pool_core.rs
@@ -75,6 +75,8 @@
     pub(crate) search_round: u64,
     /// Number of waiting units for each reason, as of the latest decision.
     pub(crate) wait_counts: BTreeMap<WaitReason, usize>,
+    /// Unix milliseconds at time 0 of the clock.
+    wall_start_ms: u64,
     pub(crate) account_rates: AccountRates,
     pub(crate) orders: Vec<PoolOrder>,
     pub(crate) latency_samples: Vec<LatencySample>,
@@ -138,6 +140,7 @@
         if self.job_index.contains_key(id) || self.ended_jobs.contains_key(id) || record.stage().is_final() {
             return;
         }
+        self.wall_start_ms = wall.0.saturating_sub(now.0);
         let rule = self.queue_rule(&body);
         let arrived_at = now - wall.millis_since(PlatformTime(body.accepted_at_ms));
         let mut job = JobEntry {
@@ -297,6 +300,7 @@
 
     /// Decides what to start and stop now. The `take_*` methods return the resulting orders and records.
     pub fn decide(&mut self, now: ClockTime, wall: PlatformTime) {
+        self.wall_start_ms = wall.0.saturating_sub(now.0);
         self.release_occurrences(now, wall);
         self.classify_jobs();
         self.check_leases(now);
@@ -417,6 +421,11 @@
         self.ended_records.push(RecordChange {
             job: job.id.clone(),
             record: Some(JobRecord {
+                ended_at_ms: if remaining.is_empty() {
+                    0
+                } else {
+                    self.wall_start_ms + now.0
+                },
                 remaining,
                 ..job.to_record(|_| None)
             }),
--- a/crates/pool/tests/account_caps.rs
+++ b/crates/pool/tests/account_caps.rs
@@ -145,6 +145,34 @@
     assert_eq!(pool.running_count("new"), 4);
 }
 
+/// Guards against a leader that holds room for runs of jobs that ended long ago, as their records are kept, on workers
+/// that it cannot reach.
+#[test]
+fn long_ended_runs() {
+    let mut pool = capped_pool(8);
+    pool.submit("old", body("normal", "south", vec![step(4, 2)]));
+    pool.run_decision();
+    let now = pool.now;
+    assert!(pool.core.cancel_job(&"old".into(), now));
+    pool.run_decision();
+    let worker = pool.starts[0].worker;
+    let unreachable = pool
+        .workers
+        .iter()
+        .position(|key| *key == worker)
+        .expect("a worker");
+    pool.advance(15_000);
+    pool.change_leader();
+    pool.submit("new", body("normal", "south", vec![step(4, 2)]));
+    for (number, worker) in pool.workers.clone().into_iter().enumerate() {
+        if number != unreachable {
+            pool.list(worker);
+        }
+    }
+    pool.run_decision();
+    assert_eq!(pool.running_count("new"), 4);
+}
+
 /// Guards against a new leader that counts less than the former one: runs it has not listed, and runs that are listed
 /// as those of a job that has ended.
 #[test]
--- a/crates/pool/tests/support/mod.rs
+++ b/crates/pool/tests/support/mod.rs
@@ -160,7 +160,7 @@
         for (id, body) in &self.bodies {
             let record = self.records.get(id).cloned().unwrap_or_default();
             if record.stage().is_final() {
-                self.core.restore_ended_job(id, &record, now, now + 10_000);
+                self.core.restore_ended_job(id, &record, now, wall, now + 10_000);
                 continue;
             }
             self.core
--- a/crates/pool/tests/support/pool_simulation.rs
+++ b/crates/pool/tests/support/pool_simulation.rs
@@ -244,7 +244,7 @@
             let record = self.records.get(id).cloned().unwrap_or_default();
             let lease_expiry = now + LEASE_MS + 500;
             if record.stage().is_final() {
-                self.core.restore_ended_job(id, &record, now, lease_expiry);
+                self.core.restore_ended_job(id, &record, now, wall, lease_expiry);
             } else {
                 self.core
                     .add_job(id, body.clone(), &record, now, wall, lease_expiry);
