Tell slow workers from long tasks, and move a run only for what it gains

Cause: a run that took twice as long as its siblings was moved, and its whole gang with it. A few tasks in a hundred take several times as long wherever they run, and estimates are far off, so most moves threw work away for nothing. Speeds were learned from the ends of single tasks only.

Change: members of a gang have the same work and report their progress separately, so their rates show the speeds of their workers from the first listings on. The speed of a worker is the weighted median of its latest samples with an assumption that it has the usual speed: one long task does not move it, one gang or two single tasks do. A run is moved only if its job would be late, and if the time left by its own progress exceeds the start elsewhere, at the speed of the workers that are free, by more than the work that the move throws away. A run that stands still counts as stalled with its worker only if nothing else on the worker gains. A long task no longer shuts its worker.

Ruled out: never moving members of gangs, since a worker that stalls a gang has to be left.

--- a/crates/pool/src/jobs/job_entry.rs
+++ b/crates/pool/src/jobs/job_entry.rs
@@ -48,6 +48,8 @@
     pub(crate) last_gain_at: ClockTime,
     /// Time of the latest report.
     pub(crate) reported_at: ClockTime,
+    /// Whether the run has been counted in the speed of its worker.
+    pub(crate) has_shown_speed: bool,
 }
 
 impl RunProgress {
--- a/crates/pool/src/workers/listing_apply.rs
+++ b/crates/pool/src/workers/listing_apply.rs
@@ -10,7 +10,7 @@
 use crate::jobs::run_release::RunRelease;
 use crate::keys::JobKey;
 use crate::pool_core::PoolCore;
-use crate::workers::worker_speed::speed_observation;
+use crate::workers::run_pace::shows_speed;
 use crate::workers::worker_view::RunAllocation;
 use crate::{
     EndKind, JobStage, ResourceAmount, RunEnd, RunStatus, StartAnswer, StopReason, TaskName, WorkerKey,
@@ -162,6 +162,9 @@
         let start = occurrence.and_then(|occurrence| occurrence.work_start(step, name.index as usize, gang));
         if let Some(task) = job.task_mut(name) {
             task.progress.update(percent, start, now);
+            if shows_speed(&task.progress) {
+                self.record_progress(key, name, now);
+            }
         }
     }
 
@@ -267,12 +270,12 @@
         let job = &mut self.jobs[key];
         let body = &job.body.steps[name.step as usize];
         let (gang, endless) = (body.gang, body.endless);
-        let remote_factor = self.options.remote_factor;
+        self.record_end(key, name, now);
+        let job = &mut self.jobs[key];
         let Some(occurrence) = job.occurrences.get_mut(&name.occurrence) else {
             return;
         };
         let step = &mut occurrence.steps[name.step as usize];
-        let observation = speed_observation(step, body, name.index as usize, remote_factor, now);
         if gang && !endless {
             for member in &mut step.tasks {
                 member.done = true;
@@ -291,11 +294,6 @@
             task.placement = None;
             task.done = !endless;
         }
-        if let Some(observation) = observation
-            && let Some(view) = self.workers.get_mut(observation.worker)
-        {
-            view.speed.record(&observation);
-        }
         self.close_occurrence(key, name.occurrence, now);
     }
 
--- a/crates/pool/src/workers/progress_check.rs
+++ b/crates/pool/src/workers/progress_check.rs
@@ -3,32 +3,37 @@
 //! Load pattern: some workers stall, run several times slower or are about to leave, while others have free
 //! capacity. A run is moved only when it would end sooner elsewhere, and only a few times.
 
+use std::collections::{HashMap, HashSet};
+
 use arbutuspick_model::ClockTime;
 
-use crate::jobs::job_entry::{PlacementStage, TaskEntry};
+use crate::jobs::job_entry::{PlacementStage, StepEntry, TaskEntry, TaskPlacement};
 use crate::jobs::run_release::RunRelease;
 use crate::keys::JobKey;
+use crate::placement::waiting_unit::remaining_ms;
 use crate::pool_core::PoolCore;
-use crate::workers::run_pace::{PaceEvidence, RunPace, StepDurations, judge_pace, min_total_ms};
+use crate::workers::move_target::{FreeWorkers, TargetNeed};
+use crate::workers::run_move::{GainHistory, MoveCase, START_MARGIN_MS, WorkerDoubt};
+use crate::workers::run_pace::{StepPace, log_ms, min_total_ms};
+use crate::workers::worker_speed::MAX_SPEED_RATIO;
 use crate::{StepBody, StopReason, TaskName, WorkerKey};
 
-/// Time without progress after which a run counts as stalled, in milliseconds; listings are a second apart.
-const STALL_LIMIT_MS: u64 = 1_100;
 /// Maximum number of moves of a task for lack of progress; a task that is slow everywhere is left alone.
 const MAX_SLOW_RESTARTS: u32 = 2;
 /// Time before the end of the gang wait at which a gang with an unanswered start is stopped, in milliseconds.
 const GANG_MARGIN_MS: u64 = 1_500;
-
-/// Returns whether a run has stalled.
-fn is_stalled(task: &TaskEntry, expected_ms: u64) -> bool {
-    let progress = &task.progress;
-    if progress.work_started_at.is_none() || progress.percent >= 100 {
-        return false;
-    }
-    // One percent of a long task can take longer than STALL_LIMIT_MS.
-    let stalled_ms = progress.reported_at.millis_since(progress.last_gain_at);
-    stalled_ms > STALL_LIMIT_MS.max(expected_ms / 8)
-}
+/// Age of a report from which on it shows nothing about the present, in milliseconds; listings are a second apart.
+const MAX_REPORT_AGE_MS: u64 = 2_500;
+/// Time of a run that falls behind, in percent of the expected one; the sizes of siblings differ by a third.
+const BEHIND_PERCENT: u64 = 200;
+/// Time of a run that falls behind, in percent of its estimate, if there are no other runs to compare.
+const BEHIND_ESTIMATE_PERCENT: u64 = 250;
+/// Share of the estimate that one percent of a run may take, as a divisor; some tasks take seven times as long as others.
+const PERCENT_ESTIMATE_DIVISOR: u64 = 24;
+/// Number of siblings on other workers from which a comparison needs no estimate.
+const MIN_SIBLINGS: usize = 2;
+/// Number of jobs that must fall behind on a worker before the worker counts as slow.
+const MIN_SLOW_JOBS: usize = 2;
 
 /// A run to stop and start elsewhere.
 struct RunMove {
@@ -36,6 +41,50 @@
     name: TaskName,
     worker: WorkerKey,
     reason: StopReason,
+    /// Whether the worker gets no further work for a while.
+    shuns_worker: bool,
+}
+
+/// A step with runs, and where it is.
+struct StepPlace<'a> {
+    key: JobKey,
+    occurrence: u32,
+    number: usize,
+    body: &'a StepBody,
+    step: &'a StepEntry,
+    /// Time by which the step has to end if its job is to be on time.
+    end_by: ClockTime,
+    pace: StepPace,
+}
+
+/// What the runs on the workers show about them, apart from the speeds learned earlier.
+#[derive(Default)]
+struct WorkerSigns {
+    /// Jobs that are behind on a worker.
+    behind: HashMap<WorkerKey, HashSet<JobKey>>,
+    /// Runs on a worker that are on pace, and the time of the latest gain of any of its runs.
+    on_pace: HashMap<WorkerKey, u32>,
+    last_gains: HashMap<WorkerKey, Vec<ClockTime>>,
+}
+
+impl WorkerSigns {
+    /// Returns what the other runs on the worker say about a run that is behind.
+    fn doubt(&self, worker: WorkerKey) -> WorkerDoubt {
+        let behind = self.behind.get(&worker).map_or(0, HashSet::len);
+        if self.on_pace.contains_key(&worker) {
+            WorkerDoubt::Cleared
+        } else if behind >= MIN_SLOW_JOBS {
+            WorkerDoubt::Proven
+        } else {
+            WorkerDoubt::Open
+        }
+    }
+
+    /// Returns whether a run on the worker other than the one that gained last at `last_gain_at` has gained later.
+    fn gained_after(&self, worker: WorkerKey, last_gain_at: ClockTime) -> bool {
+        let gains = self.last_gains.get(&worker);
+        gains.is_some_and(|gains| gains.iter().any(|gain_at| *gain_at > last_gain_at))
+    }
 }
 
 impl PoolCore {
@@ -69,136 +118,221 @@
 
     /// Stops runs that have stalled, are far too slow, or can resume elsewhere before their worker leaves.
     pub(crate) fn check_progress(&mut self, now: ClockTime) {
-        let evidence = self.pace_evidence();
-        for worker in evidence.far_behind() {
-            self.mark_slow(worker, now);
-        }
+        let places = self.running_steps();
+        let signs = self.worker_signs(&places, now);
         let mut moves = Vec::new();
         let mut broken_gangs = Vec::new();
-        for (key, job) in &self.jobs {
-            for (number, occurrence) in &job.occurrences {
-                for (step_number, step) in occurrence.steps.iter().enumerate() {
-                    let body = &job.body.steps[step_number];
-                    let durations = StepDurations::from_step(step, self.options.remote_factor);
-                    for (index, task) in step.tasks.iter().enumerate() {
-                        let Some(placement) = task.placement else { continue };
-                        let waited_with_margin_ms = now.millis_since(placement.since) + GANG_MARGIN_MS;
-                        let unconfirmed = placement.stage == PlacementStage::Unconfirmed && body.gang;
-                        if unconfirmed && waited_with_margin_ms > self.options.gang_wait_ms {
-                            broken_gangs.push((key, job.task_name(*number, step_number, index)));
-                        }
-                        if placement.stage != PlacementStage::Running {
-                            continue;
-                        }
-                        let reason = self.move_reason(body, task, &durations, &evidence, now);
-                        moves.extend(reason.map(|reason| RunMove {
-                            key,
-                            name: job.task_name(*number, step_number, index),
-                            worker: placement.worker,
-                            reason,
-                        }));
+        let mut free_workers = None;
+        for place in &places {
+            let names = |index| self.jobs[place.key].task_name(place.occurrence, place.number, index);
+            for (index, task) in place.step.tasks.iter().enumerate() {
+                let Some(placement) = task.placement else { continue };
+                let waited_with_margin_ms = now.millis_since(placement.since) + GANG_MARGIN_MS;
+                let unconfirmed = placement.stage == PlacementStage::Unconfirmed && place.body.gang;
+                if unconfirmed && waited_with_margin_ms > self.options.gang_wait_ms {
+                    broken_gangs.push((place.key, names(index)));
+                }
+                if placement.stage != PlacementStage::Running {
+                    continue;
+                }
+                let new_move = |reason, shuns_worker| RunMove {
+                    key: place.key,
+                    name: names(index),
+                    worker: placement.worker,
+                    reason,
+                    shuns_worker,
+                };
+                if let Some(leaves_at) = self.leaves_at(placement.worker) {
+                    if self.leaves_too_soon(place, task, placement, leaves_at, now) {
+                        moves.push(new_move(StopReason::WorkerLeaving, false));
                     }
+                    continue;
+                }
+                if place.body.endless || !is_judged(task, now) {
+                    continue;
+                }
+                if has_stalled(place, task, self.remote_factor(placement), &signs) {
+                    moves.push(new_move(StopReason::NoProgress, true));
+                } else if left_here_ms(task, now) > place.end_by.millis_since(now) {
+                    let free_workers = free_workers.get_or_insert_with(|| self.free_workers(now));
+                    let shuns_worker = self.slow_run(place, task, &signs, free_workers, now);
+                    moves.extend(shuns_worker.map(|shuns| new_move(StopReason::NoProgress, shuns)));
                 }
             }
         }
         for (key, name) in broken_gangs {
             self.stop_gang(key, &name, now);
         }
+        let mut stopped_gangs = HashSet::new();
         for run in moves {
-            self.move_run(&run, now);
+            let is_gang = self.jobs[run.key].body.steps[run.name.step as usize].gang;
+            if !is_gang || stopped_gangs.insert((run.key, run.name.occurrence, run.name.step)) {
+                self.move_run(&run, now);
+            }
         }
     }
 
-    /// Compares each run with its siblings and its estimate.
-    fn pace_evidence(&self) -> PaceEvidence {
-        let mut evidence = PaceEvidence::default();
+    /// Returns the steps that have runs.
+    fn running_steps(&self) -> Vec<StepPlace<'_>> {
+        let mut places = Vec::new();
         for (key, job) in &self.jobs {
-            for occurrence in job.occurrences.values() {
-                for (step, body) in occurrence.steps.iter().zip(&job.body.steps) {
-                    let durations = StepDurations::from_step(step, self.options.remote_factor);
-                    for task in &step.tasks {
-                        if let Some((worker, pace)) = self.pace_of(body, task, &durations) {
-                            evidence.add(worker, key, pace);
-                        }
+            for (occurrence, entry) in &job.occurrences {
+                for (number, (step, body)) in entry.steps.iter().zip(&job.body.steps).enumerate() {
+                    if step.tasks.iter().all(|task| task.placement.is_none()) {
+                        continue;
                     }
+                    let later_ms = remaining_ms(job, number).saturating_sub(body.estimate_ms);
+                    places.push(StepPlace {
+                        key,
+                        occurrence: *occurrence,
+                        number,
+                        body,
+                        step,
+                        end_by: entry.due_at + job.objective_ms().saturating_sub(later_ms),
+                        pace: self.step_pace(step, body.gang),
+                    });
                 }
             }
         }
-        evidence
+        places
     }
 
-    /// Returns the worker and the pace of a run, unless it cannot be judged yet or is endless.
-    fn pace_of(
-        &self,
-        body: &StepBody,
-        task: &TaskEntry,
-        durations: &StepDurations,
-    ) -> Option<(WorkerKey, RunPace)> {
-        let placement = task.placement?;
-        let factor = if placement.remote {
+    /// Compares each run with its siblings, or with its estimate if there are none.
+    fn worker_signs(&self, places: &[StepPlace], now: ClockTime) -> WorkerSigns {
+        let mut signs = WorkerSigns::default();
+        for place in places {
+            for task in place.step.tasks.iter().filter(|task| is_judged(task, now)) {
+                let Some(placement) = task.placement else { continue };
+                if task.progress.percent < 100 {
+                    let gains = signs.last_gains.entry(placement.worker).or_default();
+                    gains.push(task.progress.last_gain_at);
+                }
+                if place.body.endless {
+                    continue;
+                }
+                match self.is_behind(place, task, placement) {
+                    Some(true) => {
+                        let jobs = signs.behind.entry(placement.worker).or_default();
+                        jobs.insert(place.key);
+                    }
+                    Some(false) => *signs.on_pace.entry(placement.worker).or_default() += 1,
+                    None => {}
+                }
+            }
+        }
+        signs
+    }
+
+    /// Returns whether the run takes far longer than expected on its worker; `None` if that cannot be told yet.
+    fn is_behind(&self, place: &StepPlace, task: &TaskEntry, placement: TaskPlacement) -> Option<bool> {
+        let total_ms = min_total_ms(&task.progress)? / self.remote_factor(placement);
+        let expected = self.expected_ms(&place.pace, placement.worker);
+        Some(match expected {
+            Some(expected_ms) => total_ms * 100 > expected_ms * BEHIND_PERCENT,
+            None => total_ms * 100 > place.body.estimate_ms * BEHIND_ESTIMATE_PERCENT,
+        })
+    }
+
+    /// Returns the time that a run of the step should take on the worker, by runs elsewhere and the speed of the worker.
+    fn expected_ms(&self, pace: &StepPace, worker: WorkerKey) -> Option<u64> {
+        let log_speed = self.workers.get(worker)?.speed.log_speed();
+        let log_work = pace.log_work(worker, MIN_SIBLINGS)?;
+        Some(from_log_ms(log_work - log_speed))
+    }
+
+    fn remote_factor(&self, placement: TaskPlacement) -> u64 {
+        if placement.remote {
             self.options.remote_factor.max(1)
         } else {
             1
-        };
-        if body.endless {
-            return None;
         }
-        let total_ms = min_total_ms(&task.progress)? / factor;
-        let siblings = durations.sibling_median(placement.worker);
-        Some((placement.worker, judge_pace(total_ms, siblings, body.estimate_ms)))
     }
 
-    /// Returns the reason for moving the run, if there is one.
-    fn move_reason(
+    fn leaves_at(&self, worker: WorkerKey) -> Option<ClockTime> {
+        self.workers.get(worker)?.report.leaves_at
+    }
+
+    /// Returns whether the worker leaves before the run ends, which can resume elsewhere.
+    fn leaves_too_soon(
+        &self,
+        place: &StepPlace,
+        task: &TaskEntry,
+        placement: TaskPlacement,
+        leaves_at: ClockTime,
+        now: ClockTime,
+    ) -> bool {
+        let left_percent = u64::from(100 - task.progress.percent.min(100));
+        let left_ms = place.body.estimate_ms * self.remote_factor(placement) * left_percent / 100;
+        let saved = place.body.checkpoints && !task.checkpoint.is_empty();
+        saved && now + left_ms > leaves_at
+    }
+
+    /// Returns whether the worker is to be shunned if the run is so slow that it should be moved.
+    fn slow_run(
         &self,
-        body: &StepBody,
+        place: &StepPlace,
         task: &TaskEntry,
-        durations: &StepDurations,
-        evidence: &PaceEvidence,
+        signs: &WorkerSigns,
+        free_workers: &FreeWorkers,
         now: ClockTime,
-    ) -> Option<StopReason> {
+    ) -> Option<bool> {
         let placement = task.placement?;
-        let view = self.workers.get(placement.worker)?;
-        let factor = if placement.remote {
-            self.options.remote_factor.max(1)
+        // Unlike a stalled run, a slow run is moved only once: a task that is slow again is slow in itself.
+        if restarts(place, task) > 0 {
+            return None;
+        }
+        let total_ms = min_total_ms(&task.progress)?;
+        let log_speed = self.workers.get(placement.worker)?.speed.log_speed();
+        let log_own = log_ms(total_ms / self.remote_factor(placement));
+        let needed = if place.body.gang { 1 } else { MIN_SIBLINGS };
+        let log_work = match place.pace.log_work_elsewhere(placement.worker, needed) {
+            Some(log_work) => log_work,
+            None if place.body.gang => return None,
+            None => log_ms(place.body.estimate_ms),
+        };
+        // What the work would take at the usual speed if the task is long, and if the worker is to blame.
+        let (log_long, doubt) = if place.body.gang {
+            (log_work, WorkerDoubt::Proven)
+        } else if self.is_behind(place, task, placement)? {
+            (log_work, signs.doubt(placement.worker))
         } else {
-            1
+            (log_own + log_speed, WorkerDoubt::Proven)
         };
+        let need = TargetNeed::of_step(place.step, place.body, |worker| {
+            self.workers
+                .get(worker)
+                .map(|view| (view.speed.log_speed(), view.rack))
+        });
+        let log_target = free_workers.log_speed_for(&need, place.body, placement.worker)?;
         let left_percent = u64::from(100 - task.progress.percent.min(100));
-        if let Some(leaves_at) = view.report.leaves_at {
-            let left_ms = body.estimate_ms * factor * left_percent / 100;
-            let saved = body.checkpoints && !task.checkpoint.is_empty();
-            return (saved && now + left_ms > leaves_at).then_some(StopReason::WorkerLeaving);
-        }
-        if body.endless || task.slow_restarts >= MAX_SLOW_RESTARTS {
-            return None;
-        }
-        if is_stalled(task, body.estimate_ms * factor) {
-            return Some(StopReason::NoProgress);
-        }
-        let (worker, pace) = self.pace_of(body, task, durations)?;
-        let expected_ms = match pace {
-            RunPace::Expected => return None,
-            RunPace::FarBehind { expected_ms } => expected_ms,
-            RunPace::BehindEstimate if evidence.is_slow(worker) => body.estimate_ms,
-            RunPace::BehindEstimate => return None,
+        let repeated_percent = if place.body.checkpoints { left_percent } else { 100 };
+        let total_elsewhere_ms = from_log_ms(log_long - log_target) * self.remote_factor(placement);
+        let worked_ms = now.millis_since(task.progress.work_started_at?);
+        let case = MoveCase {
+            left_here_ms: left_here_ms(task, now),
+            left_elsewhere_ms: self.options.stop_ms
+                + START_MARGIN_MS
+                + total_elsewhere_ms * repeated_percent / 100,
+            lost_ms: if place.body.checkpoints { 0 } else { worked_ms },
+            slack_ms: place.end_by.millis_since(now),
+            doubt,
         };
-        let remaining_ms = min_total_ms(&task.progress)? * left_percent / 100;
-        let elsewhere_ms = expected_ms + self.options.stop_ms;
-        // Unlike a stalled run, a slow run is moved only once: a task that is slow again is slow in itself.
-        let sooner = remaining_ms > elsewhere_ms + elsewhere_ms / 4;
-        (sooner && task.slow_restarts == 0).then_some(StopReason::NoProgress)
+        let stalls = log_own - log_work > MAX_SPEED_RATIO.ln() && doubt != WorkerDoubt::Cleared;
+        case.is_worthwhile().then_some(stalls)
     }
 
     fn move_run(&mut self, run: &RunMove, now: ClockTime) {
         if run.reason == StopReason::NoProgress {
-            self.mark_slow(run.worker, now);
+            if run.shuns_worker {
+                self.mark_slow(run.worker, now);
+            }
             if let Some(task) = self.jobs.get_mut(run.key).and_then(|job| job.task_mut(&run.name)) {
                 let progress = &task.progress;
                 log::warn!(
-                    "[run] task={} run={} state=too slow percent={} first_percent={} still_ms={} worked_ms={}",
+                    "[run] task={} run={} state=too slow stalled={} percent={} first_percent={} still_ms={} worked_ms={}",
                     run.name,
                     task.run,
+                    run.shuns_worker,
                     progress.percent,
                     progress.first_percent,
                     progress.reported_at.millis_since(progress.last_gain_at),
@@ -227,3 +361,55 @@
         }
     }
 }
+
+/// Returns whether the run has been reported lately and works.
+fn is_judged(task: &TaskEntry, now: ClockTime) -> bool {
+    let is_running = task
+        .placement
+        .is_some_and(|placement| placement.stage == PlacementStage::Running);
+    is_running
+        && task.progress.work_started_at.is_some()
+        && now.millis_since(task.progress.reported_at) <= MAX_REPORT_AGE_MS
+}
+
+/// Returns whether the run has stalled with its worker.
+fn has_stalled(place: &StepPlace, task: &TaskEntry, remote_factor: u64, signs: &WorkerSigns) -> bool {
+    let progress = &task.progress;
+    let (Some(placement), Some(started_at)) = (task.placement, progress.work_started_at) else {
+        return false;
+    };
+    if progress.percent >= 100 || restarts(place, task) >= MAX_SLOW_RESTARTS {
+        return false;
+    }
+    let gained_percent = u64::from(progress.percent.saturating_sub(progress.first_percent));
+    let gaining_ms = progress.last_gain_at.millis_since(started_at);
+    let by_estimate_ms = place.body.estimate_ms * remote_factor / PERCENT_ESTIMATE_DIVISOR;
+    let history = GainHistory {
+        still_ms: progress.reported_at.millis_since(progress.last_gain_at),
+        percent_ms: by_estimate_ms.max(gaining_ms.checked_div(gained_percent).unwrap_or(0)),
+        neighbours_gain: signs.gained_after(placement.worker, progress.last_gain_at),
+    };
+    history.is_stalled()
+}
+
+/// Returns the shortest time that is left for the run by its own progress, in milliseconds; 0 if nothing is known.
+fn left_here_ms(task: &TaskEntry, now: ClockTime) -> u64 {
+    let left_percent = u64::from(100 - task.progress.percent.min(100));
+    let total_ms = min_total_ms(&task.progress).unwrap_or(0);
+    (total_ms * left_percent / 100).saturating_sub(now.millis_since(task.progress.reported_at))
+}
+
+/// Returns the number of moves of a task, or of the gang that it is a member of.
+fn restarts(place: &StepPlace, task: &TaskEntry) -> u32 {
+    if place.body.gang {
+        place.step.tasks.iter().map(|member| member.slow_restarts).sum()
+    } else {
+        task.slow_restarts
+    }
+}
+
+/// Returns the time in milliseconds of which this is the natural logarithm.
+#[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+fn from_log_ms(log: f64) -> u64 {
+    log.exp() as u64
+}
--- a/crates/pool/src/workers/run_pace.rs
+++ b/crates/pool/src/workers/run_pace.rs
@@ -1,15 +1,14 @@
-//! Distinguishes slow workers from tasks that take longer than their callers estimated.
+//! Projects how long runs take from their progress, and compares the runs of a step with each other.
 //!
-//! Estimates are often far off, so a run is compared with other runs of its step first. Without such runs it
-//! is compared with its estimate, and a worker counts as slow only if several jobs fall behind on it.
-
-use std::collections::{HashMap, HashSet};
+//! Load pattern: estimates are often far off, and a few tasks take many times as long as their siblings. All
+//! members of a gang have the same work and report their progress separately, so their rates show the speeds of
+//! their workers; single tasks show them only on the whole.
 
 use arbutuspick_model::ClockTime;
 
 use crate::WorkerKey;
 use crate::jobs::job_entry::{RunProgress, StepEntry, TaskEntry};
-use crate::keys::JobKey;
+use crate::workers::worker_speed::{SpeedEstimate, weighted_median};
 
 /// Minimum observed work of a run, in milliseconds: its start is known to within some tens of milliseconds.
 const MIN_OBSERVED_MS: u64 = 500;
@@ -17,22 +16,22 @@
 const MIN_OBSERVED_UNKNOWN_START_MS: u64 = 1_200;
 /// Minimum progress from which a total time is projected, in percent.
 const MIN_OBSERVED_PERCENT: u32 = 3;
-/// Time of a slow run, in percent of the median of its siblings; the sizes of siblings differ by a third.
-const SLOW_SIBLING_PERCENT: u64 = 200;
-/// Time of a run that falls behind, in percent of its estimate.
-const SLOW_ESTIMATE_PERCENT: u64 = 250;
-/// Time of a run that is far behind, in percent of its estimate; no estimate is that far off.
-const FAR_BEHIND_ESTIMATE_PERCENT: u64 = 2_500;
-/// Time that a slow run with too few siblings must also reach, in percent of its estimate.
-const ONE_SIBLING_ESTIMATE_PERCENT: u64 = 160;
-/// Number of jobs that must fall behind on a worker before the worker counts as slow.
-const MIN_SLOW_JOBS: usize = 2;
-/// Number of siblings on other workers from which a comparison needs no estimate.
-const MIN_SIBLINGS: usize = 2;
+/// Minimum progress from which a run shows the speed of its worker, in percent; workers round it down.
+const MIN_SAMPLE_PERCENT: u32 = 5;
+/// Minimum number of other runs with which a single task is compared; sizes of siblings differ.
+const MIN_SIBLINGS: usize = 3;
+/// Maximum weight of a run in a comparison, in runs on workers of unknown speed.
+const MAX_SIBLING_WEIGHT: f64 = 6.0;
 
 /// Returns the observed work of a run in milliseconds and in percent, if it is long enough to be judged.
 fn observed_work(progress: &RunProgress) -> Option<(u64, u32)> {
-    let worked_ms = progress.reported_at.millis_since(progress.work_started_at?);
+    // A member of a gang waits at 100 % for the others, so later reports show nothing.
+    let observed_at = if progress.percent >= 100 {
+        progress.last_gain_at
+    } else {
+        progress.reported_at
+    };
+    let worked_ms = observed_at.millis_since(progress.work_started_at?);
     let gained_percent = progress.percent.saturating_sub(progress.first_percent);
     let min_observed_ms = if progress.is_start_unknown {
         MIN_OBSERVED_UNKNOWN_START_MS
@@ -63,98 +62,105 @@
     Some(left.saturating_sub(now.millis_since(task.progress.reported_at)))
 }
 
-/// Total times of the tasks of a step, each with its worker, the shortest first.
-pub(crate) struct StepDurations {
-    totals: Vec<(u64, WorkerKey)>,
-}
-
-impl StepDurations {
-    pub(crate) fn from_step(step: &StepEntry, remote_factor: u64) -> Self {
-        let running = step.tasks.iter().filter_map(|task| {
-            let placement = task.placement?;
-            let factor = if placement.remote { remote_factor.max(1) } else { 1 };
-            Some((projected_total_ms(&task.progress)? / factor, placement.worker))
-        });
-        let finished = step.run_times.iter().map(|(worker, ms)| (*ms, *worker));
-        let mut totals: Vec<(u64, WorkerKey)> = running.chain(finished).collect();
-        totals.sort_unstable();
-        Self { totals }
-    }
-
-    /// Returns the median total time on all workers but this one, and the number of runs behind it.
-    pub(crate) fn sibling_median(&self, worker: WorkerKey) -> Option<(u64, usize)> {
-        let others = || self.totals.iter().filter(|(_, key)| *key != worker);
-        let count = others().count();
-        let (median, _) = others().nth(count / 2)?;
-        Some((*median, count))
-    }
+/// Returns the natural logarithm of a time in milliseconds.
+#[allow(clippy::cast_precision_loss)]
+pub(crate) fn log_ms(millis: u64) -> f64 {
+    (millis.max(1) as f64).ln()
 }
 
-/// Pace of a run in comparison with others.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum RunPace {
-    /// The run is as fast as expected, or cannot be judged yet.
-    Expected,
-    /// The run is far slower than other runs of its step, or than any error of its estimate explains.
-    FarBehind { expected_ms: u64 },
-    /// The run is slower than its estimate, and there are no other runs to compare.
-    BehindEstimate,
+/// Returns the logarithm of the total time that the progress of a run shows, without the factor of a remote run.
+fn log_total(task: &TaskEntry, remote_factor: u64) -> Option<f64> {
+    let progress = &task.progress;
+    let total_ms = projected_total_ms(progress)?;
+    let gained_percent = progress.percent.saturating_sub(progress.first_percent);
+    let factor = if task.placement?.remote {
+        remote_factor.max(1)
+    } else {
+        1
+    };
+    // The percent is rounded down, by half a percent in the mean.
+    let rounding = 1.0 + 0.5 / f64::from(gained_percent.max(1));
+    Some(log_ms(total_ms / factor) - rounding.ln())
 }
 
-/// Judges a run that takes at least `total_ms` by its estimate and its siblings, given as median and count.
-pub(crate) fn judge_pace(total_ms: u64, siblings: Option<(u64, usize)>, estimate_ms: u64) -> RunPace {
-    let exceeds = |base_ms: u64, percent: u64| total_ms * 100 > base_ms * percent;
-    match siblings {
-        Some((expected_ms, count)) => {
-            let trusted = count >= MIN_SIBLINGS || exceeds(estimate_ms, ONE_SIBLING_ESTIMATE_PERCENT);
-            if trusted && exceeds(expected_ms, SLOW_SIBLING_PERCENT) {
-                RunPace::FarBehind { expected_ms }
-            } else {
-                RunPace::Expected
-            }
-        }
-        None if exceeds(estimate_ms, FAR_BEHIND_ESTIMATE_PERCENT) => RunPace::FarBehind {
-            expected_ms: estimate_ms,
-        },
-        None if exceeds(estimate_ms, SLOW_ESTIMATE_PERCENT) => RunPace::BehindEstimate,
-        None => RunPace::Expected,
-    }
+/// Work of a run as its total time at the usual speed, by the speed that its worker is known to have.
+#[derive(Clone, Copy, Debug)]
+struct RunWork {
+    worker: WorkerKey,
+    log_work: f64,
+    weight: f64,
 }
 
-/// Paces of the runs of all jobs, by worker.
-#[derive(Default)]
-pub(crate) struct PaceEvidence {
-    behind_estimate: HashMap<WorkerKey, HashSet<JobKey>>,
-    far_behind: HashSet<WorkerKey>,
-    on_pace: HashSet<WorkerKey>,
+/// Work of the runs of a step, the smallest first.
+#[derive(Debug)]
+pub(crate) struct StepPace {
+    works: Vec<RunWork>,
+    /// Logarithm of the median work.
+    log_median: f64,
+    gang: bool,
 }
 
-impl PaceEvidence {
-    pub(crate) fn add(&mut self, worker: WorkerKey, job: JobKey, pace: RunPace) {
-        match pace {
-            RunPace::Expected => {
-                self.on_pace.insert(worker);
-            }
-            RunPace::FarBehind { .. } => {
-                self.far_behind.insert(worker);
-            }
-            RunPace::BehindEstimate => {
-                self.behind_estimate.entry(worker).or_default().insert(job);
+impl StepPace {
+    pub(crate) fn from_step<'a, F>(step: &StepEntry, gang: bool, remote_factor: u64, speed_of: F) -> Self
+    where
+        F: Fn(WorkerKey) -> Option<&'a SpeedEstimate>,
+    {
+        let running = step.tasks.iter().filter_map(|task| {
+            let worker = task.placement?.worker;
+            Some((worker, log_total(task, remote_factor)?))
+        });
+        let finished = step.run_times.iter().map(|(worker, ms)| (*worker, log_ms(*ms)));
+        let works = running.chain(finished).map(|(worker, log_total)| {
+            let (log_speed, weight) =
+                speed_of(worker).map_or((0.0, 0.0), |speed| (speed.log_speed(), speed.weight()));
+            RunWork {
+                worker,
+                log_work: log_total + log_speed,
+                weight: 1.0 + weight.min(MAX_SIBLING_WEIGHT),
             }
+        });
+        let mut works: Vec<RunWork> = works.collect();
+        works.sort_unstable_by(|a, b| a.log_work.total_cmp(&b.log_work));
+        let log_median = weighted_median(works.iter().map(|work| (work.log_work, work.weight)));
+        Self {
+            works,
+            log_median,
+            gang,
         }
     }
 
-    /// Returns the workers with a run that is far behind.
-    pub(crate) fn far_behind(&self) -> impl Iterator<Item = WorkerKey> {
-        self.far_behind.iter().copied()
+    /// Returns the logarithm of the work of a run of the step at the usual speed, in milliseconds, if at least `needed`
+    /// runs on other workers than this one show it.
+    pub(crate) fn log_work(&self, worker: WorkerKey, needed: usize) -> Option<f64> {
+        let others = self.works.iter().filter(|work| work.worker != worker);
+        (others.take(needed).count() == needed).then_some(self.log_median)
     }
 
-    /// Returns whether the worker is slow, rather than its tasks being long.
-    pub(crate) fn is_slow(&self, worker: WorkerKey) -> bool {
-        let several_jobs = self
-            .behind_estimate
-            .get(&worker)
-            .is_some_and(|jobs| jobs.len() >= MIN_SLOW_JOBS);
-        self.far_behind.contains(&worker) || several_jobs && !self.on_pace.contains(&worker)
+    /// Returns the same by the runs on other workers alone.
+    pub(crate) fn log_work_elsewhere(&self, worker: WorkerKey, needed: usize) -> Option<f64> {
+        self.log_work(worker, needed)?;
+        let others = self.works.iter().filter(|work| work.worker != worker);
+        Some(weighted_median(others.map(|work| (work.log_work, work.weight))))
     }
 }
+
+/// Returns whether the progress of a run is enough to show the speed of its worker, and has not done so yet.
+pub(crate) fn shows_speed(progress: &RunProgress) -> bool {
+    let gained_percent = progress.percent.saturating_sub(progress.first_percent);
+    !progress.has_shown_speed
+        && progress.percent < 100
+        && gained_percent >= MIN_SAMPLE_PERCENT
+        && projected_total_ms(progress).is_some()
+}
+
+/// Returns the logarithm of the speed of the worker that a run of the step shows.
+pub(crate) fn shown_speed(pace: &StepPace, task: &TaskEntry, remote_factor: u64) -> Option<f64> {
+    let worker = task.placement?.worker;
+    let needed = if pace.gang { 1 } else { MIN_SIBLINGS };
+    Some(pace.log_work(worker, needed)? - log_total(task, remote_factor)?)
+}
+
+/// Returns the logarithm of the speed that a finished run of `took_ms` shows.
+pub(crate) fn finished_speed(pace: &StepPace, worker: WorkerKey, took_ms: u64) -> Option<f64> {
+    Some(pace.log_work(worker, MIN_SIBLINGS)? - log_ms(took_ms))
+}
--- a/crates/pool/src/workers/worker_speed.rs
+++ b/crates/pool/src/workers/worker_speed.rs
@@ -1,22 +1,25 @@
-//! Estimates how fast each worker is from the run times of its tasks.
+//! Estimates how fast each worker is in comparison with the others.
 //!
-//! Load pattern: workers of one kind differ in speed by half. A gang runs as fast as its slowest member, so
-//! one slow worker slows all others down; single tasks do not affect each other.
+//! Load pattern: workers differ in speed by a factor of two or more, a few tasks take many times as long as
+//! others wherever they run, and a gang ends with its slowest member. A long task is one sample, a slow worker
+//! shows in many, so the estimate is a median: no single sample decides, however far off it is.
 
 use arbutuspick_model::ClockTime;
 
-use crate::jobs::job_entry::{StepEntry, TaskEntry, TaskPlacement};
-use crate::workers::run_pace::StepDurations;
-use crate::{StepBody, WorkerKey};
-
-/// Weight of the assumption that a worker has the usual speed, in observed runs.
-const PRIOR_RUNS: f64 = 3.0;
-/// Number of runs after which older ones lose weight.
-const MAX_RUNS: f64 = 24.0;
-/// Largest factor between a run time and the expected one that counts as a difference in speed.
-const MAX_RATIO: f64 = 2.5;
-/// Minimum number of siblings for a comparison with them; runs with fewer are compared with their estimate.
-const MIN_COMPARED_RUNS: usize = 3;
+/// Weight of the assumption that a worker has the usual speed, in samples of single tasks.
+const PRIOR_WEIGHT: f64 = 1.5;
+/// Weight of a run of a single task; sizes of siblings differ.
+const SINGLE_WEIGHT: f64 = 1.0;
+/// Weight of a member of a gang; all members have the same work, so their rates differ by their workers only.
+const GANG_WEIGHT: f64 = 4.0;
+/// Maximum weight of an estimate of an earlier leader.
+const MAX_RESTORED_WEIGHT: f64 = 4.0;
+/// Maximum number of samples kept for a worker.
+const MAX_SAMPLES: usize = 8;
+/// Time after which a sample no longer counts, in milliseconds; a worker may become faster or slower.
+const SAMPLE_LIFETIME_MS: u64 = 120_000;
+/// Largest factor between two workers that counts as a difference in speed; beyond it, a run has stalled.
+pub(crate) const MAX_SPEED_RATIO: f64 = 4.0;
 /// Relative speed from which a worker is fast.
 const FAST_FROM: f64 = 1.1;
 /// Relative speed below which a worker is slow.
@@ -31,28 +34,88 @@
     Slow,
 }
 
-/// Mean of the logarithms of relative speeds that runs of single tasks have shown.
-#[derive(Clone, Copy, Debug, Default)]
+/// What one run has shown about the speed of its worker.
+#[derive(Clone, Copy, Debug)]
+struct SpeedSample {
+    /// Natural logarithm of the relative speed.
+    log_speed: f64,
+    weight: f64,
+    expires_at: ClockTime,
+}
+
+/// Relative speed of a worker: the weighted median of what its latest runs have shown.
+#[derive(Clone, Debug, Default)]
 pub(crate) struct SpeedEstimate {
-    sum: f64,
-    runs: f64,
+    samples: Vec<SpeedSample>,
+    log_speed: f64,
+    weight: f64,
 }
 
 impl SpeedEstimate {
-    #[allow(clippy::cast_precision_loss)]
-    pub(crate) fn record(&mut self, observation: &SpeedObservation) {
-        let ratio = observation.expected_ms.max(1) as f64 / observation.took_ms.max(1) as f64;
-        self.sum += ratio.clamp(1.0 / MAX_RATIO, MAX_RATIO).ln();
-        self.runs += 1.0;
-        if self.runs > MAX_RUNS {
-            self.sum *= MAX_RUNS / self.runs;
-            self.runs = MAX_RUNS;
+    /// Returns the estimate that an earlier leader stored.
+    pub(crate) fn restored(log_speed: f64, weight: f64, now: ClockTime) -> Self {
+        let mut estimate = Self::default();
+        estimate.insert(log_speed, weight.clamp(0.0, MAX_RESTORED_WEIGHT), now);
+        estimate
+    }
+
+    /// Adds what a run has shown: the logarithm of the speed of its worker, with gangs counted higher.
+    pub(crate) fn record(&mut self, log_speed: f64, gang: bool, now: ClockTime) {
+        let weight = if gang { GANG_WEIGHT } else { SINGLE_WEIGHT };
+        self.insert(log_speed, weight, now);
+    }
+
+    fn insert(&mut self, log_speed: f64, weight: f64, now: ClockTime) {
+        let limit = MAX_SPEED_RATIO.ln();
+        self.samples.retain(|sample| sample.expires_at > now);
+        if self.samples.len() >= MAX_SAMPLES {
+            self.samples.remove(0);
         }
+        self.samples.push(SpeedSample {
+            log_speed: log_speed.clamp(-limit, limit),
+            weight,
+            expires_at: now + SAMPLE_LIFETIME_MS,
+        });
+        let weights = self
+            .samples
+            .iter()
+            .map(|sample| (sample.log_speed, sample.weight));
+        let mut weighted: Vec<(f64, f64)> = weights.chain([(0.0, PRIOR_WEIGHT)]).collect();
+        weighted.sort_unstable_by(|(a, _), (b, _)| a.total_cmp(b));
+        self.log_speed = weighted_median(weighted.iter().copied());
+        self.weight = self.samples.iter().map(|sample| sample.weight).sum();
+    }
+
+    /// Returns the natural logarithm of the relative speed.
+    pub(crate) fn log_speed(&self) -> f64 {
+        self.log_speed
     }
 
-    /// Returns the speed tier, which is the usual one until several runs agree on another.
+    /// Returns the relative speed; 1 is the usual one.
+    pub(crate) fn speed(&self) -> f64 {
+        self.log_speed.exp()
+    }
+
+    /// Returns the weight of the samples behind the estimate; 0 if nothing is known.
+    pub(crate) fn weight(&self) -> f64 {
+        self.weight
+    }
+
+    /// Returns the mean distance of the samples from the estimate, as a factor.
+    pub(crate) fn spread(&self) -> f64 {
+        if self.weight <= 0.0 {
+            return 1.0;
+        }
+        let distances = self
+            .samples
+            .iter()
+            .map(|sample| (sample.log_speed - self.log_speed).abs() * sample.weight);
+        (distances.sum::<f64>() / self.weight).exp()
+    }
+
+    /// Returns the speed tier, which is the usual one until several runs or one gang show another.
     pub(crate) fn tier(&self) -> SpeedTier {
-        let speed = (self.sum / (self.runs + PRIOR_RUNS)).exp();
+        let speed = self.speed();
         if speed >= FAST_FROM {
             SpeedTier::Fast
         } else if speed < SLOW_BELOW {
@@ -63,42 +126,26 @@
     }
 }
 
-/// The time that a run took on a worker, and the time that it should have taken.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct SpeedObservation {
-    pub(crate) worker: WorkerKey,
-    pub(crate) expected_ms: u64,
-    pub(crate) took_ms: u64,
-}
-
-/// Returns what the end of the single task `index` shows about the speed of its worker. A resumed or remote run
-/// shows nothing, and neither does a gang, which runs as fast as its slowest member.
-pub(crate) fn speed_observation(
-    step: &StepEntry,
-    body: &StepBody,
-    index: usize,
-    remote_factor: u64,
-    now: ClockTime,
-) -> Option<SpeedObservation> {
-    if body.gang || body.endless {
-        return None;
+/// Returns the median of ascending values with weights; halfway between two values if both are equally far from the
+/// ends.
+pub(crate) fn weighted_median<I>(ascending: I) -> f64
+where
+    I: Iterator<Item = (f64, f64)> + Clone,
+{
+    let half: f64 = ascending.clone().map(|(_, weight)| weight).sum::<f64>() / 2.0;
+    let mut passed = 0.0;
+    let mut lower = None;
+    for (value, weight) in ascending {
+        if let Some(lower) = lower {
+            return f64::midpoint(lower, value);
+        }
+        passed += weight;
+        if passed > half + f64::EPSILON {
+            return value;
+        }
+        if passed >= half - f64::EPSILON {
+            lower = Some(value);
+        }
     }
-    let task = step.tasks.get(index)?;
-    let placement = fresh_placement(task)?;
-    let siblings = StepDurations::from_step(step, remote_factor).sibling_median(placement.worker);
-    let expected_ms = match siblings {
-        Some((median_ms, count)) if count >= MIN_COMPARED_RUNS => median_ms,
-        _ => body.estimate_ms,
-    };
-    Some(SpeedObservation {
-        worker: placement.worker,
-        expected_ms,
-        took_ms: now.millis_since(placement.since),
-    })
-}
-
-/// Returns the placement of a run that is neither remote nor resumed.
-fn fresh_placement(task: &TaskEntry) -> Option<TaskPlacement> {
-    let is_fresh = !task.progress.is_start_unknown;
-    task.placement.filter(|placement| is_fresh && !placement.remote)
+    lower.unwrap_or(0.0)
 }
