Store the learned speeds of workers, and replay uneven workers and long tasks in virtual time

Cause: a new leader placed the work of the whole pool on workers that it had not seen work, and a worker that restarted under its id was measured anew.

Change: workers whose speed differs from the usual one are stored as one row of the table "learned", at most every five seconds and only if one in twenty has changed. The next leader reads it beside its other tables and starts without it if that fails. A speed follows the id of the worker and is forgotten when the worker comes back with other labels or capacity. Metrics count workers by speed and moves by reason; the state dump shows each speed with its weight and spread.

Ruled out: a row beside the leader's record, since every process reads that table.

--- a/crates/dispatch/src/leader_run.rs
+++ b/crates/dispatch/src/leader_run.rs
@@ -23,6 +23,7 @@
 use crate::leader_record::{
     INTAKE_TABLE, LEADER_TABLE, LeaderRecord, PENDING_KEY, PROGRESS_TABLE, PendingRecord,
 };
+use crate::learned_rows::{append_learned, read_learned, restore_learned};
 use crate::loop_meter::{LoopMeter, PassPhase};
 use crate::progress_rows::ProgressRows;
 use crate::row_store::{RowEntry, RowStore, RowWrite, read_table};
@@ -227,15 +228,17 @@
     async fn load_state(&mut self) -> Result<(u64, ClockTime), LeadershipLost> {
         let started = self.context.clock.now();
         self.apply_policy();
-        let (workers, progress) = tokio::join!(
+        let (workers, progress, learned) = tokio::join!(
             self.read_with_retries(self.context.options.worker_table),
             self.read_with_retries(PROGRESS_TABLE),
+            read_learned(&self.context.store, started),
         );
         let (workers, progress) = (workers?.0, progress?.0);
         // Read last, so that the first decision knows every cancel request that was answered until then, however long
         // the other tables took.
         let (intake, after) = self.read_with_retries(INTAKE_TABLE).await?;
         let now = self.context.clock.now();
+        restore_learned(&mut self.core, learned, now);
         for report in (self.context.decode_workers)(&workers, now) {
             self.core.update_worker(report, now);
         }
@@ -570,6 +573,12 @@
         let removals = withdrawals.into_iter().map(|key| row_removal(INTAKE_TABLE, key));
         self.row_removals.extend(removals);
         writes.append(&mut self.row_removals);
+        append_learned(
+            &mut self.core,
+            self.context.options.max_row_bytes,
+            now,
+            &mut writes,
+        );
         let pending = self.core.pending_by_queue();
         if pending != self.pending
             && now.millis_since(self.pending_stored_at) >= MIN_PENDING_UPDATE_INTERVAL_MS
@@ -588,7 +597,7 @@
     }
 
     #[allow(clippy::cast_precision_loss)]
-    fn record_metrics(&self, sent_at: ClockTime) {
+    fn record_metrics(&mut self, sent_at: ClockTime) {
         let seconds = self.context.clock.now().millis_since(sent_at) as f64 / 1000.0;
         metrics::histogram!("arbutuspick_commit_seconds").record(seconds);
         let summary = self.core.summary();
@@ -596,6 +605,23 @@
         metrics::gauge!("arbutuspick_waiting_tasks").set(summary.waiting_tasks as f64);
         metrics::gauge!("arbutuspick_placed_tasks").set(summary.placed_tasks as f64);
         metrics::gauge!("arbutuspick_listed_workers").set(summary.listed_workers as f64);
+        let speeds = self.core.speed_summary();
+        for (tier, workers) in [
+            ("fast", speeds.fast),
+            ("usual", speeds.usual),
+            ("slow", speeds.slow),
+        ] {
+            metrics::gauge!("arbutuspick_worker_speeds", "tier" => tier).set(workers as f64);
+        }
+        metrics::gauge!("arbutuspick_worker_speed_ratio").set(speeds.ratio);
+        let moves = self.core.take_move_counts();
+        for (reason, runs) in [
+            ("leaving", moves.leaving),
+            ("stalled", moves.stalled),
+            ("slow", moves.slow),
+        ] {
+            metrics::counter!("arbutuspick_run_moves_total", "reason" => reason).increment(runs);
+        }
         for reason in WaitReason::ALL {
             let units = self.core.wait_counts().get(&reason).copied().unwrap_or(0);
             metrics::gauge!("arbutuspick_waiting_units", "reason" => reason.name()).set(units as f64);
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -22,6 +22,7 @@
 mod leader_feeds;
 mod leader_record;
 mod leader_run;
+mod learned_rows;
 mod loop_meter;
 mod member_list;
 mod open_submissions;
--- a/crates/dispatch/src/relay_message.rs
+++ b/crates/dispatch/src/relay_message.rs
@@ -3,6 +3,7 @@
 use prost::{Message, Oneof};
 
 use crate::leader_record::{INTAKE_TABLE, LEADER_TABLE, PROGRESS_TABLE};
+use crate::learned_rows::LEARNED_TABLE;
 use crate::member_list::MEMBER_TABLE;
 use crate::row_store::{
     FollowOutcome, RowCondition, RowEntry, RowPage, RowTransaction, RowWrite, StoreError, TransactOutcome,
@@ -113,7 +114,13 @@
 pub(crate) type KnownTables = &'static [&'static str];
 
 /// Tables of this crate.
-const OWN_TABLES: [&str; 4] = [LEADER_TABLE, INTAKE_TABLE, PROGRESS_TABLE, MEMBER_TABLE];
+const OWN_TABLES: [&str; 5] = [
+    LEADER_TABLE,
+    INTAKE_TABLE,
+    PROGRESS_TABLE,
+    MEMBER_TABLE,
+    LEARNED_TABLE,
+];
 
 /// Returns the static name of a table that relayed calls may access: one of this crate or of `tables`.
 pub(crate) fn known_table(tables: KnownTables, name: &str) -> Option<&'static str> {
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -29,5 +29,8 @@
 pub use pool_policy::{AccountGuarantee, PoolPolicy, QueueRule};
 pub use resource_amount::ResourceAmount;
 pub use task_name::TaskName;
+pub use workers::learned_speeds::{LearnedState, LearnedStateError};
+pub use workers::run_move::MoveCounts;
+pub use workers::speed_learning::SpeedSummary;
 pub use workers::worker_listing::{EndKind, RunEnd, RunStatus, StartAnswer, WorkerListing};
 pub use workers::worker_view::WorkerReport;
--- a/crates/pool/src/pool_core.rs
+++ b/crates/pool/src/pool_core.rs
@@ -11,7 +11,9 @@
 use crate::placement::wait_reason::WaitReason;
 use crate::preemption::capacity_reservation::CapacityReservation;
 use crate::workers::label_index::LabelIndex;
+use crate::workers::learned_speeds::LearnedSpeeds;
 use crate::workers::rack_index::RackIndex;
+use crate::workers::run_move::MoveCounts;
 use crate::workers::worker_kind::WorkerKinds;
 use crate::workers::worker_view::{OrderedStop, WorkerView};
 use crate::{
@@ -69,6 +71,8 @@
     pub(crate) racks: RackIndex,
     pub(crate) labels: LabelIndex,
     pub(crate) worker_kinds: WorkerKinds,
+    pub(crate) learned_speeds: LearnedSpeeds,
+    pub(crate) move_counts: MoveCounts,
     pub(crate) reservations: Vec<CapacityReservation>,
     /// Round of searches for runs to preempt; every waiting unit has at most one in a round.
     pub(crate) search_round: u64,
--- a/crates/pool/src/state_dump.rs
+++ b/crates/pool/src/state_dump.rs
@@ -39,7 +39,7 @@
             let free = view.free();
             writeln!(
                 text,
-                "worker id={} centre={} listed={} gone={} takes_work={} slow={} doubtful={} runs={} free={}c/{}MB/{}a lease_left_ms={}",
+                "worker id={} centre={} listed={} gone={} takes_work={} slow={} doubtful={} speed={:.2}/{:?} speed_weight={:.1} speed_spread={:.2} runs={} free={}c/{}MB/{}a lease_left_ms={}",
                 view.report.id,
                 view.report.centre,
                 view.listed,
@@ -47,6 +47,10 @@
                 view.is_schedulable(now),
                 view.health.is_slow(now),
                 view.health.is_suspect(now),
+                view.speed.speed(),
+                view.speed.tier(),
+                view.speed.weight(),
+                view.speed.spread(),
                 view.allocations.len(),
                 free.millicores,
                 free.memory_mb,
--- a/crates/pool/src/workers/mod.rs
+++ b/crates/pool/src/workers/mod.rs
@@ -1,6 +1,7 @@
 //! Workers: what they report, what runs on them, and how well they work.
 
 pub(crate) mod label_index;
+pub(crate) mod learned_speeds;
 pub(crate) mod listing_apply;
 pub(crate) mod move_target;
 pub(crate) mod progress_check;
--- a/crates/pool/src/workers/progress_check.rs
+++ b/crates/pool/src/workers/progress_check.rs
@@ -15,7 +15,7 @@
 use crate::workers::move_target::{FreeWorkers, TargetNeed};
 use crate::workers::run_move::{GainHistory, MoveCase, START_MARGIN_MS, WorkerDoubt};
 use crate::workers::run_pace::{StepPace, log_ms, min_total_ms};
-use crate::workers::worker_speed::MAX_SPEED_RATIO;
+use crate::workers::worker_speed::{MAX_SPEED_RATIO, SpeedEstimate};
 use crate::{StepBody, StopReason, TaskName, WorkerKey};
 
 /// Maximum number of moves of a task for lack of progress; a task that is slow everywhere is left alone.
@@ -30,6 +30,8 @@
 const BEHIND_ESTIMATE_PERCENT: u64 = 250;
 /// Share of the estimate that one percent of a run may take, as a divisor; some tasks take seven times as long as others.
 const PERCENT_ESTIMATE_DIVISOR: u64 = 24;
+/// Factor between a run and its estimate that neither long tasks nor wrong estimates explain.
+const FAR_BEHIND_ESTIMATE: f64 = 25.0;
 /// Number of siblings on other workers from which a comparison needs no estimate.
 const MIN_SIBLINGS: usize = 2;
 /// Number of jobs that must fall behind on a worker before the worker counts as slow.
@@ -62,19 +64,22 @@
 struct WorkerSigns {
     /// Jobs that are behind on a worker.
     behind: HashMap<WorkerKey, HashSet<JobKey>>,
-    /// Runs on a worker that are on pace, and the time of the latest gain of any of its runs.
-    on_pace: HashMap<WorkerKey, u32>,
+    /// Workers with a run that is on pace.
+    on_pace: HashSet<WorkerKey>,
+    /// Times of the latest gains of the runs on a worker.
     last_gains: HashMap<WorkerKey, Vec<ClockTime>>,
 }
 
 impl WorkerSigns {
     /// Returns what the other runs on the worker say about a run that is behind.
-    fn doubt(&self, worker: WorkerKey) -> WorkerDoubt {
+    fn doubt(&self, worker: WorkerKey, speed: &SpeedEstimate, start: ClockTime) -> WorkerDoubt {
         let behind = self.behind.get(&worker).map_or(0, HashSet::len);
-        if self.on_pace.contains_key(&worker) {
+        if self.on_pace.contains(&worker) || speed.is_confirmed_since(start) {
             WorkerDoubt::Cleared
         } else if behind >= MIN_SLOW_JOBS {
             WorkerDoubt::Proven
+        } else if speed.weight() > 0.0 {
+            WorkerDoubt::Unlikely
         } else {
             WorkerDoubt::Open
         }
@@ -215,7 +220,9 @@
                         let jobs = signs.behind.entry(placement.worker).or_default();
                         jobs.insert(place.key);
                     }
-                    Some(false) => *signs.on_pace.entry(placement.worker).or_default() += 1,
+                    Some(false) => {
+                        signs.on_pace.insert(placement.worker);
+                    }
                     None => {}
                 }
             }
@@ -282,7 +289,8 @@
             return None;
         }
         let total_ms = min_total_ms(&task.progress)?;
-        let log_speed = self.workers.get(placement.worker)?.speed.log_speed();
+        let speed = &self.workers.get(placement.worker)?.speed;
+        let started_at = task.progress.work_started_at?;
         let log_own = log_ms(total_ms / self.remote_factor(placement));
         let needed = if place.body.gang { 1 } else { MIN_SIBLINGS };
         let log_work = match place.pace.log_work_elsewhere(placement.worker, needed) {
@@ -290,14 +298,19 @@
             None if place.body.gang => return None,
             None => log_ms(place.body.estimate_ms),
         };
-        // What the work would take at the usual speed if the task is long, and if the worker is to blame.
+        let has_siblings = place.pace.log_work(placement.worker, needed).is_some();
+        // What the work would take at the usual speed, and whether that is certain.
         let (log_long, doubt) = if place.body.gang {
             (log_work, WorkerDoubt::Proven)
         } else if self.is_behind(place, task, placement)? {
-            (log_work, signs.doubt(placement.worker))
+            (log_work, signs.doubt(placement.worker, speed, started_at))
         } else {
-            (log_own + log_speed, WorkerDoubt::Proven)
+            (log_own + speed.log_speed(), WorkerDoubt::Proven)
         };
+        let is_far_behind = log_own - log_work > FAR_BEHIND_ESTIMATE.ln();
+        if !has_siblings && doubt != WorkerDoubt::Proven && !is_far_behind {
+            return None;
+        }
         let need = TargetNeed::of_step(place.step, place.body, |worker| {
             self.workers
                 .get(worker)
@@ -307,7 +320,7 @@
         let left_percent = u64::from(100 - task.progress.percent.min(100));
         let repeated_percent = if place.body.checkpoints { left_percent } else { 100 };
         let total_elsewhere_ms = from_log_ms(log_long - log_target) * self.remote_factor(placement);
-        let worked_ms = now.millis_since(task.progress.work_started_at?);
+        let worked_ms = now.millis_since(started_at);
         let case = MoveCase {
             left_here_ms: left_here_ms(task, now),
             left_elsewhere_ms: self.options.stop_ms
@@ -344,6 +357,12 @@
                 task.avoided_worker = Some(run.worker);
             }
         }
+        let counts = &mut self.move_counts;
+        match run.reason {
+            StopReason::NoProgress if run.shuns_worker => counts.stalled += 1,
+            StopReason::NoProgress => counts.slow += 1,
+            _ => counts.leaving += 1,
+        }
         self.stop_task(run.key, &run.name, run.reason, now);
         // The end of one member ends the whole gang anyway; stopping all members at once is faster.
         let step = run.name.step as usize;
--- a/crates/pool/src/workers/run_move.rs
+++ b/crates/pool/src/workers/run_move.rs
@@ -19,7 +19,9 @@
 pub(crate) enum WorkerDoubt {
     /// Other runs on the worker gain as expected.
     Cleared,
-    /// Nothing else runs on the worker that could show it.
+    /// Nothing runs on the worker that could show it, but earlier runs there gained as expected.
+    Unlikely,
+    /// Nothing has shown anything about the worker.
     Open,
     /// Runs of other jobs on the worker are behind, too, or members of the same gang show it.
     Proven,
@@ -30,6 +32,7 @@
     fn percent(self) -> u64 {
         match self {
             Self::Cleared => 0,
+            Self::Unlikely => 10,
             Self::Open => 40,
             Self::Proven => 100,
         }
@@ -87,3 +90,14 @@
         self.still_ms > limit_ms.max(self.percent_ms * MISSED_PERCENTS)
     }
 }
+
+/// Numbers of runs that were stopped to be started elsewhere; a gang counts once.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct MoveCounts {
+    /// The worker was leaving.
+    pub leaving: u64,
+    /// The run stood still, or was so slow that its worker got no further work for a while.
+    pub stalled: u64,
+    /// The run would end sooner on another worker.
+    pub slow: u64,
+}
--- a/crates/pool/src/workers/speed_learning.rs
+++ b/crates/pool/src/workers/speed_learning.rs
@@ -5,10 +5,12 @@
 
 use arbutuspick_model::ClockTime;
 
-use crate::jobs::job_entry::StepEntry;
+use crate::jobs::job_entry::{StepEntry, TaskEntry};
 use crate::keys::JobKey;
 use crate::pool_core::PoolCore;
+use crate::workers::run_move::MoveCounts;
 use crate::workers::run_pace::{StepPace, finished_speed, shown_speed};
+use crate::workers::worker_speed::SpeedTier;
 use crate::{TaskName, WorkerKey};
 
 /// A sample of the speed of a worker.
@@ -18,7 +20,43 @@
     gang: bool,
 }
 
+/// Speeds of the workers in comparison with each other, for metrics.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct SpeedSummary {
+    /// Workers that are faster than usual.
+    pub fast: usize,
+    /// Workers of the usual speed, or of which nothing is known.
+    pub usual: usize,
+    /// Workers that are slower than usual.
+    pub slow: usize,
+    /// Speed of the fastest worker, as a multiple of that of the slowest one.
+    pub ratio: f64,
+}
+
 impl PoolCore {
+    /// Returns the numbers of fast and slow workers.
+    pub fn speed_summary(&self) -> SpeedSummary {
+        let mut summary = SpeedSummary::default();
+        let (mut highest, mut lowest) = (0.0_f64, 0.0_f64);
+        for view in self.workers.values().filter(|view| !view.removed) {
+            let count = match view.speed.tier() {
+                SpeedTier::Fast => &mut summary.fast,
+                SpeedTier::Usual => &mut summary.usual,
+                SpeedTier::Slow => &mut summary.slow,
+            };
+            *count += 1;
+            highest = highest.max(view.speed.log_speed());
+            lowest = lowest.min(view.speed.log_speed());
+        }
+        summary.ratio = (highest - lowest).exp();
+        summary
+    }
+
+    /// Returns the numbers of moves since the last call, by reason.
+    pub fn take_move_counts(&mut self) -> MoveCounts {
+        std::mem::take(&mut self.move_counts)
+    }
+
     /// Compares the runs of a step, at the speeds that their workers are known to have.
     pub(crate) fn step_pace(&self, step: &StepEntry, gang: bool) -> StepPace {
         let speed_of = |worker| self.workers.get(worker).map(|view| &view.speed);
@@ -47,7 +85,7 @@
         let index = name.index as usize;
         let task = step.tasks.get(index)?;
         let worker = task.placement?.worker;
-        let is_on_worker = |member: &crate::jobs::job_entry::TaskEntry| {
+        let is_on_worker = |member: &TaskEntry| {
             member
                 .placement
                 .is_some_and(|placement| placement.worker == worker)
--- a/crates/pool/src/workers/worker_restart.rs
+++ b/crates/pool/src/workers/worker_restart.rs
@@ -5,6 +5,7 @@
 use crate::jobs::job_entry::PlacementStage;
 use crate::jobs::run_release::RunRelease;
 use crate::pool_core::PoolCore;
+use crate::workers::worker_speed::SpeedEstimate;
 use crate::workers::worker_view::{RunAllocation, WorkerView};
 use crate::{TaskName, WorkerKey, WorkerReport};
 
@@ -47,7 +48,10 @@
         let id = report.id.clone();
         let rack = self.racks.id(report.rack());
         let labels = self.labels.ids(&report.labels);
-        let key = self.workers.insert(WorkerView::new(report, labels, rack, now));
+        let speed = self.initial_speed(&report);
+        let mut view = WorkerView::new(report, labels, rack, now);
+        view.speed = speed;
+        let key = self.workers.insert(view);
         self.worker_kinds.invalidate();
         self.worker_index.entry(id).or_insert(key);
         key
@@ -79,6 +83,7 @@
             && view.report.capacity == report.capacity
             && view.report.service == report.service;
         if !is_same_kind {
+            view.speed = SpeedEstimate::default();
             self.worker_kinds.invalidate();
         }
         view.report = report;
@@ -237,6 +242,9 @@
         let Some(present) = self.worker_index.get(&view.report.id).copied() else {
             return;
         };
+        if present == key && view.successor.is_none() {
+            self.keep_speed(&view.report, view.speed.clone());
+        }
         if present != key {
             if let Some(present) = self.workers.get_mut(present) {
                 present.successor = present.successor.filter(|successor| *successor != key);
--- a/crates/pool/src/workers/worker_speed.rs
+++ b/crates/pool/src/workers/worker_speed.rs
@@ -20,6 +20,8 @@
 const SAMPLE_LIFETIME_MS: u64 = 120_000;
 /// Largest factor between two workers that counts as a difference in speed; beyond it, a run has stalled.
 pub(crate) const MAX_SPEED_RATIO: f64 = 4.0;
+/// Factor below the estimated speed within which a sample confirms it.
+const CONFIRMING_RATIO: f64 = 2.0;
 /// Relative speed from which a worker is fast.
 const FAST_FROM: f64 = 1.1;
 /// Relative speed below which a worker is slow.
@@ -113,6 +115,15 @@
         (distances.sum::<f64>() / self.weight).exp()
     }
 
+    /// Returns whether a run has shown since `start` that the worker is not much slower than estimated.
+    pub(crate) fn is_confirmed_since(&self, start: ClockTime) -> bool {
+        let mut recent = self
+            .samples
+            .iter()
+            .filter(|sample| sample.expires_at > start + SAMPLE_LIFETIME_MS);
+        recent.any(|sample| sample.log_speed > self.log_speed - CONFIRMING_RATIO.ln())
+    }
+
     /// Returns the speed tier, which is the usual one until several runs or one gang show another.
     pub(crate) fn tier(&self) -> SpeedTier {
         let speed = self.speed();
--- a/crates/pool/tests/support/mod.rs
+++ b/crates/pool/tests/support/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code)]
 
 pub(crate) mod idle_watch;
+pub(crate) mod pace_replay;
 pub(crate) mod pool_simulation;
 
 use std::collections::{BTreeMap, HashMap};
@@ -25,6 +26,8 @@
     pub(crate) workers: Vec<WorkerKey>,
     pub(crate) runs: HashMap<WorkerKey, Vec<(TaskName, u32)>>,
     pub(crate) ends: HashMap<WorkerKey, u64>,
+    /// Percents of runs in listings, where they differ from those of the others.
+    pub(crate) percents: HashMap<(TaskName, u32), u32>,
     pub(crate) starts: Vec<StartOrder>,
     pub(crate) stops: Vec<StopOrder>,
     pub(crate) changes: Vec<RecordChange>,
@@ -129,6 +132,7 @@
             workers: keys,
             runs: HashMap::new(),
             ends: HashMap::new(),
+            percents: HashMap::new(),
             starts: Vec::new(),
             stops: Vec::new(),
             changes: Vec::new(),
@@ -292,7 +296,11 @@
             task: Some(task.clone()),
             run: *run,
             checkpoint: "".into(),
-            percent,
+            percent: self
+                .percents
+                .get(&(task.clone(), *run))
+                .copied()
+                .unwrap_or(percent),
         });
         WorkerListing {
             asked_at: self.now,
