Leave fast workers to urgent work where batch work has time

Cause: batch work took fast and slow workers alike, and urgent gangs then found slow ones only.

Change: units that are on time even with two estimates of slack go to slow workers first, single tasks included; urgent ones to fast workers first. A worker counts as fast or slow only if the difference exceeds twice the standard error of its samples, so that equal workers keep the placement that they had.

--- a/crates/pool/src/placement/waiting_unit.rs
+++ b/crates/pool/src/placement/waiting_unit.rs
@@ -14,11 +14,14 @@
 use crate::placement::worker_search::{TaskNeed, WorkerCandidate};
 use crate::pool_core::PoolCore;
 use crate::workers::label_index::RequiredLabel;
+use crate::workers::worker_speed::SpeedPreference;
 
 /// Wait after which a task may return to a suspect worker on which it failed, in milliseconds.
 const SUSPECT_WAIT_MS: u64 = 600;
 /// Wait after which a unit may use slow workers, in milliseconds; most runs last a few seconds.
 const SLOW_WAIT_MS: u64 = 1_500;
+/// Slack with which a unit leaves the faster workers to others, in estimates of its step.
+const SLOW_SLACK_FACTOR: u64 = 2;
 /// Smallest number of a low priority; low-priority units leave the last empty workers to others.
 const LOW_PRIORITY: u32 = 2;
 /// Wait after which low-priority work may use the last empty workers, in milliseconds.
@@ -50,6 +53,8 @@
     /// Expected end of the tasks if they start now, for a unit that leaves free capacity to gangs of higher rank which
     /// could start before that end.
     pub(crate) yields_until: Option<ClockTime>,
+    /// Workers on which the unit is placed first, by their speeds.
+    pub(crate) preference: SpeedPreference,
 }
 
 impl WaitingUnit {
@@ -285,11 +290,25 @@
         waited_ms: now.millis_since(ready_at),
         max_local_wait_ms,
         fits_locally: true,
+        preference: speed_preference(&rank, estimate_ms, now),
         yields_until: (!gang && yields_to_gangs(&rank, max_local_wait_ms, now))
             .then(|| now + rounded_up_ms(estimate_ms)),
     })
 }
 
+/// Returns the workers on which a unit is placed first: urgent units get the fast workers, and units that are on time
+/// even on a slow worker leave these to them.
+fn speed_preference(rank: &UnitRank, estimate_ms: u64, now: ClockTime) -> SpeedPreference {
+    let has_time = rank.lateness == Lateness::OnTime && rank.slack_ms(now) >= estimate_ms * SLOW_SLACK_FACTOR;
+    if rank.priority == 0 {
+        SpeedPreference::Fast
+    } else if has_time {
+        SpeedPreference::Slow
+    } else {
+        SpeedPreference::Usual
+    }
+}
+
 /// Returns whether a single task leaves free capacity to gangs of higher rank that wait for more of it.
 ///
 /// Load pattern: wide gangs wait in a full pool, while single tasks take every share of a worker as soon as
--- a/crates/pool/src/placement/worker_choice.rs
+++ b/crates/pool/src/placement/worker_choice.rs
@@ -9,7 +9,7 @@
     StepCounts, WorkerCandidate, best_candidate, gang_candidates, rack_capacities, rack_fits,
 };
 use crate::preemption::preemption_plan::{PreemptionPlan, VictimIndex, choose_victims};
-use crate::workers::worker_speed::SpeedTier;
+use crate::workers::worker_speed::{SpeedPreference, SpeedTier};
 
 /// One in this many workers is kept empty for urgent work and gangs while others have free capacity.
 const EMPTY_WORKER_DIVISOR: usize = 8;
@@ -37,20 +37,20 @@
             && unit.accepts(candidate)
             && usable(candidate)
     };
-    if let Some(index) = best_candidate(candidates, &unit.need, counts, local) {
+    if let Some(index) = best_candidate(candidates, &unit.need, counts, unit.preference, local) {
         return Some((index, false));
     }
     if unit.need.data_rack.is_some() && unit.allows_remote(pool_busy) {
         let elsewhere = |candidate: &WorkerCandidate| {
             avoided_worker != Some(candidate.worker) && unit.accepts(candidate) && usable(candidate)
         };
-        if let Some(index) = best_candidate(candidates, &unit.need, counts, elsewhere) {
+        if let Some(index) = best_candidate(candidates, &unit.need, counts, unit.preference, elsewhere) {
             return Some((index, true));
         }
     }
     avoided_worker?;
     // Nothing else fits: the worker on which the task failed before is better than none.
-    let fallback = best_candidate(candidates, &unit.need, counts, |candidate| {
+    let fallback = best_candidate(candidates, &unit.need, counts, unit.preference, |candidate| {
         unit.need.is_local(candidate)
             && unit.accepts(candidate)
             && (!candidate.suspect || unit.accepts_suspect())
@@ -78,7 +78,7 @@
         })
     };
     if let Some(accepted) = accepted {
-        let preferred = preferred_tiers(unit)
+        let preferred = preferred_tiers(unit.preference)
             .iter()
             .find_map(in_tiers)
             .or_else(|| local_gang(unit, candidates, trusted));
@@ -103,13 +103,13 @@
     })
 }
 
-/// Returns the speed tiers in which a gang is placed if it fits. Urgent gangs get the fast workers; others leave
-/// these to them.
-fn preferred_tiers(unit: &WaitingUnit) -> [RangeInclusive<SpeedTier>; 2] {
-    let first = if unit.rank.priority == 0 {
-        SpeedTier::Fast
-    } else {
-        SpeedTier::Usual
+/// Returns the speed tiers in which a gang is placed if it fits, the preferred one first. A gang is as slow as its
+/// slowest member, so all members go to workers of like speed.
+fn preferred_tiers(preference: SpeedPreference) -> [RangeInclusive<SpeedTier>; 2] {
+    let first = match preference {
+        SpeedPreference::Fast => SpeedTier::Fast,
+        SpeedPreference::Usual => SpeedTier::Usual,
+        SpeedPreference::Slow => SpeedTier::Slow,
     };
     [first..=first, SpeedTier::Fast..=SpeedTier::Usual]
 }
--- a/crates/pool/src/placement/worker_search.rs
+++ b/crates/pool/src/placement/worker_search.rs
@@ -11,7 +11,7 @@
 use crate::ResourceAmount;
 use crate::keys::{RackId, WorkerKey};
 use crate::workers::label_index::{LabelId, RequiredLabel};
-use crate::workers::worker_speed::SpeedTier;
+use crate::workers::worker_speed::{SpeedPreference, SpeedTier};
 
 /// A schedulable worker during one decision, with the resources that are still free.
 #[derive(Clone, Debug)]
@@ -91,11 +91,13 @@
     }
 }
 
-/// Returns the candidate for one task: not suspect if possible, then with the least capacity left over.
+/// Returns the candidate for one task: not suspect if possible, then of the preferred speed, then with the least
+/// capacity left over.
 pub(crate) fn best_candidate<F>(
     candidates: &[WorkerCandidate],
     need: &TaskNeed,
     counts: &StepCounts,
+    preference: SpeedPreference,
     allowed: F,
 ) -> Option<usize>
 where
@@ -106,9 +108,15 @@
         indexed.filter(|(_, candidate)| allowed(candidate) && fitting_tasks(candidate, need, counts, 1) > 0);
     let scored = fitting.map(|(index, candidate)| {
         let left = candidate.free - need.amount;
-        (candidate.suspect, left.dominant_share(&candidate.capacity), index)
+        let order = preference.order(candidate.tier);
+        (
+            candidate.suspect,
+            order,
+            left.dominant_share(&candidate.capacity),
+            index,
+        )
     });
-    scored.min().map(|(_, _, index)| index)
+    scored.min().map(|(_, _, _, index)| index)
 }
 
 /// Returns allowed candidates for `count` tasks, or `None` if not all tasks fit.
--- a/crates/pool/src/workers/worker_speed.rs
+++ b/crates/pool/src/workers/worker_speed.rs
@@ -22,10 +22,10 @@
 pub(crate) const MAX_SPEED_RATIO: f64 = 4.0;
 /// Factor below the estimated speed within which a sample confirms it.
 const CONFIRMING_RATIO: f64 = 2.0;
-/// Relative speed from which a worker is fast.
-const FAST_FROM: f64 = 1.1;
-/// Relative speed below which a worker is slow.
-const SLOW_BELOW: f64 = 0.91;
+/// Factor between a worker and the usual speed from which it counts as fast or slow.
+const MIN_DIFFERENCE: f64 = 1.1;
+/// Standard error of the logarithmic speed by a sample of weight 1; sizes of siblings differ by a third.
+const SAMPLE_ERROR: f64 = 0.3;
 
 /// Speed of a worker in comparison with the others, the fastest first.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
@@ -36,6 +36,30 @@
     Slow,
 }
 
+/// Workers on which a unit is placed first.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) enum SpeedPreference {
+    /// The fastest ones.
+    Fast,
+    /// Those of the usual speed, so that the fast ones are left to others.
+    #[default]
+    Usual,
+    /// The slow ones, since the unit has time.
+    Slow,
+}
+
+impl SpeedPreference {
+    /// Returns the order in which a single task takes workers of a tier; it leaves no capacity idle for it.
+    pub(crate) fn order(self, tier: SpeedTier) -> u8 {
+        match (self, tier) {
+            (Self::Fast, SpeedTier::Fast) | (Self::Slow, SpeedTier::Slow) => 0,
+            (Self::Fast, SpeedTier::Usual) | (Self::Slow, _) => 1,
+            (Self::Usual, SpeedTier::Fast | SpeedTier::Usual) => 1,
+            (_, SpeedTier::Slow) => 2,
+        }
+    }
+}
+
 /// What one run has shown about the speed of its worker.
 #[derive(Clone, Copy, Debug)]
 struct SpeedSample {
@@ -126,10 +150,10 @@
 
     /// Returns the speed tier, which is the usual one until several runs or one gang show another.
     pub(crate) fn tier(&self) -> SpeedTier {
-        let speed = self.speed();
-        if speed >= FAST_FROM {
+        let certain = 2.0 * SAMPLE_ERROR / (self.weight + PRIOR_WEIGHT).sqrt();
+        if self.log_speed >= MIN_DIFFERENCE.ln().max(certain) {
             SpeedTier::Fast
-        } else if speed < SLOW_BELOW {
+        } else if self.log_speed < -MIN_DIFFERENCE.ln().max(certain) {
             SpeedTier::Slow
         } else {
             SpeedTier::Usual
--- a/crates/pool/tests/worker_speeds.rs
+++ b/crates/pool/tests/worker_speeds.rs
@@ -110,6 +110,22 @@
     assert_eq!((on_slow("urgent"), on_slow("batch")), (0, 3));
 }
 
+/// Guards against batch work with time to spare that takes the workers on which urgent work would be on time, while slow
+/// ones are free.
+#[parameterized(
+    gang = { true },
+    single_tasks = { false },
+)]
+fn batch_on_slow(gang: bool) {
+    let mut replay = measured_pool(12);
+    let batch = StepBody { gang, ..step(3, 4) };
+    replay.submit("batch", body("bulk", "south", vec![batch]), lengths(u32::MAX));
+    replay.advance(50);
+    let workers = replay.workers_of("batch");
+    assert_eq!(workers.len(), 3);
+    assert!(workers.iter().all(|worker| is_slow(&replay, *worker)));
+}
+
 /// Guards against moves of long tasks on workers of known speed, and of long gangs on slow workers only.
 #[test]
 fn tail_on_uneven_workers() {
