--- a/crates/dispatch/tests/learned_rows.rs
+++ b/crates/dispatch/tests/learned_rows.rs
@@ -23,7 +23,14 @@
     sleep_ms(3_000).await;
     store.set_mode(1, StoreMode::Normal);
     let submitted = process.intake.submit(ID, &job(2), deadline(1_000)).await;
-    assert!(matches!(submitted, SubmitOutcome::Accepted { .. }), "{submitted:?}");
+    assert!(
+        matches!(submitted, SubmitOutcome::Accepted { .. }),
+        "{submitted:?}"
+    );
     assert_eq!(final_stage(&process, ID, 8_000).await, "completed");
-    assert_eq!(store.keys("learned"), [key], "the state was removed or overwritten");
+    assert_eq!(
+        store.keys("learned"),
+        [key],
+        "the state was removed or overwritten"
+    );
 }
