--- a/crates/pool/src/workers/progress_check.rs
+++ b/crates/pool/src/workers/progress_check.rs
@@ -59,6 +59,15 @@
     pace: StepPace,
 }
 
+/// Work of a run at the usual speed, if its worker is to blame for its pace.
+struct RunWork {
+    /// Logarithm of its time in milliseconds.
+    log_work: f64,
+    doubt: WorkerDoubt,
+    /// Whether the run is slower than any difference in speed explains.
+    hints_at_stall: bool,
+}
+
 /// What the runs on the workers show about them, apart from the speeds learned earlier.
 #[derive(Default)]
 struct WorkerSigns {
@@ -121,60 +130,83 @@
         }
     }
 
-    /// Stops runs that have stalled, are far too slow, or can resume elsewhere before their worker leaves.
+    /// Stops runs that have stalled, are far too slow, or can resume elsewhere before their worker leaves, and gangs
+    /// with a start that was not answered in time.
     pub(crate) fn check_progress(&mut self, now: ClockTime) {
         let places = self.running_steps();
-        let signs = self.worker_signs(&places, now);
-        let mut moves = Vec::new();
-        let mut broken_gangs = Vec::new();
-        let mut free_workers = None;
-        for place in &places {
-            let names = |index| self.jobs[place.key].task_name(place.occurrence, place.number, index);
+        let moves = self.find_moves(&places, now);
+        let unanswered = self.unanswered_gangs(&places, now);
+        for (key, name) in unanswered {
+            self.stop_gang(key, &name, now);
+        }
+        let mut stopped_gangs = HashSet::new();
+        for run in moves {
+            let is_gang = self.jobs[run.key].body.steps[run.name.step as usize].gang;
+            if !is_gang || stopped_gangs.insert((run.key, run.name.occurrence, run.name.step)) {
+                self.move_run(&run, now);
+            }
+        }
+    }
+
+    /// Returns members of gangs whose starts were not answered, shortly before the others stop waiting for them.
+    fn unanswered_gangs(&self, places: &[StepPlace], now: ClockTime) -> Vec<(JobKey, TaskName)> {
+        let mut unanswered = Vec::new();
+        for place in places.iter().filter(|place| place.body.gang) {
             for (index, task) in place.step.tasks.iter().enumerate() {
                 let Some(placement) = task.placement else { continue };
                 let waited_with_margin_ms = now.millis_since(placement.since) + GANG_MARGIN_MS;
-                let unconfirmed = placement.stage == PlacementStage::Unconfirmed && place.body.gang;
-                if unconfirmed && waited_with_margin_ms > self.options.gang_wait_ms {
-                    broken_gangs.push((place.key, names(index)));
+                if placement.stage == PlacementStage::Unconfirmed
+                    && waited_with_margin_ms > self.options.gang_wait_ms
+                {
+                    unanswered.push((place.key, self.task_name(place, index)));
                 }
-                if placement.stage != PlacementStage::Running {
+            }
+        }
+        unanswered
+    }
+
+    fn task_name(&self, place: &StepPlace, index: usize) -> TaskName {
+        self.jobs[place.key].task_name(place.occurrence, place.number, index)
+    }
+
+    fn find_moves(&self, places: &[StepPlace], now: ClockTime) -> Vec<RunMove> {
+        let signs = self.worker_signs(places, now);
+        let mut free_workers = None;
+        let mut moves = Vec::new();
+        for place in places {
+            for (index, task) in place.step.tasks.iter().enumerate() {
+                let running = task
+                    .placement
+                    .filter(|placement| placement.stage == PlacementStage::Running);
+                let Some(placement) = running else { continue };
+                let (reason, shuns_worker) = if let Some(leaves_at) = self.leaves_at(placement.worker) {
+                    if !self.leaves_too_soon(place, task, placement, leaves_at, now) {
+                        continue;
+                    }
+                    (StopReason::WorkerLeaving, false)
+                } else if place.body.endless || !is_judged(task, now) {
                     continue;
-                }
-                let new_move = |reason, shuns_worker| RunMove {
+                } else if has_stalled(place, task, self.remote_factor(placement), &signs) {
+                    (StopReason::NoProgress, true)
+                } else if left_here_ms(task, now) > place.end_by.millis_since(now) {
+                    let free_workers = free_workers.get_or_insert_with(|| self.free_workers(now));
+                    match self.slow_run(place, task, &signs, free_workers, now) {
+                        Some(shuns_worker) => (StopReason::NoProgress, shuns_worker),
+                        None => continue,
+                    }
+                } else {
+                    continue;
+                };
+                moves.push(RunMove {
                     key: place.key,
-                    name: names(index),
+                    name: self.task_name(place, index),
                     worker: placement.worker,
                     reason,
                     shuns_worker,
-                };
-                if let Some(leaves_at) = self.leaves_at(placement.worker) {
-                    if self.leaves_too_soon(place, task, placement, leaves_at, now) {
-                        moves.push(new_move(StopReason::WorkerLeaving, false));
-                    }
-                    continue;
-                }
-                if place.body.endless || !is_judged(task, now) {
-                    continue;
-                }
-                if has_stalled(place, task, self.remote_factor(placement), &signs) {
-                    moves.push(new_move(StopReason::NoProgress, true));
-                } else if left_here_ms(task, now) > place.end_by.millis_since(now) {
-                    let free_workers = free_workers.get_or_insert_with(|| self.free_workers(now));
-                    let shuns_worker = self.slow_run(place, task, &signs, free_workers, now);
-                    moves.extend(shuns_worker.map(|shuns| new_move(StopReason::NoProgress, shuns)));
-                }
-            }
-        }
-        for (key, name) in broken_gangs {
-            self.stop_gang(key, &name, now);
-        }
-        let mut stopped_gangs = HashSet::new();
-        for run in moves {
-            let is_gang = self.jobs[run.key].body.steps[run.name.step as usize].gang;
-            if !is_gang || stopped_gangs.insert((run.key, run.name.occurrence, run.name.step)) {
-                self.move_run(&run, now);
+                });
             }
         }
+        moves
     }
 
     /// Returns the steps that have runs.
@@ -288,50 +320,65 @@
         if restarts(place, task) > 0 {
             return None;
         }
-        let total_ms = min_total_ms(&task.progress)?;
-        let speed = &self.workers.get(placement.worker)?.speed;
         let started_at = task.progress.work_started_at?;
-        let log_own = log_ms(total_ms / self.remote_factor(placement));
-        let needed = if place.body.gang { 1 } else { MIN_SIBLINGS };
-        let log_work = match place.pace.log_work_elsewhere(placement.worker, needed) {
-            Some(log_work) => log_work,
-            None if place.body.gang => return None,
-            None => log_ms(place.body.estimate_ms),
-        };
-        let has_siblings = place.pace.log_work(placement.worker, needed).is_some();
-        // What the work would take at the usual speed, and whether that is certain.
-        let (log_long, doubt) = if place.body.gang {
-            (log_work, WorkerDoubt::Proven)
-        } else if self.is_behind(place, task, placement)? {
-            (log_work, signs.doubt(placement.worker, speed, started_at))
-        } else {
-            (log_own + speed.log_speed(), WorkerDoubt::Proven)
-        };
-        let is_far_behind = log_own - log_work > FAR_BEHIND_ESTIMATE.ln();
-        if !has_siblings && doubt != WorkerDoubt::Proven && !is_far_behind {
-            return None;
-        }
+        let work = self.run_work(place, task, signs)?;
         let need = TargetNeed::of_step(place.step, place.body, |worker| {
-            self.workers
-                .get(worker)
-                .map(|view| (view.speed.log_speed(), view.rack))
+            let view = self.workers.get(worker)?;
+            Some((view.speed.log_speed(), view.rack))
         });
         let log_target = free_workers.log_speed_for(&need, place.body, placement.worker)?;
         let left_percent = u64::from(100 - task.progress.percent.min(100));
-        let repeated_percent = if place.body.checkpoints { left_percent } else { 100 };
-        let total_elsewhere_ms = from_log_ms(log_long - log_target) * self.remote_factor(placement);
-        let worked_ms = now.millis_since(started_at);
+        let (repeated_percent, lost_ms) = if place.body.checkpoints {
+            (left_percent, 0)
+        } else {
+            (100, now.millis_since(started_at))
+        };
+        let total_ms = from_log_ms(work.log_work - log_target) * self.remote_factor(placement);
+        let start_ms = self.options.stop_ms + START_MARGIN_MS;
         let case = MoveCase {
             left_here_ms: left_here_ms(task, now),
-            left_elsewhere_ms: self.options.stop_ms
-                + START_MARGIN_MS
-                + total_elsewhere_ms * repeated_percent / 100,
-            lost_ms: if place.body.checkpoints { 0 } else { worked_ms },
+            left_elsewhere_ms: start_ms + total_ms * repeated_percent / 100,
+            lost_ms,
             slack_ms: place.end_by.millis_since(now),
-            doubt,
+            doubt: work.doubt,
         };
-        let stalls = log_own - log_work > MAX_SPEED_RATIO.ln() && doubt != WorkerDoubt::Cleared;
-        case.is_worthwhile().then_some(stalls)
+        case.is_worthwhile().then_some(work.hints_at_stall)
+    }
+
+    /// Returns the work of a run by what is known of its siblings and its worker; `None` if nothing speaks against its
+    /// worker.
+    fn run_work(&self, place: &StepPlace, task: &TaskEntry, signs: &WorkerSigns) -> Option<RunWork> {
+        let placement = task.placement?;
+        let speed = &self.workers.get(placement.worker)?.speed;
+        let log_own = log_ms(min_total_ms(&task.progress)? / self.remote_factor(placement));
+        let needed = if place.body.gang { 1 } else { MIN_SIBLINGS };
+        let by_siblings = place.pace.log_work_elsewhere(placement.worker, needed);
+        if place.body.gang {
+            let log_work = by_siblings?;
+            return Some(RunWork {
+                log_work,
+                doubt: WorkerDoubt::Proven,
+                hints_at_stall: log_own - log_work > MAX_SPEED_RATIO.ln(),
+            });
+        }
+        if !self.is_behind(place, task, placement)? {
+            return Some(RunWork {
+                log_work: log_own + speed.log_speed(),
+                doubt: WorkerDoubt::Proven,
+                hints_at_stall: false,
+            });
+        }
+        let doubt = signs.doubt(placement.worker, speed, task.progress.work_started_at?);
+        let log_work = by_siblings.unwrap_or_else(|| log_ms(place.body.estimate_ms));
+        let is_far_behind = log_own - log_work > FAR_BEHIND_ESTIMATE.ln();
+        if by_siblings.is_none() && doubt != WorkerDoubt::Proven && !is_far_behind {
+            return None;
+        }
+        Some(RunWork {
+            log_work,
+            doubt,
+            hints_at_stall: log_own - log_work > MAX_SPEED_RATIO.ln() && doubt != WorkerDoubt::Cleared,
+        })
     }
 
     fn move_run(&mut self, run: &RunMove, now: ClockTime) {
