Count the work that is thrown away, by cause

A loss ledger in the pool core is charged where a placed task waits again and where a job ends with runs present. The cause is recorded when a stop is ordered; members of a gang inherit the cause of the member that ended first. Progress since the latest checkpoint counts, saved progress does not, and a run that fails by itself is no loss.

Ruled out: charging by stop reason alone, since a broken gang would hide what broke it. Decisions are unchanged.

--- a/crates/dispatch/src/leader_run.rs
+++ b/crates/dispatch/src/leader_run.rs
@@ -24,6 +24,7 @@
     INTAKE_TABLE, LEADER_TABLE, LeaderRecord, PENDING_KEY, PROGRESS_TABLE, PendingRecord,
 };
 use crate::loop_meter::{LoopMeter, PassPhase};
+use crate::loss_report::LossReport;
 use crate::progress_rows::ProgressRows;
 use crate::row_store::{RowEntry, RowStore, RowWrite, read_table};
 use crate::worker_client::WorkerClient;
@@ -72,6 +73,7 @@
     /// When the row of the earlier leader was last seen to change.
     leaderless_since: ClockTime,
     meter: LoopMeter,
+    losses: LossReport,
 }
 
 /// Why a leader stopped.
@@ -129,6 +131,7 @@
             earlier_lease_expiry: context.clock.now() + wait_ms,
             leaderless_since,
             meter: LoopMeter::new(acquired_at),
+            losses: LossReport::new(acquired_at),
             context,
         }
     }
@@ -485,6 +488,7 @@
         self.core.decide(now, self.context.clock.wall());
         let orders = self.core.take_orders();
         record_latencies(self.core.take_latency_samples());
+        self.losses.record(&self.core.take_losses(), now);
         let changes = self.core.take_changes();
         let acknowledged: Vec<(WorkerKey, u64)> = self
             .sessions
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -23,6 +23,7 @@
 mod leader_record;
 mod leader_run;
 mod loop_meter;
+mod loss_report;
 mod member_list;
 mod open_submissions;
 mod order_sender;
--- a/crates/pool/src/jobs/job_entry.rs
+++ b/crates/pool/src/jobs/job_entry.rs
@@ -3,6 +3,7 @@
 
 use arbutuspick_model::ClockTime;
 
+use crate::jobs::loss_ledger::LossCause;
 use crate::placement::contested_workers::GangClaim;
 use crate::placement::wait_reason::WaitReason;
 use crate::workers::worker_kind::StepFit;
@@ -48,6 +49,10 @@
     pub(crate) last_gain_at: ClockTime,
     /// Time of the latest report.
     pub(crate) reported_at: ClockTime,
+    /// Time from which the run is known to be present on its worker.
+    pub(crate) present_since: Option<ClockTime>,
+    /// Time at which the latest checkpoint of the run was reported.
+    pub(crate) saved_at: Option<ClockTime>,
 }
 
 impl RunProgress {
@@ -90,6 +95,8 @@
 
     // Not stored.
     pub(crate) progress: RunProgress,
+    /// Why the current run was first ordered to stop.
+    pub(crate) stop_cause: Option<LossCause>,
     /// Worker on which the latest run failed, was too slow or did not start.
     pub(crate) avoided_worker: Option<WorkerKey>,
     /// Number of runs that were stopped for lack of progress.
--- a/crates/pool/src/jobs/placement_restore.rs
+++ b/crates/pool/src/jobs/placement_restore.rs
@@ -113,6 +113,7 @@
                         expected_since: Some(ClockTime(0)),
                         ordered_stop: None,
                         listed: false,
+                        unexpected_since: None,
                     },
                 );
                 if let Some(task) = self.jobs[key].task_mut(&name) {
--- a/crates/pool/src/jobs/run_release.rs
+++ b/crates/pool/src/jobs/run_release.rs
@@ -2,6 +2,8 @@
 
 use std::fmt;
 
+use crate::EndKind;
+
 /// Evidence that the latest run of a task is neither present on its worker nor can begin there later.
 ///
 /// A task waits for another start only with such evidence. Silence of a worker and the removal of its
@@ -9,7 +11,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum RunRelease {
     /// The worker listed the end of the run.
-    Ended,
+    Ended(EndKind),
     /// The worker confirmed the run or its stop, and listed its runs without this one afterwards.
     Absent,
     /// The worker refused the start, or the order was never sent.
@@ -23,7 +25,7 @@
 impl fmt::Display for RunRelease {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         formatter.write_str(match self {
-            Self::Ended => "ended",
+            Self::Ended(_) => "ended",
             Self::Absent => "absent",
             Self::NotStarted => "not started",
             Self::IncarnationEnded => "incarnation ended",
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -22,6 +22,7 @@
 pub use core_options::CoreOptions;
 pub use jobs::job_body::{BodyError, JobBody, StepBody};
 pub use jobs::job_record::{JobRecord, JobStage, MAX_TASK_RECORD_BYTES, OccurrenceRecord, TaskRecord};
+pub use jobs::loss_ledger::LossCause;
 pub use keys::WorkerKey;
 pub use placement::wait_reason::WaitReason;
 pub use pool_core::{CoreSummary, LatencySample, PoolCore, RecordChange};
--- a/crates/pool/src/placement/placement_pass.rs
+++ b/crates/pool/src/placement/placement_pass.rs
@@ -285,6 +285,7 @@
             since: now,
             remote,
         });
+        task.stop_cause = None;
         task.progress = RunProgress {
             is_start_unknown: !task.checkpoint.is_empty(),
             ..RunProgress::default()
@@ -298,6 +299,7 @@
                 expected_since: None,
                 ordered_stop: None,
                 listed: false,
+                unexpected_since: None,
             },
         );
         self.orders.push(PoolOrder::Start(StartOrder {
--- a/crates/pool/src/pool_core.rs
+++ b/crates/pool/src/pool_core.rs
@@ -5,6 +5,7 @@
 use slotmap::SlotMap;
 
 use crate::jobs::job_entry::{JobEntry, OccurrenceEntry, PlacementStage, TaskEntry};
+use crate::jobs::loss_ledger::{LossCause, LossLedger, run_core_ms, unsaved_core_ms};
 use crate::jobs::placement_restore::restored_occurrence;
 use crate::jobs::run_release::RunRelease;
 use crate::keys::JobKey;
@@ -15,8 +16,8 @@
 use crate::workers::worker_kind::WorkerKinds;
 use crate::workers::worker_view::{OrderedStop, WorkerView};
 use crate::{
-    CoreOptions, JobBody, JobRecord, JobStage, PoolOrder, PoolPolicy, QueueRule, StopOrder, StopReason,
-    TaskName, WorkerKey, WorkerReport,
+    CoreOptions, EndKind, JobBody, JobRecord, JobStage, PoolOrder, PoolPolicy, QueueRule, StopOrder,
+    StopReason, TaskName, WorkerKey, WorkerReport,
 };
 
 /// Number of open tasks of a job from which on its further occurrences wait until some of them are done.
@@ -76,6 +77,7 @@
     pub(crate) wait_counts: BTreeMap<WaitReason, usize>,
     pub(crate) orders: Vec<PoolOrder>,
     pub(crate) latency_samples: Vec<LatencySample>,
+    pub(crate) losses: LossLedger,
     /// Jobs whose records have changed since `take_changes`.
     changed_jobs: BTreeSet<JobKey>,
     /// Final records of the jobs that have ended since `take_changes`.
@@ -306,6 +308,11 @@
         std::mem::take(&mut self.latency_samples)
     }
 
+    /// Returns the work thrown away since the last call, in core milliseconds by cause.
+    pub fn take_losses(&mut self) -> BTreeMap<LossCause, u64> {
+        self.losses.take()
+    }
+
     /// Returns the records that changed since the last call.
     pub fn take_changes(&mut self) -> Vec<RecordChange> {
         let mut changes = std::mem::take(&mut self.ended_records);
@@ -392,10 +399,18 @@
         );
         self.job_index.remove(&job.id);
         self.reservations.retain(|reservation| reservation.job != key);
+        let cause = if stage == JobStage::Failed {
+            LossCause::JobFailed
+        } else {
+            LossCause::Cancel
+        };
         for (number, occurrence) in std::mem::take(&mut job.occurrences) {
             for (step, entry) in occurrence.steps.iter().enumerate() {
+                let body = &job.body.steps[step];
                 for (index, task) in entry.tasks.iter().enumerate() {
                     if let Some(placement) = task.placement {
+                        let cause = task.stop_cause.unwrap_or(cause);
+                        self.losses.charge(cause, run_core_ms(body, task, now));
                         let name = job.task_name(number, step, index);
                         self.order_stop(name, task.run, placement.worker, StopReason::JobEnded, now);
                     }
@@ -446,6 +461,17 @@
 
     /// Stops the current run of a task; its capacity stays allocated until its end is known.
     pub(crate) fn stop_task(&mut self, key: JobKey, name: &TaskName, reason: StopReason, now: ClockTime) {
+        self.stop_task_for(key, name, (reason, LossCause::of_stop(reason)), now);
+    }
+
+    /// Stops the current run of a task and charges what it loses to a cause.
+    pub(crate) fn stop_task_for(
+        &mut self,
+        key: JobKey,
+        name: &TaskName,
+        (reason, cause): (StopReason, LossCause),
+        now: ClockTime,
+    ) {
         let Some(task) = self.jobs.get_mut(key).and_then(|job| job.task_mut(name)) else {
             return;
         };
@@ -456,6 +482,7 @@
         if placement.stage != PlacementStage::Stopping {
             placement.stage = PlacementStage::Stopping;
             placement.since = now;
+            task.stop_cause = Some(cause);
         }
         let worker = placement.worker;
         self.order_stop(name.clone(), run, worker, reason, now);
@@ -485,24 +512,44 @@
         release: RunRelease,
         now: ClockTime,
     ) {
-        if let Some(view) = self.workers.get_mut(worker) {
-            view.allocations.remove(&(name.clone(), run));
-        }
+        let allocation = self
+            .workers
+            .get_mut(worker)
+            .and_then(|view| view.allocations.remove(&(name.clone(), run)));
+        let restored = allocation.is_some_and(|allocation| allocation.is_restored());
         let Some((key, task)) = self.current_task(name, run, worker) else {
             return;
         };
+        let cause = task
+            .stop_cause
+            .take()
+            .unwrap_or_else(|| LossCause::of_release(release, restored));
+        let lost_task = task.clone();
         task.placement = None;
         task.progress = Default::default();
+        // What failed by itself was not thrown away.
+        let has_run = !matches!(
+            release,
+            RunRelease::NotStarted | RunRelease::Ended(EndKind::Failed)
+        );
+        if let Some(body) = self.jobs[key]
+            .body
+            .steps
+            .get(name.step as usize)
+            .filter(|_| has_run)
+        {
+            self.losses.charge(cause, unsaved_core_ms(body, &lost_task, now));
+        }
         log::debug!("[run] task={name} run={run} state=waiting cause={release}");
         self.mark_changed(key);
         let step = name.step as usize;
         if self.jobs[key].body.steps.get(step).is_some_and(|step| step.gang) {
-            self.stop_gang(key, name, now);
+            self.stop_gang(key, name, cause, now);
         }
     }
 
-    /// Stops the members of the gang of `member` that are still placed.
-    pub(crate) fn stop_gang(&mut self, key: JobKey, member: &TaskName, now: ClockTime) {
+    /// Stops the members of the gang of `member` that are still placed; `cause` is why the gang ends.
+    pub(crate) fn stop_gang(&mut self, key: JobKey, member: &TaskName, cause: LossCause, now: ClockTime) {
         let Some(occurrence) = self.jobs[key].occurrences.get(&member.occurrence) else {
             return;
         };
@@ -516,7 +563,7 @@
             .collect();
         for index in placed {
             let name = self.jobs[key].task_name(member.occurrence, member.step as usize, index);
-            self.stop_task(key, &name, StopReason::GangBroken, now);
+            self.stop_task_for(key, &name, (StopReason::GangBroken, cause), now);
         }
     }
 }
--- a/crates/pool/src/preemption/capacity_reservation.rs
+++ b/crates/pool/src/preemption/capacity_reservation.rs
@@ -4,6 +4,7 @@
 
 use arbutuspick_model::ClockTime;
 
+use crate::jobs::loss_ledger::LossCause;
 use crate::keys::JobKey;
 use crate::placement::waiting_unit::WaitingUnit;
 use crate::placement::worker_search::WorkerCandidate;
@@ -127,7 +128,8 @@
             if task.run == awaited.run && task.placement.is_some() {
                 task.preemptions += 1;
                 stopped += 1;
-                self.stop_task(awaited.job, &awaited.task, StopReason::Preempted, now);
+                let why = (StopReason::Preempted, LossCause::Reclaim);
+                self.stop_task_for(awaited.job, &awaited.task, why, now);
             }
         }
         if stopped > 0 {
--- a/crates/pool/src/preemption/preemption_pass.rs
+++ b/crates/pool/src/preemption/preemption_pass.rs
@@ -7,6 +7,7 @@
 use arbutuspick_model::ClockTime;
 
 use crate::jobs::job_entry::PlacementStage;
+use crate::jobs::loss_ledger::LossCause;
 use crate::keys::JobKey;
 use crate::placement::blocked_needs::PlacementNeed;
 use crate::placement::unit_order::Lateness;
@@ -115,12 +116,17 @@
             unit.rank.inside_guarantee(),
             self.worker_ids(plan.candidates.iter().map(|index| candidates[*index].worker)),
         );
+        let cause = if unit.rank.inside_guarantee() {
+            LossCause::Reclaim
+        } else {
+            LossCause::Preemption
+        };
         for group in &stopped {
             for (key, name) in list.task_names(self, *group) {
                 if let Some(task) = self.jobs.get_mut(key).and_then(|job| job.task_mut(&name)) {
                     task.preemptions += 1;
                 }
-                self.stop_task(key, &name, StopReason::Preempted, now);
+                self.stop_task_for(key, &name, (StopReason::Preempted, cause), now);
             }
         }
         for index in &plan.candidates {
--- a/crates/pool/src/workers/listing_apply.rs
+++ b/crates/pool/src/workers/listing_apply.rs
@@ -7,6 +7,7 @@
 use crate::WorkerListing;
 use crate::jobs::job_entry::PlacementStage;
 use crate::jobs::job_record::MAX_CHECKPOINT_BYTES;
+use crate::jobs::loss_ledger::LossCause;
 use crate::jobs::run_release::RunRelease;
 use crate::keys::JobKey;
 use crate::pool_core::PoolCore;
@@ -124,8 +125,10 @@
             self.stop_unexpected(worker, name, status.run, now);
             return;
         };
-        if is_storable(name, &status.checkpoint) {
+        task.progress.present_since.get_or_insert(now);
+        if is_storable(name, &status.checkpoint) && task.checkpoint != status.checkpoint {
             task.checkpoint = status.checkpoint.clone();
+            task.progress.saved_at = Some(now);
         }
         let Some(placement) = &mut task.placement else {
             return;
@@ -208,6 +211,7 @@
                     expected_since: Some(now),
                     ordered_stop: None,
                     listed: true,
+                    unexpected_since: Some(now),
                 },
             );
         }
@@ -227,7 +231,13 @@
         };
         self.mark_begun(name);
         if let Some(view) = self.workers.get_mut(worker) {
-            view.allocations.remove(&(name.clone(), end.run));
+            let allocation = view.allocations.remove(&(name.clone(), end.run));
+            if let Some(allocation) = allocation
+                && let Some(since) = allocation.unexpected_since
+            {
+                let lost = allocation.amount.core_equivalents() * now.millis_since(since);
+                self.losses.charge(LossCause::Unexpected, lost);
+            }
             match end.kind {
                 EndKind::Done => view.health.record_success(),
                 EndKind::Failed => view.record_failure(&name.job, now),
@@ -242,6 +252,9 @@
         };
         let has_checkpoint = is_storable(name, &end.checkpoint);
         if has_checkpoint {
+            if task.checkpoint != end.checkpoint {
+                task.progress.saved_at = Some(now);
+            }
             task.checkpoint = end.checkpoint.clone();
         }
         let level = if end.kind == EndKind::Done {
@@ -256,7 +269,7 @@
         match end.kind {
             EndKind::Done => self.finish_task(key, name, now),
             EndKind::Failed => self.fail_task(key, name, worker, now),
-            _ => self.requeue_task(name, end.run, worker, RunRelease::Ended, now),
+            kind => self.requeue_task(name, end.run, worker, RunRelease::Ended(kind), now),
         }
     }
 
@@ -363,7 +376,7 @@
             }
         }
         self.mark_changed(key);
-        self.requeue_task(name, run, worker, RunRelease::Ended, now);
+        self.requeue_task(name, run, worker, RunRelease::Ended(EndKind::Failed), now);
         if failures >= limit && !endless {
             self.end_job(key, JobStage::Failed, now);
         }
@@ -397,6 +410,7 @@
                 {
                     placement.stage = PlacementStage::Running;
                     placement.since = at;
+                    task.progress.present_since = Some(at);
                 }
             }
             StartAnswer::Refused | StartAnswer::NotSent => {
--- a/crates/pool/src/workers/progress_check.rs
+++ b/crates/pool/src/workers/progress_check.rs
@@ -6,6 +6,7 @@
 use arbutuspick_model::ClockTime;
 
 use crate::jobs::job_entry::{PlacementStage, TaskEntry};
+use crate::jobs::loss_ledger::LossCause;
 use crate::jobs::run_release::RunRelease;
 use crate::keys::JobKey;
 use crate::pool_core::PoolCore;
@@ -102,7 +103,7 @@
             }
         }
         for (key, name) in broken_gangs {
-            self.stop_gang(key, &name, now);
+            self.stop_gang(key, &name, LossCause::MemberLost, now);
         }
         for run in moves {
             self.move_run(&run, now);
@@ -214,7 +215,7 @@
         // The end of one member ends the whole gang anyway; stopping all members at once is faster.
         let step = run.name.step as usize;
         if self.jobs[run.key].body.steps[step].gang {
-            self.stop_gang(run.key, &run.name, now);
+            self.stop_gang(run.key, &run.name, LossCause::of_stop(run.reason), now);
         }
     }
 
--- a/crates/pool/src/workers/worker_restart.rs
+++ b/crates/pool/src/workers/worker_restart.rs
@@ -275,6 +275,7 @@
                     expected_since: allocation.expected_since.filter(|_| allocation.is_restored()),
                     ordered_stop: None,
                     listed: false,
+                    unexpected_since: None,
                 },
             );
         }
--- a/crates/pool/src/workers/worker_view.rs
+++ b/crates/pool/src/workers/worker_view.rs
@@ -58,6 +58,8 @@
     /// Whether this incarnation of the worker has listed the run. An answer to a start is no proof of that: it
     /// may come from another incarnation under the same id.
     pub(crate) listed: bool,
+    /// Time from which a run that belongs to no known task was listed.
+    pub(crate) unexpected_since: Option<ClockTime>,
 }
 
 impl RunAllocation {
