Stop gangs at the notice that they cannot outlast

Gangs worked on for the five seconds of a notice and were broken when the worker had gone, with all of that work, and were started again only then.

A member whose progress shows that it cannot end before its worker leaves now stops its gang at once. Only progress decides, at its most favourable reading, since estimates are far off; single tasks go on as before, as their end costs little more later. late_gang fails without the rule.

Members of a gang that saved together no longer count as lost in the ledger.

--- a/crates/pool/src/workers/listing_apply.rs
+++ b/crates/pool/src/workers/listing_apply.rs
@@ -153,7 +153,7 @@
             self.stop_task(key, name, StopReason::Unexpected, now);
         }
         if !checkpoint.is_empty() {
-            self.share_checkpoint(key, name, &checkpoint);
+            self.share_checkpoint(key, name, &checkpoint, now);
         }
     }
 
@@ -169,13 +169,22 @@
     }
 
     /// Copies the checkpoint of one member to its whole gang, which resumes from a single checkpoint.
-    fn share_checkpoint(&mut self, key: JobKey, name: &TaskName, checkpoint: &std::sync::Arc<str>) {
+    fn share_checkpoint(
+        &mut self,
+        key: JobKey,
+        name: &TaskName,
+        checkpoint: &std::sync::Arc<str>,
+        now: ClockTime,
+    ) {
         let step = name.step as usize;
         if !self.jobs[key].body.steps.get(step).is_some_and(|step| step.gang) {
             return;
         }
         if let Some(occurrence) = self.jobs[key].occurrences.get_mut(&name.occurrence) {
             for member in &mut occurrence.steps[step].tasks {
+                if member.checkpoint != *checkpoint {
+                    member.progress.saved_at = Some(now);
+                }
                 member.checkpoint = checkpoint.clone();
             }
         }
@@ -264,7 +273,7 @@
         };
         log::log!(level, "[run] task={name} run={} ended={:?}", end.run, end.kind);
         if has_checkpoint {
-            self.share_checkpoint(key, name, &end.checkpoint);
+            self.share_checkpoint(key, name, &end.checkpoint, now);
         }
         match end.kind {
             EndKind::Done => self.finish_task(key, name, now),
--- a/crates/pool/src/workers/mod.rs
+++ b/crates/pool/src/workers/mod.rs
@@ -1,5 +1,6 @@
 //! Workers: what they report, what runs on them, and how well they work.
 
+pub(crate) mod departure_check;
 pub(crate) mod label_index;
 pub(crate) mod listing_apply;
 pub(crate) mod progress_check;
--- a/crates/pool/src/workers/progress_check.rs
+++ b/crates/pool/src/workers/progress_check.rs
@@ -10,6 +10,7 @@
 use crate::jobs::run_release::RunRelease;
 use crate::keys::JobKey;
 use crate::pool_core::PoolCore;
+use crate::workers::departure_check::must_leave;
 use crate::workers::run_pace::{PaceEvidence, RunPace, StepDurations, judge_pace, min_total_ms};
 use crate::{StepBody, StopReason, TaskName, WorkerKey};
 
@@ -167,9 +168,8 @@
         };
         let left_percent = u64::from(100 - task.progress.percent.min(100));
         if let Some(leaves_at) = view.report.leaves_at {
-            let left_ms = body.estimate_ms * factor * left_percent / 100;
-            let saved = body.checkpoints && !task.checkpoint.is_empty();
-            return (saved && now + left_ms > leaves_at).then_some(StopReason::WorkerLeaving);
+            let must_leave = must_leave(body, task, factor, leaves_at, now);
+            return must_leave.then_some(StopReason::WorkerLeaving);
         }
         if body.endless || task.slow_restarts >= MAX_SLOW_RESTARTS {
             return None;
