Keep room for urgent gangs that return, by a forecast of their arrivals

The leader measures the urgent arrivals of the last 20 s by service (size, run time, rate) and expects their mean and one standard deviation to be in use at once. That many workers, at most a third, are marked rack by rack. Batch work leaves them while more than half of the pool is in use, until it is overdue; work bound to certain workers, and endless work, is not held back. Without urgent arrivals nothing is kept. Urgent work prefers the marked workers, other work the rest.

A leaving worker may go half a second before its entry says, as entries are read late.

--- a/crates/pool/src/placement/blocked_needs.rs
+++ b/crates/pool/src/placement/blocked_needs.rs
@@ -26,6 +26,7 @@
     accepts_slow: bool,
     avoids_empty_workers: bool,
     yields_until: Option<ClockTime>,
+    leaves_urgent_room: bool,
 }
 
 impl PlacementNeed {
@@ -42,6 +43,7 @@
             accepts_slow: unit.accepts_slow(),
             avoids_empty_workers: unit.avoids_empty_workers(),
             yields_until: unit.yields_until,
+            leaves_urgent_room: unit.leaves_urgent_room,
         }
     }
 }
--- a/crates/pool/src/placement/mod.rs
+++ b/crates/pool/src/placement/mod.rs
@@ -7,6 +7,8 @@
 pub(crate) mod placement_pass;
 pub(crate) mod search_budget;
 pub(crate) mod unit_order;
+pub(crate) mod urgent_demand;
+pub(crate) mod urgent_room;
 pub(crate) mod wait_reason;
 pub(crate) mod waiting_unit;
 pub(crate) mod worker_choice;
--- a/crates/pool/src/placement/placement_pass.rs
+++ b/crates/pool/src/placement/placement_pass.rs
@@ -8,6 +8,7 @@
 use crate::placement::contested_workers::mark_contested;
 use crate::placement::search_budget::SearchBudget;
 use crate::placement::unit_order::Lateness;
+use crate::placement::urgent_room::mark_urgent_room;
 use crate::placement::wait_reason::WaitReason;
 use crate::placement::waiting_unit::{RackMembers, WaitingUnit};
 use crate::placement::worker_choice::{choose_gang, choose_worker};
@@ -34,6 +35,10 @@
         units.sort_by_key(|unit| unit.rank);
         let mut candidates = self.worker_candidates(now);
         let pool_busy = is_busy(&candidates);
+        for (service, demand) in &mut self.urgent_demand {
+            mark_urgent_room(&mut candidates, service, demand.expected_workers(now));
+        }
+        let has_urgent_room = candidates.iter().any(|candidate| candidate.urgent_room);
         let racks = rack_members(&candidates);
         for unit in &mut units {
             unit.check_local_fit(&candidates, &racks);
@@ -57,7 +62,7 @@
             if unplaced == 0 {
                 continue;
             }
-            waiting.push((unit, self.wait_reason(unit, gangs_wait)));
+            waiting.push((unit, self.wait_reason(unit, gangs_wait, has_urgent_room)));
             let mut outcome = PreemptionOutcome::Excluded;
             if searches.allows(self.search_round_of(unit)) {
                 let work = placed_work.get_or_insert_with(|| self.placed_work(&candidates, &context, now));
@@ -98,11 +103,12 @@
     }
 
     /// Returns why a unit waits that was not placed; `gangs_wait` names the first gang to which capacity is left.
-    fn wait_reason(&self, unit: &WaitingUnit, gangs_wait: Option<JobKey>) -> WaitReason {
+    fn wait_reason(&self, unit: &WaitingUnit, gangs_wait: Option<JobKey>, has_urgent_room: bool) -> WaitReason {
         match self.jobs[unit.key].step_fits.get(unit.step) {
             Some(StepFit::NoWorker) => WaitReason::NoWorker,
             Some(StepFit::TooLarge) => WaitReason::TooLarge,
             _ if unit.yields_until.is_some() && gangs_wait.is_some() => WaitReason::BehindOthers,
+            _ if unit.leaves_urgent_room && has_urgent_room => WaitReason::BehindOthers,
             _ => WaitReason::NoCapacity,
         }
     }
@@ -134,6 +140,7 @@
             suspect: view.health.is_suspect(now),
             slow: view.health.is_slow(now),
             tier: view.speed.tier(),
+            urgent_room: false,
         });
         candidates.collect()
     }
--- a/crates/pool/src/placement/waiting_unit.rs
+++ b/crates/pool/src/placement/waiting_unit.rs
@@ -50,6 +50,8 @@
     /// Expected end of the tasks if they start now, for a unit that leaves free capacity to gangs of higher rank which
     /// could start before that end.
     pub(crate) yields_until: Option<ClockTime>,
+    /// Whether the unit leaves the workers that are kept for urgent work. Overdue work does not, which bounds the wait.
+    pub(crate) leaves_urgent_room: bool,
 }
 
 impl WaitingUnit {
@@ -71,6 +73,7 @@
         if !pool_busy && self.waited_ms > IDLE_YIELD_MS {
             self.yields_until = None;
         }
+        self.leaves_urgent_room &= pool_busy;
     }
 
     /// Looks up whether the workers near the data of the unit could run it.
@@ -101,7 +104,8 @@
     pub(crate) fn accepts(&self, candidate: &WorkerCandidate) -> bool {
         let overlaps = |start: ClockTime| self.yields_until.is_some_and(|end| end > start);
         let is_left_to_gangs = candidate.contested_until.is_some_and(overlaps);
-        !is_left_to_gangs && (!candidate.slow || self.accepts_slow())
+        let is_left_to_urgent = candidate.urgent_room && self.leaves_urgent_room;
+        !is_left_to_gangs && !is_left_to_urgent && (!candidate.slow || self.accepts_slow())
     }
 
     /// Returns whether the unit leaves the last empty workers to others: its priority is low and it has time.
@@ -259,6 +263,7 @@
         required_label: place.required_label,
         data_rack: place.data_rack,
         spread_limit: (body.spread_limit > 0).then_some(body.spread_limit as usize),
+        urgent: job.rule.priority == 0,
     };
     let remaining_ms = remaining_ms(job, step);
     let remaining_worker_us = remaining_worker_us(job, number, &context.largest);
@@ -267,6 +272,8 @@
         objective_ms,
         remaining_ms,
     };
+    // Endless work is never done, and work for certain workers may have no others.
+    let is_bound = body.endless || !body.data_rack.is_empty() || !body.required_label.is_empty();
     let inside_guarantee = context.guaranteed.contains(&key);
     let rank = unit_rank(now, &timing, &value, remaining_worker_us, inside_guarantee);
     let max_local_wait_ms = objective_ms.saturating_sub(job.critical_path_ms);
@@ -287,6 +294,7 @@
         fits_locally: true,
         yields_until: (!gang && yields_to_gangs(&rank, max_local_wait_ms, now))
             .then(|| now + rounded_up_ms(estimate_ms)),
+        leaves_urgent_room: rank.priority > 0 && !is_bound && rank.lateness != Lateness::Overdue,
     })
 }
 
--- a/crates/pool/src/placement/worker_search.rs
+++ b/crates/pool/src/placement/worker_search.rs
@@ -31,9 +31,16 @@
     pub(crate) contested_until: Option<ClockTime>,
     /// Speed in comparison with other workers, by the run times of earlier tasks.
     pub(crate) tier: SpeedTier,
+    /// Whether it is kept for urgent work.
+    pub(crate) urgent_room: bool,
 }
 
 impl WorkerCandidate {
+    /// Returns whether the worker is kept for other work than this, or other workers are kept for it.
+    fn is_misplaced(&self, need: &TaskNeed) -> bool {
+        self.urgent_room != need.urgent
+    }
+
     /// Returns whether the worker has no runs.
     pub(crate) fn is_empty(&self) -> bool {
         self.free == self.capacity
@@ -49,6 +56,8 @@
     pub(crate) data_rack: Option<RackId>,
     /// Maximum number of tasks of the step on one worker.
     pub(crate) spread_limit: Option<usize>,
+    /// Whether the task has priority 0.
+    pub(crate) urgent: bool,
 }
 
 impl TaskNeed {
@@ -91,7 +100,8 @@
     }
 }
 
-/// Returns the candidate for one task: not suspect if possible, then with the least capacity left over.
+/// Returns the candidate for one task: not suspect if possible, then on the side of the pool that is kept for it,
+/// then with the least capacity left over.
 pub(crate) fn best_candidate<F>(
     candidates: &[WorkerCandidate],
     need: &TaskNeed,
@@ -106,14 +116,19 @@
         indexed.filter(|(_, candidate)| allowed(candidate) && fitting_tasks(candidate, need, counts, 1) > 0);
     let scored = fitting.map(|(index, candidate)| {
         let left = candidate.free - need.amount;
-        (candidate.suspect, left.dominant_share(&candidate.capacity), index)
+        (
+            candidate.suspect,
+            candidate.is_misplaced(need),
+            left.dominant_share(&candidate.capacity),
+            index,
+        )
     });
-    scored.min().map(|(_, _, index)| index)
+    scored.min().map(|(_, _, _, index)| index)
 }
 
 /// Returns allowed candidates for `count` tasks, or `None` if not all tasks fit.
 ///
-/// Suspect workers come last, and otherwise the fullest workers first.
+/// Suspect workers come last, before them those kept for other work, and otherwise the fullest workers first.
 pub(crate) fn gang_candidates<F>(
     candidates: &[WorkerCandidate],
     need: &TaskNeed,
@@ -124,7 +139,7 @@
     F: Fn(&WorkerCandidate) -> bool,
 {
     let counts = StepCounts::new();
-    let mut scored: Vec<(bool, i64, usize, usize)> = Vec::new();
+    let mut scored: Vec<(bool, bool, i64, usize, usize)> = Vec::new();
     for (index, candidate) in candidates.iter().enumerate() {
         let fits = if allowed(candidate) {
             fitting_tasks(candidate, need, &counts, count)
@@ -134,6 +149,7 @@
         if fits > 0 {
             scored.push((
                 candidate.suspect,
+                candidate.is_misplaced(need),
                 candidate.free.dominant_share(&candidate.capacity),
                 index,
                 fits,
@@ -142,7 +158,7 @@
     }
     scored.sort_unstable();
     let mut chosen = Vec::with_capacity(count);
-    for (_, _, index, fits) in scored {
+    for (_, _, _, index, fits) in scored {
         let take = fits.min(count - chosen.len());
         chosen.extend(std::iter::repeat_n(index, take));
         if chosen.len() == count {
--- a/crates/pool/src/pool_core.rs
+++ b/crates/pool/src/pool_core.rs
@@ -9,6 +9,7 @@
 use crate::jobs::placement_restore::restored_occurrence;
 use crate::jobs::run_release::RunRelease;
 use crate::keys::JobKey;
+use crate::placement::urgent_demand::{UrgentArrival, UrgentDemand};
 use crate::placement::wait_reason::WaitReason;
 use crate::preemption::capacity_reservation::CapacityReservation;
 use crate::workers::label_index::LabelIndex;
@@ -78,6 +79,8 @@
     pub(crate) orders: Vec<PoolOrder>,
     pub(crate) latency_samples: Vec<LatencySample>,
     pub(crate) losses: LossLedger,
+    /// Urgent arrivals by service.
+    pub(crate) urgent_demand: BTreeMap<Arc<str>, UrgentDemand>,
     /// Jobs whose records have changed since `take_changes`.
     changed_jobs: BTreeSet<JobKey>,
     /// Final records of the jobs that have ended since `take_changes`.
@@ -156,6 +159,7 @@
             let entry = restored_occurrence(&job.body, &occurrence.tasks, due_at);
             job.occurrences.insert(occurrence.number, entry);
         }
+        self.record_urgent_demand(&job);
         let key = self.jobs.insert(job);
         self.job_index.insert(id.clone(), key);
         for occurrence in &record.occurrences {
@@ -167,6 +171,26 @@
         }
     }
 
+    /// Records the tasks of an urgent job for the forecast of urgent work.
+    fn record_urgent_demand(&mut self, job: &JobEntry) {
+        if job.rule.priority > 0 {
+            return;
+        }
+        let largest = self.largest_capacity();
+        for step in job.body.steps.iter().filter(|step| !step.endless) {
+            let share = step.amount().dominant_share(&largest);
+            // A task that fits nowhere takes no room.
+            if let Some(share) = u64::try_from(share).ok().filter(|share| *share <= 1_000) {
+                let demand = self.urgent_demand.entry(job.rule.service.clone()).or_default();
+                demand.record(UrgentArrival {
+                    at: job.arrived_at,
+                    size: share * u64::from(step.count),
+                    run_ms: step.estimate_ms,
+                });
+            }
+        }
+    }
+
     /// Removes an occurrence if all its tasks are done, and completes the job with its last occurrence.
     pub(crate) fn close_occurrence(&mut self, key: JobKey, number: u32, now: ClockTime) {
         let Some(job) = self.jobs.get_mut(key) else { return };
--- a/crates/pool/src/workers/departure_check.rs
+++ b/crates/pool/src/workers/departure_check.rs
@@ -10,6 +10,9 @@
 use crate::jobs::job_entry::TaskEntry;
 use crate::workers::run_pace::min_total_ms;
 
+/// Time by which a worker may leave earlier than expected, in milliseconds: its registry entry is read late.
+const REGISTRY_LAG_MS: u64 = 500;
+
 /// Returns whether a run is stopped before its worker leaves at `leaves_at`; `factor` is its slowdown if it is remote.
 ///
 /// A saved run resumes elsewhere, so its estimate decides. Of any other member of a gang the work is lost, so only its
@@ -34,5 +37,5 @@
         return false;
     };
     let left_ms = total_ms * 99_u64.saturating_sub(percent) / 100;
-    task.progress.reported_at + left_ms > leaves_at
+    task.progress.reported_at + left_ms + REGISTRY_LAG_MS > leaves_at
 }
