Give room back to batch work that runs out of slack

Batch work now leaves the room only while more than a quarter of its slack is left. short_slack fails without the bound.

--- a/crates/dispatch/src/leader_run.rs
+++ b/crates/dispatch/src/leader_run.rs
@@ -599,6 +599,7 @@
         metrics::gauge!("arbutuspick_jobs").set(summary.jobs as f64);
         metrics::gauge!("arbutuspick_waiting_tasks").set(summary.waiting_tasks as f64);
         metrics::gauge!("arbutuspick_placed_tasks").set(summary.placed_tasks as f64);
+        metrics::gauge!("arbutuspick_urgent_room_workers").set(self.core.urgent_room() as f64);
         metrics::gauge!("arbutuspick_listed_workers").set(summary.listed_workers as f64);
         for reason in WaitReason::ALL {
             let units = self.core.wait_counts().get(&reason).copied().unwrap_or(0);
--- a/crates/pool/src/placement/placement_pass.rs
+++ b/crates/pool/src/placement/placement_pass.rs
@@ -38,7 +38,10 @@
         for (service, demand) in &mut self.urgent_demand {
             mark_urgent_room(&mut candidates, service, demand.expected_workers(now));
         }
-        let has_urgent_room = candidates.iter().any(|candidate| candidate.urgent_room);
+        self.urgent_room = candidates
+            .iter()
+            .filter(|candidate| candidate.urgent_room)
+            .count();
         let racks = rack_members(&candidates);
         for unit in &mut units {
             unit.check_local_fit(&candidates, &racks);
@@ -62,7 +65,7 @@
             if unplaced == 0 {
                 continue;
             }
-            waiting.push((unit, self.wait_reason(unit, gangs_wait, has_urgent_room)));
+            waiting.push((unit, self.wait_reason(unit, gangs_wait)));
             let mut outcome = PreemptionOutcome::Excluded;
             if searches.allows(self.search_round_of(unit)) {
                 let work = placed_work.get_or_insert_with(|| self.placed_work(&candidates, &context, now));
@@ -103,12 +106,12 @@
     }
 
     /// Returns why a unit waits that was not placed; `gangs_wait` names the first gang to which capacity is left.
-    fn wait_reason(&self, unit: &WaitingUnit, gangs_wait: Option<JobKey>, has_urgent_room: bool) -> WaitReason {
+    fn wait_reason(&self, unit: &WaitingUnit, gangs_wait: Option<JobKey>) -> WaitReason {
         match self.jobs[unit.key].step_fits.get(unit.step) {
             Some(StepFit::NoWorker) => WaitReason::NoWorker,
             Some(StepFit::TooLarge) => WaitReason::TooLarge,
             _ if unit.yields_until.is_some() && gangs_wait.is_some() => WaitReason::BehindOthers,
-            _ if unit.leaves_urgent_room && has_urgent_room => WaitReason::BehindOthers,
+            _ if unit.leaves_urgent_room && self.urgent_room > 0 => WaitReason::BehindOthers,
             _ => WaitReason::NoCapacity,
         }
     }
--- a/crates/pool/src/placement/waiting_unit.rs
+++ b/crates/pool/src/placement/waiting_unit.rs
@@ -25,6 +25,9 @@
 const EMPTY_WORKER_WAIT_MS: u64 = 4_000;
 /// Part of the initial slack above which single tasks leave free capacity to waiting gangs, in percent.
 const YIELD_SLACK_PERCENT: u64 = 50;
+/// Part of the initial slack above which a unit leaves room to urgent work, in percent; a gang needs the rest to find
+/// its workers.
+const LEAVE_ROOM_SLACK_PERCENT: u64 = 25;
 /// Time for which a unit yields to gangs while less than half of the pool is in use, in milliseconds.
 const IDLE_YIELD_MS: u64 = 1_000;
 /// Wait after which a unit may run remotely while less than half of the pool is in use, or no local worker takes new
@@ -50,7 +53,7 @@
     /// Expected end of the tasks if they start now, for a unit that leaves free capacity to gangs of higher rank which
     /// could start before that end.
     pub(crate) yields_until: Option<ClockTime>,
-    /// Whether the unit leaves the workers that are kept for urgent work. Overdue work does not, which bounds the wait.
+    /// Whether the unit leaves the workers that are kept for urgent work, as long as it has slack.
     pub(crate) leaves_urgent_room: bool,
 }
 
@@ -294,7 +297,7 @@
         fits_locally: true,
         yields_until: (!gang && yields_to_gangs(&rank, max_local_wait_ms, now))
             .then(|| now + rounded_up_ms(estimate_ms)),
-        leaves_urgent_room: rank.priority > 0 && !is_bound && rank.lateness != Lateness::Overdue,
+        leaves_urgent_room: rank.priority > 0 && !is_bound && has_slack(&rank, max_local_wait_ms, now),
     })
 }
 
@@ -308,6 +311,12 @@
     early && rank.slack_ms(now) * 100 > max_local_wait_ms * YIELD_SLACK_PERCENT
 }
 
+/// Returns whether a unit can leave room to urgent work without being late for it.
+fn has_slack(rank: &UnitRank, max_local_wait_ms: u64, now: ClockTime) -> bool {
+    let on_time = rank.lateness == Lateness::OnTime;
+    on_time && rank.slack_ms(now) * 100 > max_local_wait_ms * LEAVE_ROOM_SLACK_PERCENT
+}
+
 /// Rounds a time up by less than a quarter, so that units with similar estimates share the answers of a decision.
 fn rounded_up_ms(millis: u64) -> u64 {
     let unit = (millis.max(4) / 4).next_power_of_two() / 2;
--- a/crates/pool/src/pool_core.rs
+++ b/crates/pool/src/pool_core.rs
@@ -81,6 +81,8 @@
     pub(crate) losses: LossLedger,
     /// Urgent arrivals by service.
     pub(crate) urgent_demand: BTreeMap<Arc<str>, UrgentDemand>,
+    /// Number of workers kept for urgent work at the latest decision with waiting work.
+    pub(crate) urgent_room: usize,
     /// Jobs whose records have changed since `take_changes`.
     changed_jobs: BTreeSet<JobKey>,
     /// Final records of the jobs that have ended since `take_changes`.
@@ -293,6 +295,11 @@
         pending
     }
 
+    /// Returns the number of workers kept for urgent work at the latest decision with waiting work.
+    pub fn urgent_room(&self) -> usize {
+        self.urgent_room
+    }
+
     /// Returns counts for metrics and the state dump.
     pub fn summary(&self) -> CoreSummary {
         let mut summary = CoreSummary {
--- a/crates/pool/tests/urgent_room.rs
+++ b/crates/pool/tests/urgent_room.rs
@@ -110,3 +110,37 @@
 fn batch_alone() {
     assert_eq!(replay(u64::MAX).used_percent, 100);
 }
+
+/// Guards against a batch gang that is late since it leaves room to urgent work that does not come.
+#[test]
+fn short_slack() {
+    let mut pool = TestPool::new(24);
+    let long = StepBody {
+        estimate_ms: 100_000,
+        ..step(13, 8)
+    };
+    pool.submit("long", body("normal", "south", vec![long]));
+    for number in 0..5 {
+        pool.submit(
+            &format!("urgent-{number}"),
+            body("urgent", "east", vec![step(2, 8)]),
+        );
+    }
+    pool.run_decision();
+    for number in 0..5 {
+        pool.finish_job(&format!("urgent-{number}"));
+    }
+    // Five of the eleven empty workers are kept; the objective leaves five seconds beside the run.
+    let gang = StepBody {
+        gang: true,
+        ..step(8, 8)
+    };
+    pool.submit("wide", body("normal", "south", vec![gang]));
+    pool.advance(3_000);
+    pool.run_decision();
+    assert_eq!(pool.running_count("wide"), 0, "the room was not kept");
+    assert_eq!(pool.core.urgent_room(), 5);
+    pool.advance(1_000);
+    pool.run_decision();
+    assert_eq!(pool.running_count("wide"), 8, "left waiting until it is late");
+}
