--- a/crates/pool/src/jobs/loss_ledger.rs
+++ b/crates/pool/src/jobs/loss_ledger.rs
@@ -22,7 +22,8 @@
     Move,
     /// Another member of the gang failed or did not start.
     MemberLost,
-    /// The worker restarted, or was unreachable until its lease expired.
+    /// The worker restarted, or was unreachable until its lease expired; also what ran again until an earlier run was
+    /// known to have ended as done.
     WorkerLost,
     /// An earlier leader started the run, and it was gone before this leader listed it.
     LeaderChange,
@@ -75,6 +76,7 @@
             StopReason::NoProgress => Self::Move,
             StopReason::WorkerLeaving => Self::Notice,
             StopReason::GangBroken | StopReason::StartUnconfirmed => Self::MemberLost,
+            StopReason::AlreadyDone => Self::WorkerLost,
             StopReason::Unexpected => Self::Unexpected,
         }
     }
--- a/crates/pool/src/workers/listing_apply.rs
+++ b/crates/pool/src/workers/listing_apply.rs
@@ -7,7 +7,7 @@
 use crate::WorkerListing;
 use crate::jobs::job_entry::PlacementStage;
 use crate::jobs::job_record::MAX_CHECKPOINT_BYTES;
-use crate::jobs::loss_ledger::LossCause;
+use crate::jobs::loss_ledger::{LossCause, run_core_ms};
 use crate::jobs::run_release::RunRelease;
 use crate::keys::JobKey;
 use crate::pool_core::PoolCore;
@@ -346,6 +346,8 @@
         for (index, task) in tasks.iter_mut().enumerate() {
             if gang || index == name.index as usize {
                 task.done = true;
+                let lost = task.placement.map_or(0, |_| run_core_ms(body, task, now));
+                self.losses.charge(LossCause::WorkerLost, lost);
                 let placement = task.placement.take();
                 current_runs.extend(placement.map(|placement| (index, task.run, placement.worker)));
             }
