--- a/crates/pool/src/jobs/mod.rs
+++ b/crates/pool/src/jobs/mod.rs
@@ -6,4 +6,5 @@
 pub(crate) mod job_value;
 pub(crate) mod loss_ledger;
 pub(crate) mod placement_restore;
+pub(crate) mod run_end;
 pub(crate) mod run_release;
