Close connections to workers that would not be used again

Cause: a connection to a worker is not used again after 5 s without a call, but it stayed open until the next call to that worker. The leader of 3,000 workers held 4,827 connections, with a read buffer of 8 KiB or more each. Ruled out: one connection for listings and orders, since a listing call is held open for a second and orders would wait.

--- a/crates/clients/src/http_client.rs
+++ b/crates/clients/src/http_client.rs
@@ -1,12 +1,12 @@
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
-use hyper::client::conn::http1::{SendRequest, handshake};
+use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper::header::{CONTENT_LENGTH, HOST, HeaderValue, TRANSFER_ENCODING};
 use hyper::{HeaderMap, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
@@ -48,11 +48,13 @@
     sender: SendRequest<Full<Bytes>>,
     driver: AbortHandle,
     idle_since: Instant,
+    open_connections: Arc<AtomicUsize>,
 }
 
 impl Drop for PooledConnection {
     fn drop(&mut self) {
         self.driver.abort();
+        self.open_connections.fetch_sub(1, Ordering::Relaxed);
     }
 }
 
@@ -62,6 +64,9 @@
     address: SocketAddr,
     host: Option<Arc<str>>,
     max_body_bytes: usize,
+    max_idle: usize,
+    read_buffer_bytes: Option<usize>,
+    open_connections: Arc<AtomicUsize>,
     idle: Arc<Mutex<Vec<PooledConnection>>>,
 }
 
@@ -72,6 +77,9 @@
             address,
             host: None,
             max_body_bytes,
+            max_idle: MAX_IDLE_CONNECTIONS,
+            read_buffer_bytes: None,
+            open_connections: Arc::default(),
             idle: Arc::default(),
         }
     }
@@ -87,6 +95,40 @@
         }
     }
 
+    /// Sets how many idle connections are kept, by default 64.
+    pub fn with_max_idle(self, max_idle: usize) -> Self {
+        Self { max_idle, ..self }
+    }
+
+    /// Sets the size of the read buffer of a connection, which by default grows from 8 KiB.
+    pub fn with_read_buffer(self, bytes: usize) -> Self {
+        Self {
+            read_buffer_bytes: Some(bytes),
+            ..self
+        }
+    }
+
+    /// Counts the open connections of this client, idle or not, in a counter that clients may share.
+    pub fn with_connection_count(self, open_connections: Arc<AtomicUsize>) -> Self {
+        Self {
+            open_connections,
+            ..self
+        }
+    }
+
+    /// Closes the connections that have been idle for so long that they would not be used again.
+    pub fn close_expired(&self) {
+        self.close_idle(IDLE_TIMEOUT);
+    }
+
+    /// Closes the connections that have been idle for this long.
+    pub fn close_idle(&self, idle_time: Duration) {
+        let now = Instant::now();
+        self.lock_idle().retain(|connection| {
+            !connection.sender.is_closed() && now.duration_since(connection.idle_since) < idle_time
+        });
+    }
+
     /// Returns the address of the server.
     pub fn address(&self) -> SocketAddr {
         self.address
@@ -196,7 +238,7 @@
     fn return_idle(&self, mut connection: PooledConnection) {
         connection.idle_since = Instant::now();
         let mut idle = self.lock_idle();
-        if idle.len() < MAX_IDLE_CONNECTIONS && !connection.sender.is_closed() {
+        if idle.len() < self.max_idle && !connection.sender.is_closed() {
             idle.push(connection);
         }
     }
@@ -210,18 +252,22 @@
         stream
             .set_nodelay(true)
             .map_err(|e| CallError::not_sent(format!("cannot set no-delay: {e}")))?;
-        let (sender, driver) = handshake(TokioIo::new(stream))
+        let (sender, driver) = Builder::new()
+            .read_buf_exact_size(self.read_buffer_bytes)
+            .handshake(TokioIo::new(stream))
             .await
             .map_err(|e| CallError::not_sent(format!("cannot open connection to {address}: {e}")))?;
         let task = tokio::spawn(async move {
             // The error is also returned to the caller that sent the request.
             let _ = driver.await;
         });
+        self.open_connections.fetch_add(1, Ordering::Relaxed);
         Ok(PooledConnection {
             id: ConnectionId(NEXT_CONNECTION.fetch_add(1, Ordering::Relaxed)),
             sender,
             driver: task.abort_handle(),
             idle_since: Instant::now(),
+            open_connections: self.open_connections.clone(),
         })
     }
 
