Choose the leader by what leading costs, and hand over near a limit

Cause: the election delay looked at processor and bandwidth for a fixed size of pool. A VM with 120 MB and 3,075 descriptors could lead 3,000 workers, which take 112 MB and 4,800 connections. A leader at a limit led until it was killed, and a handover resigned in favour of nobody in particular. Change: leading_cost.rs states the cost of leading a number of workers and compares it with the limits of a process, which each process registers. VMs that bear the cost do not wait in an election; if none does, the fittest does not. The leader records the number of workers in its row. handover_watch.rs decides from samples of memory, descriptors and late decisions when to hand over; the leader asks a peer that bears at least as much whether it is ready, awaits open orders, stores their answers and resigns in favour of that peer, which reads the row every 25 ms from the call on. Other VMs leave it 0.5 s. Ruled out: a successor that loads the tables before the leader resigns; they take about 20 ms to read.

--- a/crates/dispatch/src/commit_writer.rs
+++ b/crates/dispatch/src/commit_writer.rs
@@ -72,8 +72,14 @@
         self.commit_batch(batch, false).await
     }
 
-    /// Resigns from leadership.
-    pub(crate) async fn resign(&mut self) -> Result<(), LeadershipLost> {
+    /// Sets the number of workers that the next commits record.
+    pub(crate) fn set_workers(&mut self, workers: u64) {
+        self.record.workers = workers;
+    }
+
+    /// Resigns from leadership, in favour of a VM if there is one.
+    pub(crate) async fn resign(&mut self, successor: Option<&str>) -> Result<(), LeadershipLost> {
+        self.record.successor = successor.unwrap_or_default().into();
         self.commit_batch(Vec::new(), true).await
     }
 
--- a/crates/dispatch/src/dispatch_loop.rs
+++ b/crates/dispatch/src/dispatch_loop.rs
@@ -15,13 +15,20 @@
     RowCondition, RowEntry, RowStore, RowTransaction, RowWrite, StoreError, TransactOutcome,
 };
 use crate::worker_client::WorkerClient;
-use crate::{BootClock, ElectionDecision, ElectionWatch, PeerProbe, PolicyCache, StateDump};
+use crate::{
+    BootClock, ElectionDecision, ElectionWatch, PeerProbe, PolicyCache, ProcessLimits, StateDump, UseProbe,
+    election_delay_ms,
+};
 
 /// Interval between reads of the leader row, in milliseconds. The third read after the last change finds that
 /// the leader has failed; processes read at different times, so one of them finds it soon after the timeout.
 const POLL_INTERVAL_MS: u64 = 500;
 /// Random addition to that interval, in milliseconds, so that processes do not race for leadership.
 const POLL_JITTER_MS: u64 = 80;
+/// That interval while a leader is about to resign in favour of this process, in milliseconds.
+const CALLED_POLL_INTERVAL_MS: u64 = 25;
+/// Time for which a leader that has resigned in favour of another VM counts as replaced by it, in milliseconds.
+const SUCCESSOR_GRACE_MS: u64 = 500;
 /// Timeout of a read or a write of the leader row, in milliseconds.
 const STORE_TIMEOUT_MS: u64 = 500;
 
@@ -36,8 +43,8 @@
     pub worker_table: &'static str,
     /// Time of silence after which the worker registry drops an entry, in milliseconds.
     pub registry_silence_ms: u64,
-    /// Wait of this VM before it tries to become leader, in milliseconds; 0 on a VM with enough capacity.
-    pub election_delay_ms: u64,
+    /// What this process may use.
+    pub limits: ProcessLimits,
     /// Maximum size of the value of a row, in bytes.
     pub max_row_bytes: usize,
     /// Options of the scheduler core.
@@ -70,8 +77,10 @@
     pub policy_cache: Arc<PolicyCache>,
     /// What was last read about the leader.
     pub leader: ArcSwap<LeaderView>,
-    /// Finds VMs with more capacity for the leader; `None` if all VMs are alike.
+    /// Knows the other processes; `None` if leadership is not handed over to a chosen one.
     pub peer_probe: Option<PeerProbe>,
+    /// Measures what this process uses.
+    pub use_probe: UseProbe,
     /// State dump of the leader on request.
     pub state_dump: StateDump,
     /// Clocks of the process.
@@ -89,13 +98,15 @@
     C: WorkerClient,
     W: Fn(&[RowEntry], ClockTime) -> Vec<WorkerReport> + Send + Sync + 'static,
 {
-    let mut watch = ElectionWatch::with_delay(context.options.election_delay_ms);
+    let mut watch = ElectionWatch::default();
     let mut connected = true;
     loop {
         if context.stopping.is_cancelled() {
             return;
         }
-        match check_leader(&context, &mut watch).await {
+        let checked = check_leader(&context, &mut watch).await;
+        set_ready(&context, matches!(checked, Ok(None)));
+        match checked {
             Ok(Some((record, version, acquired_at))) => {
                 log::info!(
                     "[seat] elected leader epoch={} process={:x}",
@@ -108,7 +119,7 @@
                 if run.run().await == LeaderExit::Stopped {
                     return;
                 }
-                watch = ElectionWatch::with_delay(context.options.election_delay_ms);
+                watch = ElectionWatch::default();
             }
             Ok(None) => {
                 if !connected {
@@ -123,9 +134,59 @@
                 connected = false;
             }
         }
-        let delay_ms = POLL_INTERVAL_MS + rand::rng().random_range(0..POLL_JITTER_MS);
-        tokio::time::sleep(Duration::from_millis(delay_ms)).await;
+        wait_for_poll(&context).await;
+    }
+}
+
+/// Sets whether this process can succeed the leader.
+fn set_ready<S, C, W>(context: &DispatchContext<S, C, W>, reads_leader_row: bool) {
+    if let Some(probe) = &context.peer_probe {
+        probe
+            .succession
+            .set_ready(reads_leader_row && is_electable(context));
+    }
+}
+
+fn is_electable<S, C, W>(context: &DispatchContext<S, C, W>) -> bool {
+    context.policy_cache.view().frontend.is_some() && !context.stopping.is_cancelled()
+}
+
+/// Waits until the leader row has to be read again.
+async fn wait_for_poll<S, C, W>(context: &DispatchContext<S, C, W>) {
+    let poll_ms = POLL_INTERVAL_MS + rand::rng().random_range(0..POLL_JITTER_MS);
+    let Some(probe) = &context.peer_probe else {
+        return tokio::time::sleep(Duration::from_millis(poll_ms)).await;
+    };
+    let is_called = probe.succession.is_called(context.clock.now());
+    let poll_ms = if is_called {
+        CALLED_POLL_INTERVAL_MS
+    } else {
+        poll_ms
+    };
+    tokio::select! {
+        () = tokio::time::sleep(Duration::from_millis(poll_ms)) => {}
+        () = probe.succession.wait_for_call() => {}
+    }
+}
+
+/// Returns how long this process waits from when it finds no leader until it tries to become leader, in milliseconds.
+fn current_delay_ms<S, C, W>(context: &DispatchContext<S, C, W>, current: &LeaderRecord) -> u64 {
+    let is_successor = current.successor.as_str() == context.options.vm.as_ref();
+    if current.resigned && is_successor {
+        return 0;
+    }
+    let peers = context
+        .peer_probe
+        .as_ref()
+        .map(PeerProbe::peers)
+        .unwrap_or_default();
+    let workers = (current.workers > 0).then_some(current.workers);
+    let limits = peers.iter().map(|peer| peer.limits);
+    let delay_ms = election_delay_ms(context.options.limits, limits, workers);
+    if current.resigned && !current.successor.is_empty() {
+        return SUCCESSOR_GRACE_MS + delay_ms;
     }
+    delay_ms
 }
 
 /// Reads the leader row and tries to become leader if there is none.
@@ -179,8 +240,9 @@
     {
         return Ok(Some((current, version, sent_at)));
     }
-    let ready = context.policy_cache.view().frontend.is_some() && !context.stopping.is_cancelled();
-    if watch.observe(version, current.resigned, now) == ElectionDecision::Wait || !ready {
+    watch.set_delay(current_delay_ms(context, &current));
+    let decision = watch.observe(version, current.resigned, now);
+    if decision == ElectionDecision::Wait || !is_electable(context) {
         return Ok(None);
     }
     try_acquire(context, &current, version).await
@@ -201,6 +263,8 @@
         epoch: current.epoch + 1,
         sequence: 0,
         resigned: false,
+        workers: current.workers,
+        successor: String::new(),
     };
     let transaction = RowTransaction {
         conditions: vec![RowCondition {
--- a/crates/dispatch/src/election_watch.rs
+++ b/crates/dispatch/src/election_watch.rs
@@ -47,6 +47,11 @@
         }
     }
 
+    /// Sets how long this process waits from when it finds no leader until it tries to become leader.
+    pub(crate) fn set_delay(&mut self, delay_ms: u64) {
+        self.delay_ms = delay_ms;
+    }
+
     /// Returns when a change of the row was last observed.
     pub(crate) fn changed_at(&self) -> Option<ClockTime> {
         self.version.map(|_| self.changed_at)
--- a/crates/dispatch/src/leader_feeds.rs
+++ b/crates/dispatch/src/leader_feeds.rs
@@ -1,6 +1,7 @@
-//! Background loops that feed the leader with events: accepted jobs, workers, VMs with more capacity.
+//! Background loops that feed the leader with events: accepted jobs, workers, successors.
 
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::Duration;
 
 use arbutuspick_model::ClockTime;
@@ -8,7 +9,9 @@
 use tokio::sync::mpsc::{Sender, UnboundedSender};
 
 use crate::dispatch_loop::DispatchContext;
+use crate::handover_watch::{HandoverReason, HandoverWatch, ProcessUse};
 use crate::leader_record::INTAKE_TABLE;
+use crate::leading_cost::LeadingCost;
 use crate::registry_watch::RegistryWatch;
 use crate::row_store::{FollowOutcome, RowEntry, RowStore, StoreError, read_table};
 
@@ -20,9 +23,8 @@
 const READ_TIMEOUT_MS: u64 = 900;
 /// Delay after a failed read, in milliseconds.
 pub(crate) const RETRY_DELAY_MS: u64 = 150;
-/// Interval at which a leader on a small VM looks for a VM with more capacity, in milliseconds; a handover
-/// leaves the pool without a leader for about 0.3 s.
-const STRONGER_CHECK_INTERVAL_MS: u64 = 2_000;
+/// Interval at which a leader compares its own use with its limits, in milliseconds.
+const USE_CHECK_INTERVAL_MS: u64 = 1_000;
 /// Time for which the store must have answered before workers missing from the table are removed, in
 /// milliseconds: entries that expired while the store was unreachable reappear about two seconds after it
 /// recovers.
@@ -46,25 +48,92 @@
     },
 }
 
-/// Looks for a VM with more capacity if this one has an election delay.
-pub(crate) async fn watch_stronger_peers<S, C, W>(
+/// A VM that is ready to lead, and why leadership is to pass to it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct ReadySuccessor {
+    pub(crate) vm: Arc<str>,
+    pub(crate) reason: HandoverReason,
+}
+
+/// What the leader's loop tells about its load.
+#[derive(Debug, Default)]
+pub(crate) struct LeaderLoad {
+    workers: AtomicU64,
+    is_late: AtomicBool,
+}
+
+impl LeaderLoad {
+    pub(crate) fn set_workers(&self, workers: u64) {
+        self.workers.store(workers, Ordering::Relaxed);
+    }
+
+    pub(crate) fn set_late(&self, is_late: bool) {
+        self.is_late.store(is_late, Ordering::Relaxed);
+    }
+
+    fn workers(&self) -> Option<u64> {
+        Some(self.workers.load(Ordering::Relaxed)).filter(|workers| *workers > 0)
+    }
+}
+
+/// Watches the limits of this process, and looks for a successor when it should hand leadership over.
+pub(crate) async fn watch_limits<S, C, W>(
     context: Arc<DispatchContext<S, C, W>>,
-    stronger_peers: Sender<Arc<str>>,
+    load: Arc<LeaderLoad>,
+    successors: Sender<ReadySuccessor>,
 ) {
-    let delay_ms = context.options.election_delay_ms;
-    let Some(probe) = context.peer_probe.as_ref().filter(|_| delay_ms > 0) else {
+    let Some(probe) = context.peer_probe.as_ref() else {
         // Keeps the channel open without sending anything.
-        return stronger_peers.closed().await;
+        return successors.closed().await;
     };
+    let limits = context.options.limits;
+    let mut watch = HandoverWatch::new(limits, context.clock.now());
+    let mut reported = None;
     loop {
-        tokio::time::sleep(Duration::from_millis(STRONGER_CHECK_INTERVAL_MS)).await;
-        if let Some(vm) = probe.find_stronger_peer(delay_ms).await {
+        tokio::time::sleep(Duration::from_millis(USE_CHECK_INTERVAL_MS)).await;
+        let (usage, workers) = (context.use_probe.measure(), load.workers());
+        record_use(usage, workers);
+        let reason = watch.observe(
+            usage,
+            load.is_late.load(Ordering::Relaxed),
+            workers,
+            context.clock.now(),
+        );
+        let successor = match reason {
+            Some(reason) => probe.find_successor(limits, workers, reason).await,
+            None => None,
+        };
+        if reason != reported {
+            reported = reason;
+            if let (Some(reason), None) = (reason, &successor) {
+                log::info!(
+                    "[seat] reason={reason} state=no successor workers={workers:?} resident_mb={} descriptors={}",
+                    usage.resident_mb,
+                    usage.open_descriptors
+                );
+            }
+        }
+        if let (Some(vm), Some(reason)) = (successor, reason) {
             // The leader may have stopped in the meantime.
-            let _ = stronger_peers.send(vm).await;
+            let _ = successors.send(ReadySuccessor { vm, reason }).await;
         }
     }
 }
 
+#[allow(clippy::cast_precision_loss)]
+fn record_use(usage: ProcessUse, workers: Option<u64>) {
+    let cost = LeadingCost::of_workers(workers);
+    for (resource, used, needed) in [
+        ("memory_mb", usage.resident_mb, cost.memory_mb),
+        ("descriptors", usage.open_descriptors, cost.descriptors),
+    ] {
+        metrics::gauge!("arbutuspick_process_use", "resource" => resource).set(used as f64);
+        metrics::gauge!("arbutuspick_leading_cost", "resource" => resource).set(needed as f64);
+    }
+    metrics::gauge!("arbutuspick_leading_cost", "resource" => "cpu_percent").set(cost.cpu_percent as f64);
+    metrics::gauge!("arbutuspick_leading_cost", "resource" => "link_mbps").set(cost.link_mbps as f64);
+}
+
 /// Follows accepted jobs and cancel requests.
 pub(crate) async fn follow_intake<S, C, W>(
     context: Arc<DispatchContext<S, C, W>>,
--- a/crates/dispatch/src/leader_record.rs
+++ b/crates/dispatch/src/leader_record.rs
@@ -22,6 +22,12 @@
     /// Whether the leader has resigned.
     #[prost(bool, tag = "5")]
     pub resigned: bool,
+    /// Number of workers in the registry; 0 until the leader has read it.
+    #[prost(uint64, tag = "6")]
+    pub workers: u64,
+    /// VM in whose favour the leader has resigned; empty for none.
+    #[prost(string, tag = "7")]
+    pub successor: String,
 }
 
 /// Number of jobs without a started task, by queue.
--- a/crates/dispatch/src/leader_run.rs
+++ b/crates/dispatch/src/leader_run.rs
@@ -18,7 +18,8 @@
 use crate::intake_key::{IntakeKey, REQUEST_RETENTION_MS, cancel_key};
 use crate::leader_authority::{LEASE_WINDOW_MS, LeaderAuthority};
 use crate::leader_feeds::{
-    LeaderEvent, RETRY_DELAY_MS, TAKEOVER_READ_TIMEOUT_MS, follow_intake, watch_stronger_peers, watch_workers,
+    LeaderEvent, LeaderLoad, RETRY_DELAY_MS, ReadySuccessor, TAKEOVER_READ_TIMEOUT_MS, follow_intake,
+    watch_limits, watch_workers,
 };
 use crate::leader_record::{
     INTAKE_TABLE, LEADER_TABLE, LeaderRecord, PENDING_KEY, PROGRESS_TABLE, PendingRecord,
@@ -39,6 +40,10 @@
 const MIN_PENDING_UPDATE_INTERVAL_MS: u64 = 800;
 /// Maximum number of expired requests of a kind that a commit removes, so that they do not delay its orders.
 const MAX_EXPIRED_ROWS: usize = 40;
+/// Maximum wait for the answers to open orders before leadership is handed over, in milliseconds.
+const HANDOVER_WAIT_MS: u64 = 350;
+/// Interval between looks at the open orders meanwhile, in milliseconds.
+const HANDOVER_POLL_MS: u64 = 5;
 /// Margin added to the wait for leases of an earlier leader, in percent; a worker's clock may be 2% slow.
 const LEASE_WAIT_MARGIN_PERCENT: u64 = 4;
 
@@ -72,6 +77,7 @@
     /// When the row of the earlier leader was last seen to change.
     leaderless_since: ClockTime,
     meter: LoopMeter,
+    load: Arc<LeaderLoad>,
 }
 
 /// Why a leader stopped.
@@ -129,6 +135,7 @@
             earlier_lease_expiry: context.clock.now() + wait_ms,
             leaderless_since,
             meter: LoopMeter::new(acquired_at),
+            load: Arc::default(),
             context,
         }
     }
@@ -156,9 +163,12 @@
         let mut feeds = JoinSet::new();
         feeds.spawn(follow_intake(self.context.clone(), intake_after, sender.clone()));
         feeds.spawn(watch_workers(self.context.clone(), sender));
-        let election_delay_ms = self.context.options.election_delay_ms;
-        let (stronger_sender, mut stronger_peers) = channel(1);
-        feeds.spawn(watch_stronger_peers(self.context.clone(), stronger_sender));
+        let (successor_sender, mut successors) = channel(1);
+        feeds.spawn(watch_limits(
+            self.context.clone(),
+            self.load.clone(),
+            successor_sender,
+        ));
         let stopping = self.context.stopping.clone();
         let mut last_decision_at = Instant::now();
         loop {
@@ -177,10 +187,7 @@
                     log::error!("[seat] a feed of the leader has failed epoch={}: {ended:?}", self.authority.epoch());
                     return self.resign(LeaderExit::FeedFailed).await;
                 }
-                Some(vm) = stronger_peers.recv() => {
-                    log::info!("[seat] handing over to vm={vm} epoch={} handicap_ms={election_delay_ms}", self.authority.epoch());
-                    return self.resign(LeaderExit::HandedOver).await;
-                }
+                Some(successor) = successors.recv() => return self.hand_over(successor).await,
                 () = tick => {}
             }
             self.meter.end_phase(PassPhase::Wait, self.context.clock.now());
@@ -215,8 +222,37 @@
         }));
     }
 
+    /// Resigns in favour of a VM that is ready to lead.
+    ///
+    /// Open orders are awaited and their answers stored, so that the next leader knows which runs have started.
+    async fn hand_over(mut self, successor: ReadySuccessor) -> LeaderExit {
+        let ReadySuccessor { vm, reason } = successor;
+        let epoch = self.authority.epoch();
+        log::info!("[seat] handing over to vm={vm} epoch={epoch} reason={reason}");
+        metrics::counter!("arbutuspick_handovers_total", "reason" => reason.to_string()).increment(1);
+        let deadline = self.context.clock.now() + HANDOVER_WAIT_MS;
+        loop {
+            // An order counts as open from when its task is first polled.
+            tokio::time::sleep(Duration::from_millis(HANDOVER_POLL_MS)).await;
+            let has_open_orders = self.sessions.values().any(WorkerSession::has_open_orders);
+            if !has_open_orders || self.context.clock.now() >= deadline {
+                break;
+            }
+        }
+        while let Ok((key, event)) = self.worker_events.try_recv() {
+            self.apply_worker_event(key, event);
+        }
+        let changes = self.core.take_changes();
+        let writes = self.collect_writes(changes, self.context.clock.now());
+        if self.writer.commit(writes).await.is_err() || self.writer.resign(Some(&vm)).await.is_err() {
+            return LeaderExit::Lost;
+        }
+        log::info!("[seat] resigned epoch={epoch} successor={vm}");
+        LeaderExit::HandedOver
+    }
+
     async fn resign(mut self, exit: LeaderExit) -> LeaderExit {
-        if self.writer.resign().await.is_ok() {
+        if self.writer.resign(None).await.is_ok() {
             log::info!("[seat] resigned epoch={}", self.authority.epoch());
         }
         exit
@@ -420,6 +456,9 @@
             session.state().update(0, true);
             self.sessions.insert(key, session);
         }
+        let workers = self.sessions.len() as u64;
+        self.load.set_workers(workers);
+        self.writer.set_workers(workers);
     }
 
     fn apply_worker_event(&mut self, key: WorkerKey, event: WorkerEvent) {
@@ -546,6 +585,7 @@
         self.meter.end_phase(PassPhase::Send, now);
         let waiting_tasks = self.core.summary().waiting_tasks;
         self.meter.end_pass(order_count, row_count, waiting_tasks, now);
+        self.load.set_late(self.meter.is_late());
         Ok(())
     }
 
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -16,12 +16,14 @@
 mod election_watch;
 mod expiring_rows;
 mod frontend_policy;
+mod handover_watch;
 mod intake_key;
 mod job_intake;
 mod leader_authority;
 mod leader_feeds;
 mod leader_record;
 mod leader_run;
+mod leading_cost;
 mod loop_meter;
 mod member_list;
 mod open_submissions;
@@ -41,6 +43,7 @@
 mod row_store;
 mod state_dump;
 mod store_health;
+mod succession;
 mod supervisor;
 mod withdrawal_budget;
 mod worker_client;
@@ -51,8 +54,10 @@
 pub use dispatch_loop::{DispatchContext, DispatchOptions, LeaderView, run_dispatch};
 pub use election_watch::{ElectionDecision, ElectionWatch};
 pub use frontend_policy::{AccessError, FrontendPolicy, QueueAccess, QueueRoute, SizeLimits};
+pub use handover_watch::{HandoverReason, HandoverWatch, ProcessUse, accepts_leadership, rank_successors};
 pub use job_intake::{CancelOutcome, IntakeOptions, JobIntake, StatusOutcome, SubmitOutcome};
 pub use leader_record::LeaderRecord;
+pub use leading_cost::{LeadingCost, ProcessLimits, VmFitness, election_delay_ms};
 pub use peer_probe::PeerProbe;
 pub use policy_cache::{PolicyCache, PolicyRows, PolicyView, follow_policy};
 pub use progress_rows::ProgressRows;
@@ -63,6 +68,7 @@
     TransactOutcome,
 };
 pub use state_dump::StateDump;
+pub use succession::UseProbe;
 pub use supervisor::supervise;
 pub use worker_client::{
     ConnectionId, PollCall, PollReply, StartCall, StartReply, StopCall, WorkerClient, WorkerError,
--- a/crates/dispatch/src/loop_meter.rs
+++ b/crates/dispatch/src/loop_meter.rs
@@ -3,6 +3,12 @@
 /// Interval between log lines of the meter, in milliseconds.
 const REPORT_INTERVAL_MS: u64 = 2_000;
 
+/// Time for which a pass of the loop may keep the processor, in milliseconds; others try to take over after a second
+/// without a commit.
+const LATE_PASS_MS: u64 = 500;
+/// Consecutive late passes after which decisions count as late.
+const MAX_LATE_PASSES: u32 = 3;
+
 /// Part of a pass of the leader's loop.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum PassPhase {
@@ -36,6 +42,9 @@
     orders: usize,
     rows: usize,
     spent_ms: [u64; PHASES.len()],
+    /// Time of the current pass apart from waits for events and the store.
+    own_ms: u64,
+    late_passes: u32,
 }
 
 impl LoopMeter {
@@ -48,6 +57,8 @@
             orders: 0,
             rows: 0,
             spent_ms: [0; PHASES.len()],
+            own_ms: 0,
+            late_passes: 0,
         }
     }
 
@@ -56,6 +67,9 @@
     pub(crate) fn end_phase(&mut self, phase: PassPhase, now: ClockTime) {
         let millis = now.millis_since(self.phase_began_at);
         self.phase_began_at = now;
+        if !matches!(phase, PassPhase::Wait | PassPhase::Commit) {
+            self.own_ms += millis;
+        }
         for (index, (known, name)) in PHASES.iter().enumerate() {
             if *known == phase {
                 self.spent_ms[index] += millis;
@@ -65,12 +79,19 @@
         }
     }
 
+    /// Returns whether decisions come late, so that leadership may soon be lost.
+    pub(crate) fn is_late(&self) -> bool {
+        self.late_passes >= MAX_LATE_PASSES
+    }
+
     pub(crate) fn count_event(&mut self) {
         self.events += 1;
     }
 
     /// Ends a pass that stored `rows` and sent `orders`; logs the sums if they are due.
     pub(crate) fn end_pass(&mut self, orders: usize, rows: usize, waiting_tasks: usize, now: ClockTime) {
+        let is_late = std::mem::take(&mut self.own_ms) >= LATE_PASS_MS;
+        self.late_passes = if is_late { self.late_passes + 1 } else { 0 };
         self.passes += 1;
         self.orders += orders;
         self.rows += rows;
@@ -86,6 +107,9 @@
             self.orders,
             self.rows,
         );
-        *self = Self::new(now);
+        *self = Self {
+            late_passes: self.late_passes,
+            ..Self::new(now)
+        };
     }
 }
--- a/crates/dispatch/src/member_list.rs
+++ b/crates/dispatch/src/member_list.rs
@@ -8,6 +8,7 @@
 use rand::seq::SliceRandom;
 
 use crate::BootClock;
+use crate::leading_cost::ProcessLimits;
 use crate::row_store::{RowStore, RowTransaction, RowWrite, StoreError, read_table};
 
 /// Table of [`MemberRecord`]s; the key is the name of the VM.
@@ -31,9 +32,37 @@
     /// Data centre of its VM.
     #[prost(string, tag = "2")]
     pub(crate) centre: String,
-    /// Wait of its VM before it tries to become leader, in milliseconds; longer on VMs with less capacity.
-    #[prost(uint64, tag = "3")]
-    pub(crate) election_delay_ms: u64,
+    /// Limits of the process; 0 for none.
+    #[prost(uint64, tag = "4")]
+    memory_mb: u64,
+    #[prost(uint64, tag = "5")]
+    max_descriptors: u64,
+    #[prost(uint64, tag = "6")]
+    cpu_percent: u64,
+    #[prost(uint64, tag = "7")]
+    link_mbps: u64,
+}
+
+impl MemberRecord {
+    pub(crate) fn new(address: SocketAddr, centre: &str, limits: ProcessLimits) -> Self {
+        Self {
+            address: address.to_string(),
+            centre: centre.into(),
+            memory_mb: limits.memory_mb,
+            max_descriptors: limits.max_descriptors,
+            cpu_percent: limits.cpu_percent,
+            link_mbps: limits.link_mbps,
+        }
+    }
+
+    fn limits(&self) -> ProcessLimits {
+        ProcessLimits {
+            memory_mb: self.memory_mb,
+            max_descriptors: self.max_descriptors,
+            cpu_percent: self.cpu_percent,
+            link_mbps: self.link_mbps,
+        }
+    }
 }
 
 /// Another process that can relay calls.
@@ -41,7 +70,7 @@
 pub(crate) struct PeerProcess {
     pub(crate) vm: Arc<str>,
     pub(crate) address: SocketAddr,
-    pub(crate) election_delay_ms: u64,
+    pub(crate) limits: ProcessLimits,
 }
 
 /// Registers this process and reads the member table periodically; passes the others to `on_update`.
@@ -113,7 +142,7 @@
             Ok(address) => Some(PeerProcess {
                 vm,
                 address,
-                election_delay_ms: record.election_delay_ms,
+                limits: record.limits(),
             }),
             Err(error) => {
                 log::warn!(
--- a/crates/dispatch/src/peer_probe.rs
+++ b/crates/dispatch/src/peer_probe.rs
@@ -1,34 +1,45 @@
 use std::sync::Arc;
 
 use crate::BootClock;
-use crate::leader_record::LEADER_TABLE;
+use crate::handover_watch::{HandoverReason, rank_successors};
+use crate::leading_cost::ProcessLimits;
+use crate::member_list::PeerProcess;
 use crate::relay_client::RelayClient;
-use crate::relay_message::{CallBody, ReadMessage, ReplyBody};
+use crate::relay_message::{CallBody, ReplyBody};
+use crate::succession::SuccessionCall;
 
-/// Minimum difference in election delay, in milliseconds, for which a handover to a peer is worthwhile.
-const MIN_ADVANTAGE_MS: u64 = 300;
-/// Timeout of a probe of one peer, in milliseconds.
-const PROBE_TIMEOUT_MS: u64 = 400;
+/// Timeout of a call to one peer, in milliseconds.
+const CALL_TIMEOUT_MS: u64 = 400;
+/// Maximum number of peers that are asked in turn.
+const MAX_ASKED_PEERS: usize = 4;
 
-/// Finds VMs with more capacity for the leader.
+/// Knows the other processes of the deployment: what they can bear, and whether they are ready to lead.
 #[derive(Clone, Debug)]
 pub struct PeerProbe {
     pub(crate) clock: BootClock,
     pub(crate) client: Arc<RelayClient>,
+    pub(crate) succession: Arc<SuccessionCall>,
 }
 
 impl PeerProbe {
-    /// Returns a VM that has a shorter election delay than this one, answers, and can reach the store.
-    pub(crate) async fn find_stronger_peer(&self, delay_ms: u64) -> Option<Arc<str>> {
-        let max_delay_ms = delay_ms.checked_sub(MIN_ADVANTAGE_MS)?;
-        for peer in self.client.peers_within_delay(max_delay_ms) {
-            let call = CallBody::Read(ReadMessage {
-                table: LEADER_TABLE.into(),
-                from: String::new(),
-                limit: 1,
-            });
-            let deadline = self.clock.now() + PROBE_TIMEOUT_MS;
-            if let Some(ReplyBody::Page(_)) = self.client.call_peer(&peer, call, deadline).await {
+    /// Returns the processes that were last read from the member table.
+    pub(crate) fn peers(&self) -> Arc<Vec<PeerProcess>> {
+        self.client.peers()
+    }
+
+    /// Returns the fittest VM to which leadership may pass that answers, can reach the store, and is ready to lead.
+    pub(crate) async fn find_successor(
+        &self,
+        own: ProcessLimits,
+        workers: Option<u64>,
+        reason: HandoverReason,
+    ) -> Option<Arc<str>> {
+        let usable = self.client.usable_peers();
+        let ranked = rank_successors(own, usable, |peer| peer.limits, workers, reason);
+        for peer in ranked.into_iter().take(MAX_ASKED_PEERS) {
+            let deadline = self.clock.now() + CALL_TIMEOUT_MS;
+            let call = CallBody::Succeed(true);
+            if let Some(ReplyBody::Accepted(true)) = self.client.call_peer(&peer, call, deadline).await {
                 return Some(peer.vm);
             }
         }
--- a/crates/dispatch/src/relay_client.rs
+++ b/crates/dispatch/src/relay_client.rs
@@ -96,13 +96,16 @@
         Some(reply)
     }
 
-    /// Returns the usable peers with at most this election delay, in milliseconds.
-    pub(crate) fn peers_within_delay(&self, delay_ms: u64) -> Vec<PeerProcess> {
+    /// Returns all known peers.
+    pub(crate) fn peers(&self) -> Arc<Vec<PeerProcess>> {
+        self.peers.load_full()
+    }
+
+    /// Returns the peers without a recent failure.
+    pub(crate) fn usable_peers(&self) -> Vec<PeerProcess> {
         let peers = self.peers.load_full();
-        let eligible = peers
-            .iter()
-            .filter(|peer| peer.election_delay_ms <= delay_ms && self.is_usable(peer.address));
-        eligible.cloned().collect()
+        let usable = peers.iter().filter(|peer| self.is_usable(peer.address));
+        usable.cloned().collect()
     }
 
     fn is_usable(&self, address: SocketAddr) -> bool {
--- a/crates/dispatch/src/relay_message.rs
+++ b/crates/dispatch/src/relay_message.rs
@@ -14,7 +14,7 @@
     /// Time until the deadline of the caller, in milliseconds.
     #[prost(uint64, tag = "1")]
     pub(crate) remaining_ms: u64,
-    #[prost(oneof = "CallBody", tags = "2, 3, 4")]
+    #[prost(oneof = "CallBody", tags = "2, 3, 4, 5")]
     pub(crate) body: Option<CallBody>,
 }
 
@@ -26,6 +26,9 @@
     Read(ReadMessage),
     #[prost(message, tag = "4")]
     Follow(FollowMessage),
+    /// Asks whether the process is ready to succeed the leader that calls; always true.
+    #[prost(bool, tag = "5")]
+    Succeed(bool),
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -74,7 +77,7 @@
 /// Reply to a [`RelayCall`].
 #[derive(Clone, PartialEq, Message)]
 pub(crate) struct RelayReply {
-    #[prost(oneof = "ReplyBody", tags = "1, 2, 3, 4, 5, 6, 7")]
+    #[prost(oneof = "ReplyBody", tags = "1, 2, 3, 4, 5, 6, 7, 8")]
     pub(crate) body: Option<ReplyBody>,
 }
 
@@ -97,6 +100,9 @@
     /// The call may have been executed; the text gives the cause.
     #[prost(string, tag = "7")]
     Indeterminate(String),
+    /// Whether the process is ready to succeed the leader.
+    #[prost(bool, tag = "8")]
+    Accepted(bool),
 }
 
 #[derive(Clone, PartialEq, Message)]
--- a/crates/dispatch/src/relay_server.rs
+++ b/crates/dispatch/src/relay_server.rs
@@ -12,9 +12,11 @@
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
 use crate::BootClock;
+use crate::leading_cost::ProcessLimits;
 use crate::relay_message::{CallBody, KnownTables, RelayCall, RelayReply, ReplyBody, known_table};
 use crate::row_store::{RowStore, StoreError};
 use crate::store_health::StoreHealth;
+use crate::succession::{SuccessionCall, UseProbe};
 
 /// Maximum size of a frame in bytes: a commit or a page of rows, which the store limits to 1 MB of text.
 pub(crate) const MAX_FRAME_BYTES: usize = 2 * 1024 * 1024;
@@ -45,6 +47,9 @@
     pub(crate) health: Arc<StoreHealth>,
     pub(crate) clock: BootClock,
     pub(crate) tables: KnownTables,
+    pub(crate) limits: ProcessLimits,
+    pub(crate) use_probe: UseProbe,
+    pub(crate) succession: Arc<SuccessionCall>,
 }
 
 /// Serves relayed calls for as long as the process runs.
@@ -114,9 +119,17 @@
         message: "the call names an unknown table".into(),
     };
     let table = |name: &str| known_table(context.tables, name).ok_or_else(unknown);
+    if let Some(CallBody::Succeed(_)) = call.body {
+        let usage = context.use_probe.measure();
+        return ReplyBody::Accepted(
+            context
+                .succession
+                .accept(context.limits, usage, context.clock.now()),
+        );
+    }
     metrics::counter!("arbutuspick_relayed_calls_total", "side" => "server").increment(1);
     let reply = match call.body {
-        None => return ReplyBody::NotExecuted("the call has no body".into()),
+        None | Some(CallBody::Succeed(_)) => return ReplyBody::NotExecuted("the call has no body".into()),
         Some(CallBody::Transact(transaction)) => match transaction.into_transaction(context.tables) {
             Some(transaction) => context
                 .health
--- a/crates/dispatch/src/relayed_store.rs
+++ b/crates/dispatch/src/relayed_store.rs
@@ -11,7 +11,8 @@
 use crate::relay_server::{RelayContext, serve_relay};
 use crate::row_store::{FollowOutcome, RowPage, RowStore, RowTransaction, StoreError, TransactOutcome};
 use crate::store_health::StoreHealth;
-use crate::{BootClock, PeerProbe};
+use crate::succession::{SuccessionCall, UseProbe};
+use crate::{BootClock, PeerProbe, ProcessLimits};
 
 /// Interval between direct probes of the store while it is unreachable, in milliseconds.
 const PROBE_INTERVAL_MS: u64 = 400;
@@ -29,6 +30,7 @@
     clock: BootClock,
     health: Arc<StoreHealth>,
     client: Arc<RelayClient>,
+    succession: Arc<SuccessionCall>,
 }
 
 /// Settings of the relay of a process.
@@ -38,8 +40,10 @@
     pub vm: Arc<str>,
     /// Data centre of this VM.
     pub centre: Arc<str>,
-    /// How long this VM waits before it tries to become leader, in milliseconds.
-    pub election_delay_ms: u64,
+    /// What this process may use.
+    pub limits: ProcessLimits,
+    /// Measures what this process uses.
+    pub use_probe: UseProbe,
     /// Address of the relay server of this process.
     pub address: SocketAddr,
     /// Tables that a relayed call may access besides those of this crate.
@@ -57,14 +61,16 @@
             clock,
             health: Arc::new(StoreHealth::new(clock)),
             client: Arc::new(RelayClient::new(clock)),
+            succession: Arc::default(),
         }
     }
 
-    /// Returns a probe with which the leader finds VMs with more capacity.
+    /// Returns a probe with which this process takes part in handovers of leadership.
     pub fn peer_probe(&self) -> PeerProbe {
         PeerProbe {
             clock: self.clock,
             client: self.client.clone(),
+            succession: self.succession.clone(),
         }
     }
 
@@ -75,12 +81,11 @@
             health: self.health.clone(),
             clock: self.clock,
             tables: options.tables,
+            limits: options.limits,
+            use_probe: options.use_probe,
+            succession: self.succession.clone(),
         });
-        let record = MemberRecord {
-            address: options.address.to_string(),
-            centre: options.centre.to_string(),
-            election_delay_ms: options.election_delay_ms,
-        };
+        let record = MemberRecord::new(options.address, &options.centre, options.limits);
         tokio::join!(
             serve_relay(listener, context),
             watch_members(&self.direct, self.clock, &options.vm, record, |peers| {
--- a/crates/dispatch/src/worker_session.rs
+++ b/crates/dispatch/src/worker_session.rs
@@ -151,6 +151,11 @@
         self.sender.worker_clock.seal()
     }
 
+    /// Returns whether orders have not been answered or given up.
+    pub(crate) fn has_open_orders(&self) -> bool {
+        self.permits.available_permits() < MAX_CONCURRENT_ORDERS
+    }
+
     /// Sends an order in the background; reports the result as an event.
     pub(crate) fn send(&mut self, order: PoolOrder) {
         while self.tasks.try_join_next().is_some() {}
--- /dev/null
+++ b/crates/dispatch/tests/leading_cost.rs
@@ -0,0 +1,69 @@
+//! Which VM leads: the cost of leading against the limits of VMs of different sizes.
+
+use arbutuspick_dispatch::{LeadingCost, ProcessLimits, VmFitness, election_delay_ms};
+use proptest::prelude::*;
+use yare::parameterized;
+
+const LARGE_VM: ProcessLimits = limits(512, 8_192, 50, 200);
+const MEDIUM_VM: ProcessLimits = limits(400, 10_250, 30, 10);
+const SMALL_VM: ProcessLimits = limits(120, 3_075, 9, 10);
+/// A VM that is small only in memory and descriptors.
+const TIGHT_VM: ProcessLimits = limits(120, 3_075, 100, 1_000);
+
+const fn limits(memory_mb: u64, max_descriptors: u64, cpu_percent: u64, link_mbps: u64) -> ProcessLimits {
+    ProcessLimits {
+        memory_mb,
+        max_descriptors,
+        cpu_percent,
+        link_mbps,
+    }
+}
+
+/// Guards against a leader that runs out of memory or descriptors because the pool has more workers than it can hold.
+#[parameterized(
+    few_workers = { TIGHT_VM, 350, true },
+    many_workers = { TIGHT_VM, 3_500, false },
+    large_vm = { limits(512, 8_192, 100, 200), 3_500, true },
+    little_cpu = { SMALL_VM, 24, false },
+    unknown_limits = { ProcessLimits::default(), 100_000, true },
+)]
+fn bears_cost(limits: ProcessLimits, workers: u64, expected: bool) {
+    let fitness = VmFitness::new(limits, LeadingCost::of_workers(Some(workers)));
+    assert_eq!(fitness.bears_cost(), expected, "{fitness:?}");
+}
+
+/// Guards against an election that a VM wins although a fitter one is there, and against VMs that all wait for a leader that
+/// no VM can be.
+#[test]
+fn election_order() {
+    let delays = |own, peers: &[ProcessLimits], workers| election_delay_ms(own, peers.to_vec(), workers);
+    assert_eq!(delays(LARGE_VM, &[SMALL_VM, MEDIUM_VM], Some(350)), 0);
+    assert!(
+        delays(SMALL_VM, &[LARGE_VM], Some(350)) > 580,
+        "sooner than the others look"
+    );
+    assert_eq!(delays(TIGHT_VM, &[LARGE_VM], Some(350)), 0);
+    assert!(delays(TIGHT_VM, &[LARGE_VM], Some(3_500)) > 0);
+    // Nobody bears the cost: the one that bears the most does not wait.
+    assert_eq!(delays(MEDIUM_VM, &[SMALL_VM, MEDIUM_VM], Some(350)), 0);
+    assert!(delays(SMALL_VM, &[SMALL_VM, MEDIUM_VM], Some(350)) > 0);
+    // Neither peers nor workers are known yet.
+    assert_eq!(delays(LARGE_VM, &[], None), 0);
+    assert!(delays(SMALL_VM, &[], None) > 580);
+}
+
+fn any_limits() -> impl Strategy<Value = ProcessLimits> {
+    (50_u64..2_000, 500_u64..20_000, 1_u64..200, 1_u64..2_000)
+        .prop_map(|(memory, descriptors, cpu, link)| limits(memory, descriptors, cpu, link))
+}
+
+proptest! {
+    /// Guards against leadership that moves back and forth between two VMs, and to one that can bear less.
+    #[test]
+    fn no_return(first in any_limits(), second in any_limits(), workers in 1_u64..20_000) {
+        let cost = LeadingCost::of_workers(Some(workers));
+        let (first, second) = (VmFitness::new(first, cost), VmFitness::new(second, cost));
+        prop_assert!(!(first.yields_to(&second) && second.yields_to(&first)));
+        prop_assert!(!first.yields_to(&second) || second > first);
+    }
+}
--- a/crates/dispatch/tests/random_faults.rs
+++ b/crates/dispatch/tests/random_faults.rs
@@ -11,8 +11,8 @@
 use std::time::Duration;
 
 use arbutuspick_dispatch::{
-    BootClock, DispatchContext, DispatchOptions, IntakeOptions, JobIntake, PolicyCache, follow_policy,
-    run_dispatch,
+    BootClock, DispatchContext, DispatchOptions, IntakeOptions, JobIntake, PolicyCache, ProcessLimits,
+    UseProbe, follow_policy, run_dispatch,
 };
 use arbutuspick_pool::CoreOptions;
 use rand::rngs::StdRng;
@@ -41,6 +41,7 @@
         policy_cache: cache.clone(),
         leader: Default::default(),
         peer_probe: None,
+        use_probe: UseProbe::default(),
         state_dump: Default::default(),
         clock,
         stopping: CancellationToken::new(),
@@ -49,7 +50,7 @@
             instance_id: 1_000 + number as u64,
             worker_table: WORKER_TABLE,
             registry_silence_ms: SILENCE_MS,
-            election_delay_ms: 0,
+            limits: ProcessLimits::default(),
             max_row_bytes: 65_536,
             core: CoreOptions::default(),
         },
--- a/crates/dispatch/tests/relayed_calls.rs
+++ b/crates/dispatch/tests/relayed_calls.rs
@@ -5,7 +5,8 @@
 use std::time::Duration;
 
 use arbutuspick_dispatch::{
-    BootClock, IntakeOptions, JobIntake, RelayOptions, RelayedStore, StatusOutcome, SubmitOutcome,
+    BootClock, IntakeOptions, JobIntake, ProcessLimits, RelayOptions, RelayedStore, StatusOutcome,
+    SubmitOutcome, UseProbe,
 };
 use arbutuspick_pool::JobStage;
 use support::{FakeStore, StoreMode, deadline, job};
@@ -29,7 +30,8 @@
         let options = RelayOptions {
             vm: format!("vm{process}").into(),
             centre: "trent".into(),
-            election_delay_ms: 0,
+            limits: ProcessLimits::default(),
+            use_probe: UseProbe::default(),
             address: listener.local_addr().unwrap(),
             tables: &[],
         };
--- a/crates/dispatch/tests/support/mod.rs
+++ b/crates/dispatch/tests/support/mod.rs
@@ -10,9 +10,9 @@
 
 use arbutuspick_dispatch::{
     BootClock, ConnectionId, DispatchContext, DispatchOptions, FollowOutcome, FrontendPolicy, IntakeOptions,
-    JobIntake, PolicyCache, PolicyRows, PollCall, PollReply, RowEntry, RowPage, RowStore, RowTransaction,
-    StartCall, StartReply, StopCall, StoreError, TransactOutcome, WorkerClient, WorkerError, WorkerIdentity,
-    follow_policy, run_dispatch,
+    JobIntake, PolicyCache, PolicyRows, PollCall, PollReply, ProcessLimits, RowEntry, RowPage, RowStore,
+    RowTransaction, StartCall, StartReply, StopCall, StoreError, TransactOutcome, UseProbe, WorkerClient,
+    WorkerError, WorkerIdentity, follow_policy, run_dispatch,
 };
 use arbutuspick_model::{ClockTime, WorkerTime};
 use arbutuspick_pool::{
@@ -707,6 +707,7 @@
             policy_cache: cache.clone(),
             leader: Default::default(),
             peer_probe: None,
+            use_probe: UseProbe::default(),
             state_dump: Default::default(),
             clock,
             stopping: stopping.clone(),
@@ -715,7 +716,7 @@
                 instance_id: 1_000 + number as u64,
                 worker_table: WORKER_TABLE,
                 registry_silence_ms: 4_500,
-                election_delay_ms: 0,
+                limits: ProcessLimits::default(),
                 max_row_bytes: MAX_ROW_BYTES,
                 core: CoreOptions::default(),
             },
--- a/crates/dispatch/tests/unexpected_errors.rs
+++ b/crates/dispatch/tests/unexpected_errors.rs
@@ -7,8 +7,8 @@
 
 use arbutuspick_dispatch::{
     BootClock, DispatchContext, DispatchOptions, IntakeOptions, JobIntake, PolicyCache, PollCall, PollReply,
-    RowEntry, StartCall, StartReply, StopCall, WorkerClient, WorkerError, WorkerIdentity, follow_policy,
-    run_dispatch, supervise,
+    ProcessLimits, RowEntry, StartCall, StartReply, StopCall, UseProbe, WorkerClient, WorkerError,
+    WorkerIdentity, follow_policy, run_dispatch, supervise,
 };
 use arbutuspick_model::ClockTime;
 use arbutuspick_pool::{CoreOptions, WorkerReport};
@@ -99,6 +99,7 @@
         policy_cache: cache.clone(),
         leader: Default::default(),
         peer_probe: None,
+        use_probe: UseProbe::default(),
         state_dump: Default::default(),
         clock,
         stopping: CancellationToken::new(),
@@ -107,7 +108,7 @@
             instance_id: 1_001,
             worker_table: WORKER_TABLE,
             registry_silence_ms: 4_500,
-            election_delay_ms: 0,
+            limits: ProcessLimits::default(),
             max_row_bytes: 65_536,
             core: CoreOptions::default(),
         },
