State the cost of leading from measured slopes, and report the use of a leader

Cause: the first constants counted 1.5 descriptors a worker. With 1,500 workers that all run something, a leader held 3,019 descriptors in a burst, 1,519 five seconds later and 18 when idle; resident memory grew by 27 KiB a worker from idle to the burst. Change: two descriptors a worker and 500 for the rest; a VM counts as able to lead up to 80% of its memory and descriptors, below the 85% at which a leader hands over.

--- a/crates/dispatch/src/leader_feeds.rs
+++ b/crates/dispatch/src/leader_feeds.rs
@@ -25,6 +25,8 @@
 pub(crate) const RETRY_DELAY_MS: u64 = 150;
 /// Interval at which a leader compares its own use with its limits, in milliseconds.
 const USE_CHECK_INTERVAL_MS: u64 = 1_000;
+/// Interval between log lines about that use, in milliseconds.
+const USE_REPORT_INTERVAL_MS: u64 = 10_000;
 /// Time for which the store must have answered before workers missing from the table are removed, in
 /// milliseconds: entries that expired while the store was unreachable reappear about two seconds after it
 /// recovers.
@@ -89,6 +91,7 @@
     let limits = context.options.limits;
     let mut watch = HandoverWatch::new(limits, context.clock.now());
     let mut reported = None;
+    let mut report_at = context.clock.now();
     loop {
         tokio::time::sleep(Duration::from_millis(USE_CHECK_INTERVAL_MS)).await;
         let (usage, workers) = (context.use_probe.measure(), load.workers());
@@ -99,6 +102,21 @@
             workers,
             context.clock.now(),
         );
+        let now = context.clock.now();
+        if now >= report_at {
+            report_at = now + USE_REPORT_INTERVAL_MS;
+            let cost = LeadingCost::of_workers(workers);
+            log::info!(
+                "[seat] use resident_mb={}/{} descriptors={}/{} cost_mb={} cost_descriptors={} workers={}",
+                usage.resident_mb,
+                limits.memory_mb,
+                usage.open_descriptors,
+                limits.max_descriptors,
+                cost.memory_mb,
+                cost.descriptors,
+                workers.unwrap_or(0)
+            );
+        }
         let successor = match reason {
             Some(reason) => probe.find_successor(limits, workers, reason).await,
             None => None,
@@ -106,11 +124,7 @@
         if reason != reported {
             reported = reason;
             if let (Some(reason), None) = (reason, &successor) {
-                log::info!(
-                    "[seat] reason={reason} state=no successor workers={workers:?} resident_mb={} descriptors={}",
-                    usage.resident_mb,
-                    usage.open_descriptors
-                );
+                log::info!("[seat] reason={reason} state=no successor");
             }
         }
         if let (Some(vm), Some(reason)) = (successor, reason) {
--- a/crates/dispatch/src/leading_cost.rs
+++ b/crates/dispatch/src/leading_cost.rs
@@ -14,14 +14,16 @@
 /// bear the cost either; a handover interrupts scheduling.
 const MIN_ADVANTAGE_PERCENT: u64 = 33;
 
+/// Share of the memory and the descriptors of a process that leading may take, in percent; from 85% on a leader hands over.
+const USABLE_PERCENT: u64 = 80;
 /// Memory of a leader without workers, with the buffers and state of a burst of jobs, in KiB.
 const BASE_MEMORY_KIB: u64 = 24_000;
 /// Memory for each worker: connections, session, listed runs and placement state, in KiB.
 const MEMORY_PER_WORKER_KIB: u64 = 32;
 /// Descriptors of a process that are not for workers: files, callers, store, peers.
-const BASE_DESCRIPTORS: u64 = 700;
-/// Descriptors for ten workers: one listing call each, and connections for orders to some.
-const DESCRIPTORS_PER_TEN_WORKERS: u64 = 15;
+const BASE_DESCRIPTORS: u64 = 500;
+/// Descriptors for each worker in a burst: a listing call and a connection for orders.
+const DESCRIPTORS_PER_WORKER: u64 = 2;
 /// Processor time of a burst of jobs, in thousandths of a core.
 const BASE_CPU_MILLIS: u64 = 200;
 /// Processor time for ten workers, in thousandths of a core: their listings, and twice that in a burst.
@@ -29,7 +31,7 @@
 /// Bandwidth of a burst of starts, in kbit/s; with 10 Mbit/s, a third of the starts on 350 workers timed out.
 const BASE_LINK_KBITS: u64 = 95_000;
 /// Bandwidth for each worker, in kbit/s: its listings, the worker registry, and twice that in a burst.
-const LINK_KBITS_PER_WORKER: u64 = 10;
+const LINK_KBITS_PER_WORKER: u64 = 4;
 
 /// What a process may use; 0 for a resource without a known limit.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -63,7 +65,7 @@
         let workers = workers.unwrap_or(ASSUMED_WORKERS);
         Self {
             memory_mb: (BASE_MEMORY_KIB + MEMORY_PER_WORKER_KIB * workers).div_ceil(1024),
-            descriptors: BASE_DESCRIPTORS + (DESCRIPTORS_PER_TEN_WORKERS * workers).div_ceil(10),
+            descriptors: BASE_DESCRIPTORS + DESCRIPTORS_PER_WORKER * workers,
             cpu_percent: (BASE_CPU_MILLIS + CPU_MILLIS_PER_TEN_WORKERS * workers / 10) / 10,
             link_mbps: (BASE_LINK_KBITS + LINK_KBITS_PER_WORKER * workers) / 1_000,
         }
@@ -87,9 +89,10 @@
 impl VmFitness {
     /// Compares limits with a cost.
     pub fn new(limits: ProcessLimits, cost: LeadingCost) -> Self {
+        let usable = |limit: u64| (limit * USABLE_PERCENT).div_ceil(100);
         let mut shares = [
-            covered_percent(limits.memory_mb, cost.memory_mb),
-            covered_percent(limits.max_descriptors, cost.descriptors),
+            covered_percent(usable(limits.memory_mb), cost.memory_mb),
+            covered_percent(usable(limits.max_descriptors), cost.descriptors),
             covered_percent(limits.cpu_percent, cost.cpu_percent),
             covered_percent(limits.link_mbps, cost.link_mbps),
         ];
--- a/crates/dispatch/tests/leading_cost.rs
+++ b/crates/dispatch/tests/leading_cost.rs
@@ -23,7 +23,8 @@
 #[parameterized(
     few_workers = { TIGHT_VM, 350, true },
     many_workers = { TIGHT_VM, 3_500, false },
-    large_vm = { limits(512, 8_192, 100, 200), 3_500, true },
+    large_vm = { limits(512, 8_192, 100, 200), 3_000, true },
+    too_many_connections = { limits(512, 8_192, 100, 200), 3_500, false },
     little_cpu = { SMALL_VM, 24, false },
     unknown_limits = { ProcessLimits::default(), 100_000, true },
 )]
