--- a/crates/dispatch/src/job_intake.rs
+++ b/crates/dispatch/src/job_intake.rs
@@ -299,6 +299,8 @@
         released: 0,
         occurrences: Vec::new(),
         has_begun: false,
+        remaining: Vec::new(),
+        ended_at_ms: 0,
     };
     RowTransaction {
         conditions: vec![
--- a/crates/dispatch/src/leader_run.rs
+++ b/crates/dispatch/src/leader_run.rs
@@ -18,12 +18,15 @@
 use crate::intake_key::{IntakeKey, REQUEST_RETENTION_MS, cancel_key};
 use crate::leader_authority::{LEASE_WINDOW_MS, LeaderAuthority};
 use crate::leader_feeds::{
-    LeaderEvent, RETRY_DELAY_MS, TAKEOVER_READ_TIMEOUT_MS, follow_intake, watch_stronger_peers, watch_workers,
+    LeaderEvent, LeaderLoad, RETRY_DELAY_MS, ReadySuccessor, TAKEOVER_READ_TIMEOUT_MS, follow_intake,
+    watch_limits, watch_workers,
 };
 use crate::leader_record::{
     INTAKE_TABLE, LEADER_TABLE, LeaderRecord, PENDING_KEY, PROGRESS_TABLE, PendingRecord,
 };
+use crate::learned_rows::{append_learned, read_learned, restore_learned};
 use crate::loop_meter::{LoopMeter, PassPhase};
+use crate::loss_report::LossReport;
 use crate::progress_rows::ProgressRows;
 use crate::row_store::{RowEntry, RowStore, RowWrite, read_table};
 use crate::worker_client::WorkerClient;
@@ -39,6 +42,10 @@
 const MIN_PENDING_UPDATE_INTERVAL_MS: u64 = 800;
 /// Maximum number of expired requests of a kind that a commit removes, so that they do not delay its orders.
 const MAX_EXPIRED_ROWS: usize = 40;
+/// Maximum wait for the answers to open orders before leadership is handed over, in milliseconds.
+const HANDOVER_WAIT_MS: u64 = 350;
+/// Interval between looks at the open orders meanwhile, in milliseconds.
+const HANDOVER_POLL_MS: u64 = 5;
 /// Margin added to the wait for leases of an earlier leader, in percent; a worker's clock may be 2% slow.
 const LEASE_WAIT_MARGIN_PERCENT: u64 = 4;
 
@@ -72,6 +79,8 @@
     /// When the row of the earlier leader was last seen to change.
     leaderless_since: ClockTime,
     meter: LoopMeter,
+    load: Arc<LeaderLoad>,
+    losses: LossReport,
 }
 
 /// Why a leader stopped.
@@ -129,6 +138,8 @@
             earlier_lease_expiry: context.clock.now() + wait_ms,
             leaderless_since,
             meter: LoopMeter::new(acquired_at),
+            load: Arc::default(),
+            losses: LossReport::new(acquired_at),
             context,
         }
     }
@@ -156,9 +167,12 @@
         let mut feeds = JoinSet::new();
         feeds.spawn(follow_intake(self.context.clone(), intake_after, sender.clone()));
         feeds.spawn(watch_workers(self.context.clone(), sender));
-        let election_delay_ms = self.context.options.election_delay_ms;
-        let (stronger_sender, mut stronger_peers) = channel(1);
-        feeds.spawn(watch_stronger_peers(self.context.clone(), stronger_sender));
+        let (successor_sender, mut successors) = channel(1);
+        feeds.spawn(watch_limits(
+            self.context.clone(),
+            self.load.clone(),
+            successor_sender,
+        ));
         let stopping = self.context.stopping.clone();
         let mut last_decision_at = Instant::now();
         loop {
@@ -177,10 +191,7 @@
                     log::error!("[seat] a feed of the leader has failed epoch={}: {ended:?}", self.authority.epoch());
                     return self.resign(LeaderExit::FeedFailed).await;
                 }
-                Some(vm) = stronger_peers.recv() => {
-                    log::info!("[seat] handing over to vm={vm} epoch={} handicap_ms={election_delay_ms}", self.authority.epoch());
-                    return self.resign(LeaderExit::HandedOver).await;
-                }
+                Some(successor) = successors.recv() => return self.hand_over(successor).await,
                 () = tick => {}
             }
             self.meter.end_phase(PassPhase::Wait, self.context.clock.now());
@@ -215,8 +226,37 @@
         }));
     }
 
+    /// Resigns in favour of a VM that is ready to lead.
+    ///
+    /// Open orders are awaited and their answers stored, so that the next leader knows which runs have started.
+    async fn hand_over(mut self, successor: ReadySuccessor) -> LeaderExit {
+        let ReadySuccessor { vm, reason } = successor;
+        let epoch = self.authority.epoch();
+        log::info!("[seat] handing over to vm={vm} epoch={epoch} reason={reason}");
+        metrics::counter!("arbutuspick_handovers_total", "reason" => reason.to_string()).increment(1);
+        let deadline = self.context.clock.now() + HANDOVER_WAIT_MS;
+        loop {
+            // An order counts as open from when its task is first polled.
+            tokio::time::sleep(Duration::from_millis(HANDOVER_POLL_MS)).await;
+            let has_open_orders = self.sessions.values().any(WorkerSession::has_open_orders);
+            if !has_open_orders || self.context.clock.now() >= deadline {
+                break;
+            }
+        }
+        while let Ok((key, event)) = self.worker_events.try_recv() {
+            self.apply_worker_event(key, event);
+        }
+        let changes = self.core.take_changes();
+        let writes = self.collect_writes(changes, self.context.clock.now());
+        if self.writer.commit(writes).await.is_err() || self.writer.resign(Some(&vm)).await.is_err() {
+            return LeaderExit::Lost;
+        }
+        log::info!("[seat] resigned epoch={epoch} successor={vm}");
+        LeaderExit::HandedOver
+    }
+
     async fn resign(mut self, exit: LeaderExit) -> LeaderExit {
-        if self.writer.resign().await.is_ok() {
+        if self.writer.resign(None).await.is_ok() {
             log::info!("[seat] resigned epoch={}", self.authority.epoch());
         }
         exit
@@ -227,23 +267,27 @@
     async fn load_state(&mut self) -> Result<(u64, ClockTime), LeadershipLost> {
         let started = self.context.clock.now();
         self.apply_policy();
-        let (workers, progress) = tokio::join!(
+        let (workers, progress, learned) = tokio::join!(
             self.read_with_retries(self.context.options.worker_table),
             self.read_with_retries(PROGRESS_TABLE),
+            read_learned(&self.context.store, started),
         );
         let (workers, progress) = (workers?.0, progress?.0);
         // Read last, so that the first decision knows every cancel request that was answered until then, however long
         // the other tables took.
         let (intake, after) = self.read_with_retries(INTAKE_TABLE).await?;
         let now = self.context.clock.now();
+        restore_learned(&mut self.core, learned, now);
         for report in (self.context.decode_workers)(&workers, now) {
             self.core.update_worker(report, now);
         }
+        let wall = self.context.clock.wall();
         let (records, stale_rows) = self.progress_rows.load(progress);
         self.row_removals.extend(stale_rows);
         for (job, record) in &records {
             if record.stage().is_final() {
-                self.core.track_final_record(job, now);
+                self.core
+                    .restore_ended_job(job, record, now, wall, self.earlier_lease_expiry);
             }
         }
         self.apply_intake(intake, &records);
@@ -420,6 +464,9 @@
             session.state().update(0, true);
             self.sessions.insert(key, session);
         }
+        let workers = self.sessions.len() as u64;
+        self.load.set_workers(workers);
+        self.writer.set_workers(workers);
     }
 
     fn apply_worker_event(&mut self, key: WorkerKey, event: WorkerEvent) {
@@ -485,6 +532,7 @@
         self.core.decide(now, self.context.clock.wall());
         let orders = self.core.take_orders();
         record_latencies(self.core.take_latency_samples());
+        self.losses.record(&self.core.take_losses(), now);
         let changes = self.core.take_changes();
         let acknowledged: Vec<(WorkerKey, u64)> = self
             .sessions
@@ -546,6 +594,7 @@
         self.meter.end_phase(PassPhase::Send, now);
         let waiting_tasks = self.core.summary().waiting_tasks;
         self.meter.end_pass(order_count, row_count, waiting_tasks, now);
+        self.load.set_late(self.meter.is_late());
         Ok(())
     }
 
@@ -570,6 +619,12 @@
         let removals = withdrawals.into_iter().map(|key| row_removal(INTAKE_TABLE, key));
         self.row_removals.extend(removals);
         writes.append(&mut self.row_removals);
+        append_learned(
+            &mut self.core,
+            self.context.options.max_row_bytes,
+            now,
+            &mut writes,
+        );
         let pending = self.core.pending_by_queue();
         if pending != self.pending
             && now.millis_since(self.pending_stored_at) >= MIN_PENDING_UPDATE_INTERVAL_MS
@@ -588,14 +643,32 @@
     }
 
     #[allow(clippy::cast_precision_loss)]
-    fn record_metrics(&self, sent_at: ClockTime) {
+    fn record_metrics(&mut self, sent_at: ClockTime) {
         let seconds = self.context.clock.now().millis_since(sent_at) as f64 / 1000.0;
         metrics::histogram!("arbutuspick_commit_seconds").record(seconds);
         let summary = self.core.summary();
         metrics::gauge!("arbutuspick_jobs").set(summary.jobs as f64);
         metrics::gauge!("arbutuspick_waiting_tasks").set(summary.waiting_tasks as f64);
         metrics::gauge!("arbutuspick_placed_tasks").set(summary.placed_tasks as f64);
+        metrics::gauge!("arbutuspick_urgent_room_workers").set(self.core.urgent_room() as f64);
         metrics::gauge!("arbutuspick_listed_workers").set(summary.listed_workers as f64);
+        let speeds = self.core.speed_summary();
+        for (tier, workers) in [
+            ("fast", speeds.fast),
+            ("usual", speeds.usual),
+            ("slow", speeds.slow),
+        ] {
+            metrics::gauge!("arbutuspick_worker_speeds", "tier" => tier).set(workers as f64);
+        }
+        metrics::gauge!("arbutuspick_worker_speed_ratio").set(speeds.ratio);
+        let moves = self.core.take_move_counts();
+        for (reason, runs) in [
+            ("leaving", moves.leaving),
+            ("stalled", moves.stalled),
+            ("slow", moves.slow),
+        ] {
+            metrics::counter!("arbutuspick_run_moves_total", "reason" => reason).increment(runs);
+        }
         for reason in WaitReason::ALL {
             let units = self.core.wait_counts().get(&reason).copied().unwrap_or(0);
             metrics::gauge!("arbutuspick_waiting_units", "reason" => reason.name()).set(units as f64);
--- a/crates/dispatch/src/relay_message.rs
+++ b/crates/dispatch/src/relay_message.rs
@@ -3,6 +3,7 @@
 use prost::{Message, Oneof};
 
 use crate::leader_record::{INTAKE_TABLE, LEADER_TABLE, PROGRESS_TABLE};
+use crate::learned_rows::LEARNED_TABLE;
 use crate::member_list::MEMBER_TABLE;
 use crate::row_store::{
     FollowOutcome, RowCondition, RowEntry, RowPage, RowTransaction, RowWrite, StoreError, TransactOutcome,
@@ -14,7 +15,7 @@
     /// Time until the deadline of the caller, in milliseconds.
     #[prost(uint64, tag = "1")]
     pub(crate) remaining_ms: u64,
-    #[prost(oneof = "CallBody", tags = "2, 3, 4")]
+    #[prost(oneof = "CallBody", tags = "2, 3, 4, 5")]
     pub(crate) body: Option<CallBody>,
 }
 
@@ -26,6 +27,9 @@
     Read(ReadMessage),
     #[prost(message, tag = "4")]
     Follow(FollowMessage),
+    /// Asks whether the process is ready to succeed the leader that calls; always true.
+    #[prost(bool, tag = "5")]
+    Succeed(bool),
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -74,7 +78,7 @@
 /// Reply to a [`RelayCall`].
 #[derive(Clone, PartialEq, Message)]
 pub(crate) struct RelayReply {
-    #[prost(oneof = "ReplyBody", tags = "1, 2, 3, 4, 5, 6, 7")]
+    #[prost(oneof = "ReplyBody", tags = "1, 2, 3, 4, 5, 6, 7, 8")]
     pub(crate) body: Option<ReplyBody>,
 }
 
@@ -97,6 +101,9 @@
     /// The call may have been executed; the text gives the cause.
     #[prost(string, tag = "7")]
     Indeterminate(String),
+    /// Whether the process is ready to succeed the leader.
+    #[prost(bool, tag = "8")]
+    Accepted(bool),
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -113,7 +120,13 @@
 pub(crate) type KnownTables = &'static [&'static str];
 
 /// Tables of this crate.
-const OWN_TABLES: [&str; 4] = [LEADER_TABLE, INTAKE_TABLE, PROGRESS_TABLE, MEMBER_TABLE];
+const OWN_TABLES: [&str; 5] = [
+    LEADER_TABLE,
+    INTAKE_TABLE,
+    PROGRESS_TABLE,
+    MEMBER_TABLE,
+    LEARNED_TABLE,
+];
 
 /// Returns the static name of a table that relayed calls may access: one of this crate or of `tables`.
 pub(crate) fn known_table(tables: KnownTables, name: &str) -> Option<&'static str> {
--- a/crates/dispatch/tests/relayed_calls.rs
+++ b/crates/dispatch/tests/relayed_calls.rs
@@ -5,9 +5,11 @@
 use std::time::Duration;
 
 use arbutuspick_dispatch::{
-    BootClock, IntakeOptions, JobIntake, RelayOptions, RelayedStore, StatusOutcome, SubmitOutcome,
+    BootClock, IntakeOptions, JobIntake, ProcessLimits, RelayOptions, RelayedStore, StatusOutcome,
+    SubmitOutcome, UseProbe,
 };
 use arbutuspick_pool::JobStage;
+use arbutuspick_server::{ClientGuard, ListenerLimits};
 use support::{FakeStore, StoreMode, deadline, job};
 use tokio::net::TcpListener;
 
@@ -29,9 +31,11 @@
         let options = RelayOptions {
             vm: format!("vm{process}").into(),
             centre: "trent".into(),
-            election_delay_ms: 0,
+            limits: ProcessLimits::default(),
+            use_probe: UseProbe::default(),
             address: listener.local_addr().unwrap(),
             tables: &[],
+            guard: ClientGuard::new("peers", ListenerLimits::derive(512, 4096).peers),
         };
         intakes.push(JobIntake::new(relayed.clone(), clock, IntakeOptions::default()));
         tokio::spawn(relayed.run(listener, options));
--- a/crates/pool/src/jobs/job_entry.rs
+++ b/crates/pool/src/jobs/job_entry.rs
@@ -3,6 +3,7 @@
 
 use arbutuspick_model::ClockTime;
 
+use crate::jobs::loss_ledger::LossCause;
 use crate::placement::contested_workers::GangClaim;
 use crate::placement::wait_reason::WaitReason;
 use crate::workers::worker_kind::StepFit;
@@ -48,6 +49,12 @@
     pub(crate) last_gain_at: ClockTime,
     /// Time of the latest report.
     pub(crate) reported_at: ClockTime,
+    /// Whether the run has been counted in the speed of its worker.
+    pub(crate) has_shown_speed: bool,
+    /// Time from which the run is known to be present on its worker.
+    pub(crate) present_since: Option<ClockTime>,
+    /// Time at which the latest checkpoint of the run was reported.
+    pub(crate) saved_at: Option<ClockTime>,
 }
 
 impl RunProgress {
@@ -90,6 +97,8 @@
 
     // Not stored.
     pub(crate) progress: RunProgress,
+    /// Why the current run was first ordered to stop.
+    pub(crate) stop_cause: Option<LossCause>,
     /// Worker on which the latest run failed, was too slow or did not start.
     pub(crate) avoided_worker: Option<WorkerKey>,
     /// Number of runs that were stopped for lack of progress.
@@ -187,6 +196,10 @@
 #[derive(Clone, Debug)]
 pub(crate) struct JobEntry {
     pub(crate) id: Arc<str>,
+    /// Client account of the body.
+    pub(crate) account: Arc<str>,
+    /// Whether the job came faster than its account may expect to be served.
+    pub(crate) beyond_rate: bool,
     pub(crate) body: JobBody,
     pub(crate) spec: Arc<str>,
     pub(crate) rule: Arc<QueueRule>,
@@ -260,6 +273,8 @@
             released: self.released,
             occurrences: Vec::new(),
             has_begun: self.has_begun,
+            remaining: Vec::new(),
+            ended_at_ms: 0,
         };
         if self.stage.is_final() {
             return record;
--- a/crates/pool/src/placement/waiting_unit.rs
+++ b/crates/pool/src/placement/waiting_unit.rs
@@ -6,6 +6,7 @@
 use arbutuspick_model::ClockTime;
 
 use crate::ResourceAmount;
+use crate::accounts::account_share::ShareClass;
 use crate::jobs::job_entry::JobEntry;
 use crate::jobs::job_value::JobValue;
 use crate::keys::JobKey;
@@ -14,17 +15,23 @@
 use crate::placement::worker_search::{TaskNeed, WorkerCandidate};
 use crate::pool_core::PoolCore;
 use crate::workers::label_index::RequiredLabel;
+use crate::workers::worker_speed::SpeedPreference;
 
 /// Wait after which a task may return to a suspect worker on which it failed, in milliseconds.
 const SUSPECT_WAIT_MS: u64 = 600;
 /// Wait after which a unit may use slow workers, in milliseconds; most runs last a few seconds.
 const SLOW_WAIT_MS: u64 = 1_500;
+/// Slack with which a unit leaves the faster workers to others, in estimates of its step.
+const SLOW_SLACK_FACTOR: u64 = 2;
 /// Smallest number of a low priority; low-priority units leave the last empty workers to others.
 const LOW_PRIORITY: u32 = 2;
 /// Wait after which low-priority work may use the last empty workers, in milliseconds.
 const EMPTY_WORKER_WAIT_MS: u64 = 4_000;
 /// Part of the initial slack above which single tasks leave free capacity to waiting gangs, in percent.
 const YIELD_SLACK_PERCENT: u64 = 50;
+/// Part of the initial slack above which a unit leaves room to urgent work, in percent; a gang needs the rest to find
+/// its workers.
+const LEAVE_ROOM_SLACK_PERCENT: u64 = 25;
 /// Time for which a unit yields to gangs while less than half of the pool is in use, in milliseconds.
 const IDLE_YIELD_MS: u64 = 1_000;
 /// Wait after which a unit may run remotely while less than half of the pool is in use, or no local worker takes new
@@ -34,6 +41,7 @@
 /// Tasks of a step that are ready to start, one by one or together as a gang.
 pub(crate) struct WaitingUnit {
     pub(crate) key: JobKey,
+    pub(crate) account: Arc<str>,
     pub(crate) occurrence: u32,
     pub(crate) step: usize,
     pub(crate) tasks: Vec<usize>,
@@ -50,6 +58,10 @@
     /// Expected end of the tasks if they start now, for a unit that leaves free capacity to gangs of higher rank which
     /// could start before that end.
     pub(crate) yields_until: Option<ClockTime>,
+    /// Whether the unit leaves the workers that are kept for urgent work, as long as it has slack.
+    pub(crate) leaves_urgent_room: bool,
+    /// Workers on which the unit is placed first, by their speeds.
+    pub(crate) preference: SpeedPreference,
 }
 
 impl WaitingUnit {
@@ -71,6 +83,7 @@
         if !pool_busy && self.waited_ms > IDLE_YIELD_MS {
             self.yields_until = None;
         }
+        self.leaves_urgent_room &= pool_busy;
     }
 
     /// Looks up whether the workers near the data of the unit could run it.
@@ -87,6 +100,11 @@
         self.fits_locally = fitting >= needed;
     }
 
+    /// Returns the number of tasks that can only start together.
+    pub(crate) fn needed_together(&self) -> usize {
+        if self.gang { self.tasks.len() } else { 1 }
+    }
+
     /// Returns whether the unit has waited long enough to use a suspect worker.
     pub(crate) fn accepts_suspect(&self) -> bool {
         self.waited_ms > SUSPECT_WAIT_MS
@@ -101,7 +119,8 @@
     pub(crate) fn accepts(&self, candidate: &WorkerCandidate) -> bool {
         let overlaps = |start: ClockTime| self.yields_until.is_some_and(|end| end > start);
         let is_left_to_gangs = candidate.contested_until.is_some_and(overlaps);
-        !is_left_to_gangs && (!candidate.slow || self.accepts_slow())
+        let is_left_to_urgent = candidate.urgent_room && self.leaves_urgent_room;
+        !is_left_to_gangs && !is_left_to_urgent && (!candidate.slow || self.accepts_slow())
     }
 
     /// Returns whether the unit leaves the last empty workers to others: its priority is low and it has time.
@@ -139,6 +158,20 @@
     pub(crate) mean_work: HashMap<Arc<str>, u64>,
     /// Largest capacity among the workers, separately for each resource.
     pub(crate) largest: ResourceAmount,
+    /// Accounts that use more than their share.
+    pub(crate) over_share: HashSet<Arc<str>>,
+}
+
+impl UnitContext {
+    fn share_class(&self, job: &JobEntry) -> ShareClass {
+        if job.beyond_rate {
+            ShareClass::BeyondRate
+        } else if self.over_share.contains(&job.account) {
+            ShareClass::OverShare
+        } else {
+            ShareClass::WithinShare
+        }
+    }
 }
 
 impl PoolCore {
@@ -147,6 +180,7 @@
             guaranteed: self.jobs_inside_guarantee(),
             mean_work: self.mean_work(),
             largest: self.largest_capacity(),
+            over_share: self.accounts_over_share(),
         }
     }
 
@@ -253,12 +287,14 @@
     let due_at = occurrence.due_at;
     let (gang, same_rack) = (body.gang, body.gang && body.same_rack);
     let estimate_ms = body.estimate_ms;
+    let account = job.account.clone();
     let need = TaskNeed {
         amount: body.amount(),
         service: job.rule.service.clone(),
         required_label: place.required_label,
         data_rack: place.data_rack,
         spread_limit: (body.spread_limit > 0).then_some(body.spread_limit as usize),
+        urgent: job.rule.priority == 0,
     };
     let remaining_ms = remaining_ms(job, step);
     let remaining_worker_us = remaining_worker_us(job, number, &context.largest);
@@ -267,13 +303,17 @@
         objective_ms,
         remaining_ms,
     };
+    // Endless work is never done, and work for certain workers may have no others.
+    let is_bound = body.endless || !body.data_rack.is_empty() || !body.required_label.is_empty();
     let inside_guarantee = context.guaranteed.contains(&key);
-    let rank = unit_rank(now, &timing, &value, remaining_worker_us, inside_guarantee);
+    let mut rank = unit_rank(now, &timing, &value, remaining_worker_us, inside_guarantee);
+    rank.share = context.share_class(job);
     let max_local_wait_ms = objective_ms.saturating_sub(job.critical_path_ms);
     let state = &mut job.occurrences.get_mut(&number)?.steps[step];
     let ready_at = *state.ready_at.get_or_insert(now);
     Some(WaitingUnit {
         key,
+        account,
         occurrence: number,
         step,
         tasks,
@@ -285,11 +325,26 @@
         waited_ms: now.millis_since(ready_at),
         max_local_wait_ms,
         fits_locally: true,
+        preference: speed_preference(&rank, estimate_ms, now),
         yields_until: (!gang && yields_to_gangs(&rank, max_local_wait_ms, now))
             .then(|| now + rounded_up_ms(estimate_ms)),
+        leaves_urgent_room: rank.priority > 0 && !is_bound && has_slack(&rank, max_local_wait_ms, now),
     })
 }
 
+/// Returns the workers on which a unit is placed first: urgent units get the fast workers, and units that are on time
+/// even on a slow worker leave these to them.
+fn speed_preference(rank: &UnitRank, estimate_ms: u64, now: ClockTime) -> SpeedPreference {
+    let has_time = rank.lateness == Lateness::OnTime && rank.slack_ms(now) >= estimate_ms * SLOW_SLACK_FACTOR;
+    if rank.priority == 0 {
+        SpeedPreference::Fast
+    } else if has_time {
+        SpeedPreference::Slow
+    } else {
+        SpeedPreference::Usual
+    }
+}
+
 /// Returns whether a single task leaves free capacity to gangs of higher rank that wait for more of it.
 ///
 /// Load pattern: wide gangs wait in a full pool, while single tasks take every share of a worker as soon as
@@ -300,6 +355,12 @@
     early && rank.slack_ms(now) * 100 > max_local_wait_ms * YIELD_SLACK_PERCENT
 }
 
+/// Returns whether a unit can leave room to urgent work without being late for it.
+fn has_slack(rank: &UnitRank, max_local_wait_ms: u64, now: ClockTime) -> bool {
+    let on_time = rank.lateness == Lateness::OnTime;
+    on_time && rank.slack_ms(now) * 100 > max_local_wait_ms * LEAVE_ROOM_SLACK_PERCENT
+}
+
 /// Rounds a time up by less than a quarter, so that units with similar estimates share the answers of a decision.
 fn rounded_up_ms(millis: u64) -> u64 {
     let unit = (millis.max(4) / 4).next_power_of_two() / 2;
--- a/crates/pool/src/pool_core.rs
+++ b/crates/pool/src/pool_core.rs
@@ -4,19 +4,23 @@
 use arbutuspick_model::{ClockTime, PlatformTime};
 use slotmap::SlotMap;
 
-use crate::jobs::job_entry::{JobEntry, OccurrenceEntry, PlacementStage, TaskEntry};
+use crate::accounts::account_share::AccountRates;
+use crate::jobs::job_entry::{JobEntry, OccurrenceEntry};
+use crate::jobs::loss_ledger::{LossCause, LossLedger, run_core_ms};
 use crate::jobs::placement_restore::restored_occurrence;
-use crate::jobs::run_release::RunRelease;
 use crate::keys::JobKey;
+use crate::placement::urgent_demand::{UrgentArrival, UrgentDemand};
 use crate::placement::wait_reason::WaitReason;
 use crate::preemption::capacity_reservation::CapacityReservation;
 use crate::workers::label_index::LabelIndex;
+use crate::workers::learned_speeds::LearnedSpeeds;
 use crate::workers::rack_index::RackIndex;
+use crate::workers::run_move::MoveCounts;
 use crate::workers::worker_kind::WorkerKinds;
-use crate::workers::worker_view::{OrderedStop, WorkerView};
+use crate::workers::worker_view::WorkerView;
 use crate::{
-    CoreOptions, JobBody, JobRecord, JobStage, PoolOrder, PoolPolicy, QueueRule, StopOrder, StopReason,
-    TaskName, WorkerKey, WorkerReport,
+    CoreOptions, JobBody, JobRecord, JobStage, PoolOrder, PoolPolicy, QueueRule, StopReason, WorkerKey,
+    WorkerReport,
 };
 
 /// Number of open tasks of a job from which on its further occurrences wait until some of them are done.
@@ -69,21 +73,31 @@
     pub(crate) racks: RackIndex,
     pub(crate) labels: LabelIndex,
     pub(crate) worker_kinds: WorkerKinds,
+    pub(crate) learned_speeds: LearnedSpeeds,
+    pub(crate) move_counts: MoveCounts,
     pub(crate) reservations: Vec<CapacityReservation>,
     /// Round of searches for runs to preempt; every waiting unit has at most one in a round.
     pub(crate) search_round: u64,
     /// Number of waiting units for each reason, as of the latest decision.
     pub(crate) wait_counts: BTreeMap<WaitReason, usize>,
+    /// Unix milliseconds at time 0 of the clock.
+    wall_start_ms: u64,
+    pub(crate) account_rates: AccountRates,
     pub(crate) orders: Vec<PoolOrder>,
     pub(crate) latency_samples: Vec<LatencySample>,
+    pub(crate) losses: LossLedger,
+    /// Urgent arrivals by service.
+    pub(crate) urgent_demand: BTreeMap<Arc<str>, UrgentDemand>,
+    /// Number of workers kept for urgent work at the latest decision with waiting work.
+    pub(crate) urgent_room: usize,
     /// Jobs whose records have changed since `take_changes`.
     changed_jobs: BTreeSet<JobKey>,
     /// Final records of the jobs that have ended since `take_changes`.
     ended_records: Vec<RecordChange>,
     /// Stored final records with the time at which each is deleted, oldest first.
     final_records: VecDeque<(ClockTime, Arc<str>)>,
-    /// Ended jobs whose final records are still stored; a body that is read again must not restart them.
-    ended_jobs: HashSet<Arc<str>>,
+    /// Ended jobs whose final records are still stored, with their client accounts; a body that is read again must not restart them.
+    pub(crate) ended_jobs: HashMap<Arc<str>, Arc<str>>,
     /// Jobs whose final records are to be deleted.
     expired_records: Vec<Arc<str>>,
 }
@@ -107,8 +121,12 @@
                 job.rule = rule.clone();
             }
         }
+        let is_new = policy.version != self.policy.version;
         self.policy = policy;
         self.worker_kinds.invalidate();
+        if is_new {
+            self.log_caps_below_guarantees();
+        }
     }
 
     /// Replaces the set of data centres that are closed for new starts.
@@ -129,13 +147,16 @@
         wall: PlatformTime,
         lease_expiry: ClockTime,
     ) {
-        if self.job_index.contains_key(id) || self.ended_jobs.contains(id) || record.stage().is_final() {
+        if self.job_index.contains_key(id) || self.ended_jobs.contains_key(id) || record.stage().is_final() {
             return;
         }
+        self.wall_start_ms = wall.0.saturating_sub(now.0);
         let rule = self.queue_rule(&body);
         let arrived_at = now - wall.millis_since(PlatformTime(body.accepted_at_ms));
         let mut job = JobEntry {
             id: id.clone(),
+            account: body.account.as_str().into(),
+            beyond_rate: false,
             spec: body.spec.as_str().into(),
             critical_path_ms: body.critical_path_ms(),
             work_core_ms: body.work_core_ms(),
@@ -154,8 +175,10 @@
             let entry = restored_occurrence(&job.body, &occurrence.tasks, due_at);
             job.occurrences.insert(occurrence.number, entry);
         }
+        self.record_urgent_demand(&job);
         let key = self.jobs.insert(job);
         self.job_index.insert(id.clone(), key);
+        self.account_rates.add_job(key);
         for occurrence in &record.occurrences {
             self.restore_placements(key, occurrence.number, &occurrence.tasks, now, lease_expiry);
         }
@@ -165,6 +188,26 @@
         }
     }
 
+    /// Records the tasks of an urgent job for the forecast of urgent work.
+    fn record_urgent_demand(&mut self, job: &JobEntry) {
+        if job.rule.priority > 0 {
+            return;
+        }
+        let largest = self.largest_capacity();
+        for step in job.body.steps.iter().filter(|step| !step.endless) {
+            let share = step.amount().dominant_share(&largest);
+            // A task that fits nowhere takes no room.
+            if let Some(share) = u64::try_from(share).ok().filter(|share| *share <= 1_000) {
+                let demand = self.urgent_demand.entry(job.rule.service.clone()).or_default();
+                demand.record(UrgentArrival {
+                    at: job.arrived_at,
+                    size: share * u64::from(step.count),
+                    run_ms: step.estimate_ms,
+                });
+            }
+        }
+    }
+
     /// Removes an occurrence if all its tasks are done, and completes the job with its last occurrence.
     pub(crate) fn close_occurrence(&mut self, key: JobKey, number: u32, now: ClockTime) {
         let Some(job) = self.jobs.get_mut(key) else { return };
@@ -207,7 +250,7 @@
 
     /// Returns whether the job is known to have ended; its final record is still stored.
     pub fn has_ended(&self, id: &str) -> bool {
-        self.ended_jobs.contains(id)
+        self.ended_jobs.contains_key(id)
     }
 
     /// Marks a worker as unreachable; its runs must be listed again before it gets new work.
@@ -267,6 +310,11 @@
         pending
     }
 
+    /// Returns the number of workers kept for urgent work at the latest decision with waiting work.
+    pub fn urgent_room(&self) -> usize {
+        self.urgent_room
+    }
+
     /// Returns counts for metrics and the state dump.
     pub fn summary(&self) -> CoreSummary {
         let mut summary = CoreSummary {
@@ -288,7 +336,9 @@
 
     /// Decides what to start and stop now. The `take_*` methods return the resulting orders and records.
     pub fn decide(&mut self, now: ClockTime, wall: PlatformTime) {
+        self.wall_start_ms = wall.0.saturating_sub(now.0);
         self.release_occurrences(now, wall);
+        self.classify_jobs();
         self.check_leases(now);
         self.check_progress(now);
         self.update_step_fits();
@@ -306,6 +356,11 @@
         std::mem::take(&mut self.latency_samples)
     }
 
+    /// Returns the work thrown away since the last call, in core milliseconds by cause.
+    pub fn take_losses(&mut self) -> BTreeMap<LossCause, u64> {
+        self.losses.take()
+    }
+
     /// Returns the records that changed since the last call.
     pub fn take_changes(&mut self) -> Vec<RecordChange> {
         let mut changes = std::mem::take(&mut self.ended_records);
@@ -326,8 +381,8 @@
     }
 
     /// Schedules a stored final record for deletion after the retention period.
-    pub fn track_final_record(&mut self, id: &Arc<str>, now: ClockTime) {
-        if self.ended_jobs.insert(id.clone()) {
+    pub(crate) fn track_final_record(&mut self, id: &Arc<str>, account: &Arc<str>, now: ClockTime) {
+        if self.ended_jobs.insert(id.clone(), account.clone()).is_none() {
             self.final_records
                 .push_back((now + self.options.keep_final_ms, id.clone()));
         }
@@ -392,10 +447,19 @@
         );
         self.job_index.remove(&job.id);
         self.reservations.retain(|reservation| reservation.job != key);
+        let remaining = self.remaining_runs(&job);
+        let cause = if stage == JobStage::Failed {
+            LossCause::JobFailed
+        } else {
+            LossCause::Cancel
+        };
         for (number, occurrence) in std::mem::take(&mut job.occurrences) {
             for (step, entry) in occurrence.steps.iter().enumerate() {
+                let body = &job.body.steps[step];
                 for (index, task) in entry.tasks.iter().enumerate() {
                     if let Some(placement) = task.placement {
+                        let cause = task.stop_cause.unwrap_or(cause);
+                        self.losses.charge(cause, run_core_ms(body, task, now));
                         let name = job.task_name(number, step, index);
                         self.order_stop(name, task.run, placement.worker, StopReason::JobEnded, now);
                     }
@@ -405,119 +469,17 @@
         job.stage = stage;
         self.ended_records.push(RecordChange {
             job: job.id.clone(),
-            record: Some(job.to_record(|_| None)),
+            record: Some(JobRecord {
+                ended_at_ms: if remaining.is_empty() {
+                    0
+                } else {
+                    self.wall_start_ms + now.0
+                },
+                remaining,
+                ..job.to_record(|_| None)
+            }),
         });
-        self.track_final_record(&job.id, now);
-    }
-
-    /// Orders a stop, unless the latest order may still take effect. A repeated order keeps the reason of the first.
-    pub(crate) fn order_stop(
-        &mut self,
-        task: TaskName,
-        run: u32,
-        worker: WorkerKey,
-        mut reason: StopReason,
-        now: ClockTime,
-    ) {
-        /// Time beyond the longest stop after which an order is repeated while the run is still listed, in milliseconds.
-        const REPEAT_MARGIN_MS: u64 = 500;
-        let repeat_ms = self.options.stop_ms + REPEAT_MARGIN_MS;
-        let Some(view) = self.workers.get_mut(worker) else {
-            return;
-        };
-        if let Some(allocation) = view.allocations.get_mut(&(task.clone(), run)) {
-            let ordered = allocation.ordered_stop;
-            if ordered.is_some_and(|stop| now.millis_since(stop.ordered_at) < repeat_ms) {
-                return;
-            }
-            reason = ordered.map_or(reason, |stop| stop.reason);
-            allocation.ordered_stop = Some(OrderedStop {
-                ordered_at: now,
-                reason,
-            });
-        }
-        self.orders.push(PoolOrder::Stop(StopOrder {
-            task,
-            run,
-            worker,
-            reason,
-        }));
-    }
-
-    /// Stops the current run of a task; its capacity stays allocated until its end is known.
-    pub(crate) fn stop_task(&mut self, key: JobKey, name: &TaskName, reason: StopReason, now: ClockTime) {
-        let Some(task) = self.jobs.get_mut(key).and_then(|job| job.task_mut(name)) else {
-            return;
-        };
-        let run = task.run;
-        let Some(placement) = &mut task.placement else {
-            return;
-        };
-        if placement.stage != PlacementStage::Stopping {
-            placement.stage = PlacementStage::Stopping;
-            placement.since = now;
-        }
-        let worker = placement.worker;
-        self.order_stop(name.clone(), run, worker, reason, now);
-    }
-
-    /// Returns the job and the task with this name, if `run` on `worker` is the current run of the task.
-    pub(crate) fn current_task(
-        &mut self,
-        name: &TaskName,
-        run: u32,
-        worker: WorkerKey,
-    ) -> Option<(JobKey, &mut TaskEntry)> {
-        let key = self.job_index.get(&name.job).copied()?;
-        let task = self.jobs.get_mut(key)?.task_mut(name)?;
-        let current = task.run == run && task.placement.is_some_and(|placement| placement.worker == worker);
-        current.then_some((key, task))
-    }
-
-    /// Makes a task wait again after a run that ended before the task was done; stops the rest of its gang.
-    ///
-    /// This is the only way in which a placed task waits again; `release` says why that is safe.
-    pub(crate) fn requeue_task(
-        &mut self,
-        name: &TaskName,
-        run: u32,
-        worker: WorkerKey,
-        release: RunRelease,
-        now: ClockTime,
-    ) {
-        if let Some(view) = self.workers.get_mut(worker) {
-            view.allocations.remove(&(name.clone(), run));
-        }
-        let Some((key, task)) = self.current_task(name, run, worker) else {
-            return;
-        };
-        task.placement = None;
-        task.progress = Default::default();
-        log::debug!("[run] task={name} run={run} state=waiting cause={release}");
-        self.mark_changed(key);
-        let step = name.step as usize;
-        if self.jobs[key].body.steps.get(step).is_some_and(|step| step.gang) {
-            self.stop_gang(key, name, now);
-        }
-    }
-
-    /// Stops the members of the gang of `member` that are still placed.
-    pub(crate) fn stop_gang(&mut self, key: JobKey, member: &TaskName, now: ClockTime) {
-        let Some(occurrence) = self.jobs[key].occurrences.get(&member.occurrence) else {
-            return;
-        };
-        let tasks = occurrence.steps[member.step as usize].tasks.iter().enumerate();
-        let placed: Vec<usize> = tasks
-            .filter(|(_, task)| {
-                task.placement
-                    .is_some_and(|placement| placement.stage != PlacementStage::Stopping)
-            })
-            .map(|(index, _)| index)
-            .collect();
-        for index in placed {
-            let name = self.jobs[key].task_name(member.occurrence, member.step as usize, index);
-            self.stop_task(key, &name, StopReason::GangBroken, now);
-        }
+        self.track_final_record(&job.id, &job.account, now);
     }
 }
 
--- a/crates/pool/src/preemption/preemption_pass.rs
+++ b/crates/pool/src/preemption/preemption_pass.rs
@@ -6,7 +6,9 @@
 
 use arbutuspick_model::ClockTime;
 
+use crate::accounts::account_share::ShareClass;
 use crate::jobs::job_entry::PlacementStage;
+use crate::jobs::loss_ledger::LossCause;
 use crate::keys::JobKey;
 use crate::placement::blocked_needs::PlacementNeed;
 use crate::placement::unit_order::Lateness;
@@ -44,6 +46,16 @@
     Stopped,
 }
 
+impl WaitingUnit {
+    /// Returns whether the unit may stop runs of lower rank: it is within a guarantee, or its start is urgent.
+    pub(crate) fn may_stop_runs(&self, now: ClockTime) -> bool {
+        self.rank.inside_guarantee()
+            || self.rank.share != ShareClass::BeyondRate
+                && self.rank.lateness != Lateness::Overdue
+                && self.rank.slack_ms(now) < PREEMPTION_SLACK_MS
+    }
+}
+
 impl PoolCore {
     /// Stops runs of lower rank, or waits for runs that end soon; outside a guarantee only if the unit gains
     /// at least what they lose.
@@ -58,8 +70,7 @@
     ) -> PreemptionOutcome {
         let urgent = unit.rank.priority == 0;
         let on_time = unit.rank.lateness == Lateness::OnTime;
-        let may_stop = unit.rank.inside_guarantee()
-            || unit.rank.lateness != Lateness::Overdue && unit.rank.slack_ms(now) < PREEMPTION_SLACK_MS;
+        let may_stop = unit.may_stop_runs(now);
         let may_wait = urgent && on_time;
         if !may_stop && !may_wait {
             return PreemptionOutcome::Excluded;
@@ -115,12 +126,17 @@
             unit.rank.inside_guarantee(),
             self.worker_ids(plan.candidates.iter().map(|index| candidates[*index].worker)),
         );
+        let cause = if unit.rank.inside_guarantee() {
+            LossCause::Reclaim
+        } else {
+            LossCause::Preemption
+        };
         for group in &stopped {
             for (key, name) in list.task_names(self, *group) {
                 if let Some(task) = self.jobs.get_mut(key).and_then(|job| job.task_mut(&name)) {
                     task.preemptions += 1;
                 }
-                self.stop_task(key, &name, StopReason::Preempted, now);
+                self.stop_task_for(key, &name, (StopReason::Preempted, cause), now);
             }
         }
         for index in &plan.candidates {
--- a/crates/pool/src/state_dump.rs
+++ b/crates/pool/src/state_dump.rs
@@ -10,7 +10,7 @@
 use crate::pool_core::PoolCore;
 
 impl PoolCore {
-    /// Returns one line for the policy and one for each worker, job and reservation.
+    /// Returns one line for the policy and one for each capped account, worker, job and reservation.
     ///
     /// `waits_for` names the reasons why tasks wait that are ready to start; it is `-` for a job without such tasks.
     ///
@@ -35,11 +35,12 @@
             self.policy.version,
             closed.join(",")
         )?;
+        self.write_accounts(text, now)?;
         for view in self.workers.values() {
             let free = view.free();
             writeln!(
                 text,
-                "worker id={} centre={} listed={} gone={} takes_work={} slow={} doubtful={} runs={} free={}c/{}MB/{}a lease_left_ms={}",
+                "worker id={} centre={} listed={} gone={} takes_work={} slow={} doubtful={} speed={:.2}/{:?} speed_weight={:.1} speed_spread={:.2} runs={} free={}c/{}MB/{}a lease_left_ms={}",
                 view.report.id,
                 view.report.centre,
                 view.listed,
@@ -47,6 +48,10 @@
                 view.is_schedulable(now),
                 view.health.is_slow(now),
                 view.health.is_suspect(now),
+                view.speed.speed(),
+                view.speed.tier(),
+                view.speed.weight(),
+                view.speed.spread(),
                 view.allocations.len(),
                 free.millicores,
                 free.memory_mb,
--- a/crates/pool/src/workers/worker_view.rs
+++ b/crates/pool/src/workers/worker_view.rs
@@ -51,6 +51,8 @@
 #[derive(Clone, Debug)]
 pub(crate) struct RunAllocation {
     pub(crate) amount: ResourceAmount,
+    /// Client account that the run counts for; `None` if it is not known.
+    pub(crate) account: Option<Arc<str>>,
     /// Time from which a listing without the run shows that the run has ended; `None` until the start is
     /// confirmed.
     pub(crate) expected_since: Option<ClockTime>,
@@ -58,6 +60,8 @@
     /// Whether this incarnation of the worker has listed the run. An answer to a start is no proof of that: it
     /// may come from another incarnation under the same id.
     pub(crate) listed: bool,
+    /// Time from which a run that belongs to no known task was listed.
+    pub(crate) unexpected_since: Option<ClockTime>,
 }
 
 impl RunAllocation {
