Let newcomers take the places of the account with the most connections

What callers saw: 80 clients of one account that each make a request every 0.8 s hold all 40 places of a VM with 48 MB and 360 descriptors. Every new connection of another account is closed without a word for as long as they stay. The same happens with clients without a valid key, and at the readiness address, where the probe of the platform gets no answer and the VM leaves service.

Cause: a connection is closed to make room once it has stalled for 1 s or has been idle for 5 s. Clients that are served more often give no such reason.

Fix: the ledger knows the account of the last request on a connection. If nobody has stalled, a newcomer takes the place of the account with the most connections; the one that has waited longest for its next request is closed. Clients without a valid key count as one account. In calm nothing is closed.

Ruled out: a fixed number of connections for each account, which refuses callers in calm; refusing newcomers of the largest account, which is known only after the request was read.

The entry daemon names the account in the same way.

--- a/crates/entry/src/api/caller_identity.rs
+++ b/crates/entry/src/api/caller_identity.rs
@@ -1,7 +1,10 @@
+use std::sync::Arc;
+
 use arbutuspick_model::{AccountName, OwnerName};
+use arbutuspick_server::ConnectionLease;
 use axum::extract::FromRequestParts;
 use axum::http::request::Parts;
-use axum::http::{HeaderMap, StatusCode, header};
+use axum::http::{StatusCode, header};
 
 use super::{ApiError, SharedContext};
 use crate::CallerRole;
@@ -24,16 +27,21 @@
 /// A caller with any valid token, and its role.
 pub(crate) struct AuthenticatedCaller(pub(crate) CallerRole);
 
-fn caller_role(headers: &HeaderMap, context: &SharedContext) -> Result<CallerRole, ApiError> {
-    let value = headers
+fn caller_role(parts: &Parts, context: &SharedContext) -> Result<CallerRole, ApiError> {
+    let value = parts
+        .headers
         .get(header::AUTHORIZATION)
         .and_then(|value| value.to_str().ok());
     let token = value.and_then(|value| value.strip_prefix("Bearer "));
     let role = token.and_then(|token| context.settings.auth.role_of(token.trim()));
-    role.ok_or_else(|| {
+    let role = role.ok_or_else(|| {
         let message = "the header authorization must be \"Bearer \" and a valid token";
         ApiError::new(StatusCode::UNAUTHORIZED, "unauthenticated", message)
-    })
+    })?;
+    if let Some(connection) = parts.extensions.get::<Arc<ConnectionLease>>() {
+        connection.identify(Some(role.to_string().into()));
+    }
+    Ok(role)
 }
 
 macro_rules! caller_extractor {
@@ -44,7 +52,7 @@
                 parts: &mut Parts,
                 context: &SharedContext,
             ) -> Result<Self, ApiError> {
-                match caller_role(&parts.headers, context)? {
+                match caller_role(parts, context)? {
                     $pattern => Ok($value),
                     #[allow(unreachable_patterns, reason = "some callers may have any role")]
                     _ => Err(ApiError::forbidden($message)),
--- a/crates/entry/src/daemon/entry_daemon.rs
+++ b/crates/entry/src/daemon/entry_daemon.rs
@@ -153,7 +153,9 @@
     tokio::spawn(serve(listener, guard, drain, move |request| {
         let router = router.clone();
         async move {
-            let request = request.map(|body| Body::new(body.with_limit(body_limit)));
+            let connection = request.body().connection().clone();
+            let mut request = request.map(|body| Body::new(body.with_limit(body_limit)));
+            request.extensions_mut().insert(connection);
             let response = router.oneshot(request).await;
             response.unwrap_or_else(|error| match error {}).into_response()
         }
--- a/crates/server/src/client_body.rs
+++ b/crates/server/src/client_body.rs
@@ -78,6 +78,11 @@
         self
     }
 
+    /// Returns the connection on which the request arrived.
+    pub fn connection(&self) -> &Arc<ConnectionLease> {
+        &self.lease
+    }
+
     /// Reads the whole body.
     pub async fn read(mut self) -> Result<Bytes, BodyError> {
         if self.has_ended {
--- a/crates/server/src/client_guard.rs
+++ b/crates/server/src/client_guard.rs
@@ -142,6 +142,7 @@
         ClosureReason::Stalled => "stalled",
         ClosureReason::Idle => "idle",
         ClosureReason::Slow => "slow",
+        ClosureReason::Share => "share",
     }
 }
 
@@ -167,6 +168,11 @@
         self.count_refusal(admitted)
     }
 
+    /// Records the client account of the current request.
+    pub fn identify(&self, account: Option<Arc<str>>) {
+        self.shared.decide(|ledger, _| ledger.identify(self.key, account));
+    }
+
     /// Records that a request is being processed; returns false if the connection is being closed.
     pub fn run(&self) -> bool {
         self.shared.decide(|ledger, _| ledger.run(self.key))
--- a/crates/server/src/client_ledger.rs
+++ b/crates/server/src/client_ledger.rs
@@ -1,3 +1,6 @@
+use std::collections::HashMap;
+use std::sync::Arc;
+
 use arbutuspick_model::ClockTime;
 use slotmap::SlotMap;
 
@@ -37,6 +40,8 @@
 /// Load pattern: many clients at once that each send less than the limits allow, and most of which stop just short of
 /// the end of a request and stay connected, while ordinary callers come and go. Without pressure nothing is closed.
 ///
+/// If nobody has stalled, newcomers take the places of the client account that has the most connections.
+///
 /// A connection whose request is being processed is never closed. The memory of a connection that is being closed
 /// counts as free at once, since its task is dropped before it can receive more.
 #[derive(Debug)]
@@ -81,7 +86,7 @@
     /// Decides on a new connection.
     pub fn connect(&mut self, now: ClockTime) -> Admission {
         while self.open_connections >= self.limits.max_connections {
-            if !self.close_one(None, now) {
+            if !self.close_one(None, now) && !self.close_of_largest_account() {
                 return Admission::Refused;
             }
         }
@@ -137,6 +142,13 @@
         true
     }
 
+    /// Records the client account of the current request.
+    pub fn identify(&mut self, key: ConnectionKey, account: Option<Arc<str>>) {
+        if let Some(entry) = self.open_entry(key) {
+            entry.account = account;
+        }
+    }
+
     /// Records that a request is being processed; returns false if the connection is being closed.
     pub fn run(&mut self, key: ConnectionKey) -> bool {
         let Some(entry) = self.open_entry(key) else {
@@ -153,6 +165,7 @@
             entry.phase = ConnectionPhase::Responding;
             entry.progressed_at = now;
             entry.is_served |= is_served;
+            entry.has_responded = true;
             self.held_bytes = self.held_bytes - request_bytes + bytes;
         }
     }
@@ -217,6 +230,34 @@
         let Some(((reason, _), key)) = candidates.min() else {
             return false;
         };
+        self.close(key, reason);
+        true
+    }
+
+    /// Closes a connection of the client account that has the most: the one that has waited longest for its next request.
+    ///
+    /// Clients without an account count as one, and so do those that have not made a request yet, of which none is closed.
+    fn close_of_largest_account(&mut self) -> bool {
+        let open = || self.connections.iter().filter(|(_, entry)| !entry.is_closing);
+        let mut counts: HashMap<_, usize> = HashMap::new();
+        for (_, entry) in open() {
+            *counts.entry(group(entry)).or_default() += 1;
+        }
+        let largest = counts.into_iter().max_by_key(|(group, count)| (*count, *group));
+        let Some((largest, _)) = largest else {
+            return false;
+        };
+        let waiting = open().filter(|(_, entry)| {
+            entry.has_responded && entry.phase == ConnectionPhase::Idle && group(entry) == largest
+        });
+        let Some((key, _)) = waiting.min_by_key(|(_, entry)| entry.progressed_at) else {
+            return false;
+        };
+        self.close(key, ClosureReason::Share);
+        true
+    }
+
+    fn close(&mut self, key: ConnectionKey, reason: ClosureReason) {
         let entry = &mut self.connections[key];
         entry.is_closing = true;
         let held_bytes = entry.held_bytes();
@@ -227,6 +268,10 @@
             reason,
             held_bytes,
         });
-        true
     }
 }
+
+/// Returns what a connection is counted with when the connections of client accounts are compared.
+fn group(entry: &ConnectionEntry) -> (bool, Option<&Arc<str>>) {
+    (entry.has_responded, entry.account.as_ref())
+}
--- a/crates/server/src/connection_entry.rs
+++ b/crates/server/src/connection_entry.rs
@@ -1,3 +1,5 @@
+use std::sync::Arc;
+
 use arbutuspick_model::ClockTime;
 
 /// Memory of a connection with its task and its buffers, in bytes.
@@ -40,9 +42,11 @@
     Idle,
     /// The request arrives, but slowly.
     Slow,
+    /// The client is waiting between requests, and its client account has the most connections.
+    Share,
 }
 
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub(crate) struct ConnectionEntry {
     pub(crate) phase: ConnectionPhase,
     /// Memory of the request and the response, in bytes.
@@ -57,6 +61,10 @@
     pub(crate) started_at: ClockTime,
     /// Whether a request was served on this connection.
     pub(crate) is_served: bool,
+    /// Whether a request was responded to on this connection, even if it was refused.
+    pub(crate) has_responded: bool,
+    /// Client account of the last request with a valid key; `None` if there was none.
+    pub(crate) account: Option<Arc<str>>,
     /// Whether the connection was told to close.
     pub(crate) is_closing: bool,
 }
@@ -71,6 +79,8 @@
             progressed_at: now,
             started_at: now,
             is_served: false,
+            has_responded: false,
+            account: None,
             is_closing: false,
         }
     }
--- a/crates/server/tests/client_ledger.rs
+++ b/crates/server/tests/client_ledger.rs
@@ -1,5 +1,7 @@
 //! Decisions on which connections are admitted and which are closed, replayed in virtual time.
 
+use std::sync::Arc;
+
 use arbutuspick_model::ClockTime;
 use arbutuspick_server::{Admission, ClientLedger, ClientLimits, ClosureReason, ConnectionKey};
 use proptest::prelude::*;
@@ -123,6 +125,59 @@
     );
 }
 
+/// Guards against a client account that takes all places with connections that it keeps in use, and against closing those
+/// of other accounts instead.
+#[test]
+fn largest_account() {
+    let mut ledger = ClientLedger::new(LIMITS);
+    let accounts: [Arc<str>; 3] = ["north".into(), "south".into(), "east".into()];
+    let [north, south, east] = &accounts;
+    let mut callers = Vec::new();
+    let mut connect_as = |ledger: &mut ClientLedger, account: &Arc<str>, now| {
+        let key = connect(ledger, now).unwrap();
+        ledger.identify(key, Some(account.clone()));
+        serve(ledger, key, now);
+        if account == north {
+            callers.push(key);
+        }
+    };
+    for _ in 0..2 {
+        connect_as(&mut ledger, north, 0);
+    }
+    for number in 0..38 {
+        connect_as(&mut ledger, if number < 20 { south } else { east }, 100);
+    }
+    // Nobody has been waiting for long enough to be closed for that reason.
+    for _ in 0..10 {
+        connect_as(&mut ledger, north, 1_000);
+    }
+    let closures = ledger.take_closures();
+    assert_eq!(closures.len(), 10);
+    for closure in closures {
+        assert_eq!(closure.reason, ClosureReason::Share);
+        assert!(
+            !callers.contains(&closure.key),
+            "closed a caller of a small account"
+        );
+    }
+}
+
+/// Guards against closing served clients for a crowd of which nothing is known yet.
+#[test]
+fn unknown_crowd() {
+    let mut ledger = ClientLedger::new(LIMITS);
+    for _ in 0..3 {
+        let caller = connect(&mut ledger, 0).unwrap();
+        ledger.identify(caller, Some("north".into()));
+        serve(&mut ledger, caller, 0);
+    }
+    for _ in 0..37 {
+        connect(&mut ledger, 100).unwrap();
+    }
+    assert_eq!(connect(&mut ledger, 200), None);
+    assert!(ledger.take_closures().is_empty());
+}
+
 /// Guards against large bodies that leave no memory for ordinary requests.
 #[test]
 fn small_requests() {
@@ -142,6 +197,7 @@
     Connect,
     Receive(usize, usize),
     Reserve(usize, usize),
+    Identify(usize, usize),
     Run(usize),
     Respond(usize),
     Finish(usize),
@@ -155,6 +211,7 @@
         3 => Just(LedgerCall::Connect),
         3 => (number.clone(), 1..9_000_usize).prop_map(|(number, bytes)| LedgerCall::Receive(number, bytes)),
         3 => (number.clone(), 1..BODY_BYTES).prop_map(|(number, bytes)| LedgerCall::Reserve(number, bytes)),
+        1 => (number.clone(), 0..3_usize).prop_map(|(number, account)| LedgerCall::Identify(number, account)),
         2 => number.clone().prop_map(LedgerCall::Run),
         2 => number.clone().prop_map(LedgerCall::Respond),
         1 => number.clone().prop_map(LedgerCall::Finish),
@@ -195,6 +252,10 @@
                 ledger.reserve(key(number), *bytes, now);
                 running.retain(|key_of| *key_of != key(number));
             }
+            LedgerCall::Identify(number, account) => {
+                let account = ["north", "south"].get(*account).map(|name| Arc::from(*name));
+                ledger.identify(key(number), account);
+            }
             LedgerCall::Run(number) => {
                 if ledger.run(key(number)) {
                     running.push(key(number));
