Choose leaders that have room for their clients besides

What callers would see: a leader that is at its memory limit because of a crowd of clients is killed, or hands over to the next VM, where the crowd arrives as well. Scheduling stops each time.

Cause: clients may hold a quarter of the memory, and the cost of leading may take 80% of it. Together that is more than the VM has, and more than the 85% at which a leader hands over.

Evidence: leading_cost::room_for_clients on the code before: the cost and what clients may hold are 126 MB on a VM of 148 MB that is said to bear the cost. no_room_for_clients: 160 MB and 3,000 workers, likewise. The bound is the 85%.

Fix: the cost of leading has to be within 55% of the memory. The share of the clients is the constant from which their limits are derived.

Ruled out: smaller limits for clients while a process leads. Memory that the clients held before stays with the process, so the limit would have to shrink before the election. Descriptors are not changed: workers, callers, peers, probes and files together are within the limit from 3,075 on (2,923 of 3,075 at most, 7,273 of 8,192), but callers beside 4,915 connections to workers bring a leader of 8,192 to 88.8%, above the 85%. That takes about 2,500 workers; it is not mended.

VMs of 120 MB bear 1,362 workers by memory instead of 2,322, those of 512 MB are bound by other resources as before. No deployment in force has more than 540 workers. Not shown with processes: a leader that needs most of its memory itself takes more workers than a test can start.

--- a/crates/dispatch/src/leading_cost.rs
+++ b/crates/dispatch/src/leading_cost.rs
@@ -3,6 +3,8 @@
 //! Load pattern: a deployment of VMs that differ in memory, descriptors, processor and bandwidth, with more workers than the
 //! small ones can hold connections and state for. The leader has to be a VM that survives the load of leading.
 
+use arbutuspick_server::CLIENT_MEMORY_PERCENT;
+
 /// Number of workers assumed until a leader has counted them.
 const ASSUMED_WORKERS: u64 = 350;
 /// Maximum election delay, in milliseconds; other VMs read the leader row at least once in this time and can become leader
@@ -14,8 +16,10 @@
 /// bear the cost either; a handover interrupts scheduling.
 const MIN_ADVANTAGE_PERCENT: u64 = 33;
 
-/// Share of the memory and the descriptors of a process that leading may take, in percent; from 85% on a leader hands over.
+/// Share of the descriptors of a process that leading may take, in percent; from 85% on a leader hands over.
 const USABLE_PERCENT: u64 = 80;
+/// The same share of the memory, without what clients may hold besides.
+const USABLE_MEMORY_PERCENT: u64 = USABLE_PERCENT - CLIENT_MEMORY_PERCENT as u64;
 /// Memory of a leader without workers, with the buffers and state of a burst of jobs, in KiB.
 const BASE_MEMORY_KIB: u64 = 24_000;
 /// Memory for each worker: connections, session, listed runs and placement state, in KiB.
@@ -89,10 +93,10 @@
 impl VmFitness {
     /// Compares limits with a cost.
     pub fn new(limits: ProcessLimits, cost: LeadingCost) -> Self {
-        let usable = |limit: u64| (limit * USABLE_PERCENT).div_ceil(100);
+        let usable = |limit: u64, percent: u64| (limit * percent).div_ceil(100);
         let mut shares = [
-            covered_percent(usable(limits.memory_mb), cost.memory_mb),
-            covered_percent(usable(limits.max_descriptors), cost.descriptors),
+            covered_percent(usable(limits.memory_mb, USABLE_MEMORY_PERCENT), cost.memory_mb),
+            covered_percent(usable(limits.max_descriptors, USABLE_PERCENT), cost.descriptors),
             covered_percent(limits.cpu_percent, cost.cpu_percent),
             covered_percent(limits.link_mbps, cost.link_mbps),
         ];
--- a/crates/dispatch/tests/leading_cost.rs
+++ b/crates/dispatch/tests/leading_cost.rs
@@ -1,6 +1,7 @@
 //! Which VM leads: the cost of leading against the limits of VMs of different sizes.
 
 use arbutuspick_dispatch::{LeadingCost, ProcessLimits, VmFitness, election_delay_ms};
+use arbutuspick_server::ListenerLimits;
 use proptest::prelude::*;
 use yare::parameterized;
 
@@ -24,6 +25,7 @@
     few_workers = { TIGHT_VM, 350, true },
     many_workers = { TIGHT_VM, 3_500, false },
     large_vm = { limits(512, 8_192, 100, 200), 3_000, true },
+    no_room_for_clients = { limits(160, 8_192, 100, 200), 3_000, false },
     too_many_connections = { limits(512, 8_192, 100, 200), 3_500, false },
     little_cpu = { SMALL_VM, 24, false },
     unknown_limits = { ProcessLimits::default(), 100_000, true },
@@ -59,6 +61,21 @@
 }
 
 proptest! {
+    /// Guards against a leader that its clients bring to the limit at which it hands over, so that a crowd kills it or drives
+    /// leadership from VM to VM.
+    #[test]
+    fn room_for_clients(limits in any_limits(), workers in 1_u64..20_000) {
+        /// Share of its memory from which a leader hands over, in percent.
+        const NEAR_LIMIT_PERCENT: u64 = 85;
+        let cost = LeadingCost::of_workers(Some(workers));
+        if VmFitness::new(limits, cost).bears_cost() {
+            let clients = ListenerLimits::derive(limits.memory_mb as usize, limits.max_descriptors as usize);
+            let clients_mb = (clients.total_bytes() as u64).div_ceil(1024 * 1024);
+            let used_mb = cost.memory_mb + clients_mb;
+            prop_assert!(used_mb * 100 < limits.memory_mb * NEAR_LIMIT_PERCENT, "{used_mb} MB of {limits:?}");
+        }
+    }
+
     /// Guards against leadership that moves back and forth between two VMs, and to one that can bear less.
     #[test]
     fn no_return(first in any_limits(), second in any_limits(), workers in 1_u64..20_000) {
--- a/crates/server/src/client_limits.rs
+++ b/crates/server/src/client_limits.rs
@@ -1,7 +1,7 @@
 use crate::connection_entry::CONNECTION_BYTES;
 
-/// Part of the memory that clients may hold, as a divisor; the rest is for the scheduler and its clients.
-const MEMORY_DIVISOR: usize = 4;
+/// Share of the memory that clients may hold, in percent; the rest is for the scheduler and its clients.
+pub const CLIENT_MEMORY_PERCENT: usize = 25;
 /// Descriptors that the platform reserves for files.
 const FILE_DESCRIPTORS: usize = 200;
 /// Part of the sockets that callers may use, as a divisor; the rest is for the store, workers and peers.
@@ -52,7 +52,7 @@
     /// assert_eq!((limits.callers.max_connections, limits.callers.max_bytes), (600, 19_660_800));
     /// ```
     pub fn derive(memory_mb: usize, max_descriptors: usize) -> Self {
-        let bytes = memory_mb.saturating_mul(1024 * 1024) / MEMORY_DIVISOR;
+        let bytes = memory_mb.saturating_mul(1024 * 1024 * CLIENT_MEMORY_PERCENT) / 100;
         let sockets = max_descriptors.saturating_sub(FILE_DESCRIPTORS);
         let limits = |max_connections: usize, sixteenths: usize| {
             let max_bytes = bytes / 16 * sixteenths;
@@ -70,4 +70,10 @@
             peers: limits((sockets / PEER_SOCKET_DIVISOR).min(MAX_PEER_CONNECTIONS), 4),
         }
     }
+
+    /// Returns the memory that the clients of all listeners may hold together, in bytes.
+    pub fn total_bytes(&self) -> usize {
+        let listeners = [self.callers, self.readiness, self.metrics, self.peers];
+        listeners.iter().map(|limits| limits.max_bytes).sum()
+    }
 }
--- a/crates/server/src/lib.rs
+++ b/crates/server/src/lib.rs
@@ -17,7 +17,7 @@
 pub use client_body::{BodyError, ClientBody};
 pub use client_guard::{ClientGuard, ConnectionLease};
 pub use client_ledger::{Admission, ClientLedger, Closure, ClosureReason};
-pub use client_limits::{ClientLimits, ListenerLimits, descriptor_limit};
+pub use client_limits::{CLIENT_MEMORY_PERCENT, ClientLimits, ListenerLimits, descriptor_limit};
 pub use connection_entry::ConnectionKey;
 pub use frame_reader::read_frame;
 pub use http_server::{MAX_HEAD_BYTES, serve};
