Do not wait for stalled clients when a server stops

What callers saw: one client that has sent part of a request makes every planned stop last until 0.4 s before the end of the grace period. On a VM with a fraction of a core the process is then killed with ordinary requests open.

Cause: a server that stops waited for every connection with part of a request or with a response that is not read. The timeouts of those are 20 s for a head and 60 s for a body; a response has none.

Fix: a server that stops closes connections that have stalled for 1 s, and 1 s after it has ceased to accept connections all without a request in process. Nothing of these requests was processed, so their callers can repeat them elsewhere. A request that was read whole is waited for as before. Input that has arrived is read before the decision, so a slow VM does not take its own delay for that of a client.

--- a/crates/server/src/client_guard.rs
+++ b/crates/server/src/client_guard.rs
@@ -1,3 +1,4 @@
+use std::future::poll_fn;
 use std::sync::Arc;
 
 use arbutuspick_model::ClockTime;
@@ -72,6 +73,14 @@
         (state.ledger.open_connections(), state.ledger.held_bytes())
     }
 
+    /// Closes the connections that a stop does not wait for, once input that has arrived was read.
+    pub(crate) async fn close_unfinished(&self) {
+        let mut turn_waiter = self.shared.turns.waiter();
+        poll_fn(|context| turn_waiter.poll_turn(context)).await;
+        self.shared.decide(ClientLedger::stop);
+        self.shared.record_load();
+    }
+
     /// Admits a connection, or returns `None` if there is no room for it.
     pub fn connect(&self) -> Option<Arc<ConnectionLease>> {
         let closed = CancellationToken::new();
--- a/crates/server/src/client_ledger.rs
+++ b/crates/server/src/client_ledger.rs
@@ -7,7 +7,8 @@
 use crate::ClientLimits;
 pub use crate::connection_entry::ClosureReason;
 use crate::connection_entry::{
-    CONNECTION_BYTES, ConnectionEntry, ConnectionKey, ConnectionPhase, FIRST_BUFFER_BYTES, GROWN_BUFFER_BYTES,
+    CONNECTION_BYTES, ConnectionEntry, ConnectionKey, ConnectionPhase, FIRST_BUFFER_BYTES,
+    GROWN_BUFFER_BYTES, STALL_MS,
 };
 
 /// Largest request that may use the part of the memory that is reserved for small requests, in bytes.
@@ -52,6 +53,8 @@
     open_connections: usize,
     /// Memory of these connections, in bytes.
     held_bytes: usize,
+    /// Time until which requests have to have arrived; set when the listener stops.
+    arrival_deadline: Option<ClockTime>,
     /// Connections that were chosen since [`Self::take_closures`] was last called.
     closures: Vec<Closure>,
 }
@@ -64,6 +67,7 @@
             connections: SlotMap::with_key(),
             open_connections: 0,
             held_bytes: 0,
+            arrival_deadline: None,
             closures: Vec::new(),
         }
     }
@@ -200,6 +204,29 @@
         }
     }
 
+    /// Closes the connections that a stop does not wait for.
+    ///
+    /// These are the ones that have stalled and, some time after the first call, all without a request in process. Their
+    /// clients can repeat their requests elsewhere, since nothing of them was processed.
+    pub fn stop(&mut self, now: ClockTime) {
+        let arrival_deadline = *self.arrival_deadline.get_or_insert(now + STALL_MS);
+        let unfinished = |entry: &ConnectionEntry| match (entry.closable(now), entry.phase) {
+            (Some((ClosureReason::Stalled, _)), _) => Some(ClosureReason::Stalled),
+            _ if now < arrival_deadline || entry.is_closing => None,
+            (_, ConnectionPhase::Receiving) => Some(ClosureReason::Slow),
+            (_, ConnectionPhase::Idle) => Some(ClosureReason::Idle),
+            (_, ConnectionPhase::Running | ConnectionPhase::Responding) => None,
+        };
+        let chosen: Vec<_> = self
+            .connections
+            .iter()
+            .filter_map(|(key, entry)| Some((key, unfinished(entry)?)))
+            .collect();
+        for (key, reason) in chosen {
+            self.close(key, reason);
+        }
+    }
+
     fn open_entry(&mut self, key: ConnectionKey) -> Option<&mut ConnectionEntry> {
         self.connections.get_mut(key).filter(|entry| !entry.is_closing)
     }
--- a/crates/server/src/connection_entry.rs
+++ b/crates/server/src/connection_entry.rs
@@ -9,7 +9,7 @@
 /// Additional memory of a connection whose request exceeds the first read buffer, in bytes.
 pub(crate) const GROWN_BUFFER_BYTES: usize = 32 * 1024;
 /// Time without progress after which a connection may be closed to make room, in milliseconds.
-const STALL_MS: u64 = 1_000;
+pub(crate) const STALL_MS: u64 = 1_000;
 /// Time without a request after which the connection of a served client may be closed, in milliseconds.
 const IDLE_MS: u64 = 5_000;
 /// Time after which a request that still arrives may be closed, in milliseconds; callers wait for 3 s by default.
--- a/crates/server/src/http_server.rs
+++ b/crates/server/src/http_server.rs
@@ -22,10 +22,14 @@
 pub const MAX_HEAD_BYTES: usize = 24 * 1024;
 /// Timeout for the headers of the next request on a connection, in seconds.
 const HEADER_TIMEOUT_S: u64 = 20;
+/// Interval at which a server that stops closes the connections that it does not wait for, in milliseconds.
+const STOP_CHECK_INTERVAL_MS: u64 = 100;
 /// Delay after a failed accept, in milliseconds; file descriptors may be exhausted.
 const ACCEPT_RETRY_DELAY_MS: u64 = 50;
 
 /// Serves connections until `shutdown` is cancelled, then completes the requests that were received.
+///
+/// A client that stalls in the middle of a request or of reading a response is not waited for.
 pub async fn serve<H, F, B>(
     listener: TcpListener,
     guard: ClientGuard,
@@ -59,7 +63,15 @@
             }
         }
     }
-    while connections.join_next().await.is_some() {}
+    let mut checks = tokio::time::interval(Duration::from_millis(STOP_CHECK_INTERVAL_MS));
+    loop {
+        tokio::select! {
+            ended = connections.join_next() => if ended.is_none() {
+                return;
+            },
+            _ = checks.tick() => guard.close_unfinished().await,
+        }
+    }
 }
 
 async fn serve_connection<H, F, B>(
@@ -98,16 +110,25 @@
         .serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
     let mut turn_waiter = lease.turn_waiter();
+    let served = async {
+        let mut is_stopping = false;
+        loop {
+            let turn = poll_fn(|context| {
+                ready!(turn_waiter.poll_turn(context));
+                connection.as_mut().poll(context)
+            });
+            tokio::select! {
+                result = turn => return result,
+                () = shutdown.cancelled(), if !is_stopping => {
+                    is_stopping = true;
+                    connection.as_mut().graceful_shutdown();
+                }
+            }
+        }
+    };
     let result = tokio::select! {
-        result = poll_fn(|context| {
-            ready!(turn_waiter.poll_turn(context));
-            connection.as_mut().poll(context)
-        }) => result,
+        result = served => result,
         () = lease.closed() => return,
-        () = shutdown.cancelled() => {
-            connection.as_mut().graceful_shutdown();
-            connection.as_mut().await
-        }
     };
     if let Err(error) = result {
         log::debug!("[server] connection failed: {error}");
--- a/crates/server/tests/client_ledger.rs
+++ b/crates/server/tests/client_ledger.rs
@@ -178,6 +178,36 @@
     assert!(ledger.take_closures().is_empty());
 }
 
+/// Guards against a stop that waits for clients that have stalled, and against one that cuts a request in process or that
+/// leaves no time to requests that are arriving.
+#[test]
+fn stopped_listener() {
+    let mut ledger = ClientLedger::new(LIMITS);
+    let keys: Vec<_> = (0..4).filter_map(|_| connect(&mut ledger, 0)).collect();
+    let [running, arriving, idle, stalled] = keys[..] else {
+        unreachable!("four connections fit")
+    };
+    assert!(ledger.receive(running, 1, ClockTime(0)) && ledger.run(running));
+    assert!(ledger.receive(stalled, 1, ClockTime(0)));
+    serve(&mut ledger, idle, 0);
+    assert!(ledger.receive(arriving, 1, ClockTime(1_900)));
+    let mut stop_at = |now| {
+        if now < 3_000 {
+            ledger.receive(arriving, 1, ClockTime(now));
+        }
+        ledger.stop(ClockTime(now));
+        let closures = ledger.take_closures().into_iter();
+        closures
+            .map(|closure| (closure.key, closure.reason))
+            .collect::<Vec<_>>()
+    };
+    assert_eq!(stop_at(2_000), [(stalled, ClosureReason::Stalled)]);
+    assert_eq!(stop_at(2_900), []);
+    let last = [(arriving, ClosureReason::Slow), (idle, ClosureReason::Idle)];
+    assert_eq!(stop_at(3_000), last);
+    assert_eq!(stop_at(60_000), []);
+}
+
 /// Guards against large bodies that leave no memory for ordinary requests.
 #[test]
 fn small_requests() {
@@ -202,6 +232,7 @@
     Respond(usize),
     Finish(usize),
     Disconnect(usize),
+    Stop,
     Wait(u64),
 }
 
@@ -217,6 +248,7 @@
         1 => number.clone().prop_map(LedgerCall::Finish),
         1 => number.prop_map(LedgerCall::Disconnect),
         1 => (0..3_000_u64).prop_map(LedgerCall::Wait),
+        1 => (0..20_u8).prop_map(|number| if number == 0 { LedgerCall::Stop } else { LedgerCall::Wait(100) }),
     ]
 }
 
@@ -270,6 +302,7 @@
                 ledger.disconnect(key(number));
                 running.retain(|key_of| *key_of != key(number));
             }
+            LedgerCall::Stop => ledger.stop(now),
             LedgerCall::Wait(millis) => now = now + *millis,
         }
         // Responses are small here, so that the limit holds for them too.
