Serve heads with as many headers as fit the permitted size

The configurations limit a head to 16,384 bytes and say nothing of the number of its headers.

Cause: the HTTP library accepts 100 headers by default.

Evidence: legal_requests on the code before: many_headers, short_headers and shortest_headers (165, 1,817 and 4,085 headers, 16,384 bytes) get 431; long paths, one long header and small chunks were served.

Fix: the stream of a connection counts the lines of a head. Above 90 it holds the bytes back and the connection is set up again with a table for as many headers as fit, then closed with the response. That is done only where a head has to begin: on a new connection, and after a response to a request whose body was read. The ledger reserves 160 bytes for each header beyond 90. Without room the connection is closed before the request is handled; so is one that was chosen to be closed while its head arrived, whose request was handled without a response before.

Ruled out: the larger table for every request.

Not covered: many headers in a request that is sent before the response to the one before; the limit of 100 holds there.

--- a/crates/server/src/client_body.rs
+++ b/crates/server/src/client_body.rs
@@ -102,6 +102,7 @@
             };
             let Some(frame) = frame else {
                 self.has_ended = true;
+                self.lease.head_watch().end_body();
                 // The connection may have been chosen to be closed just before the last bytes arrived.
                 let body = std::mem::take(&mut self.buffer).freeze();
                 return Poll::Ready(if self.lease.run() {
--- a/crates/server/src/client_guard.rs
+++ b/crates/server/src/client_guard.rs
@@ -9,6 +9,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::client_turns::{ClientTurns, TurnWaiter};
+use crate::head_watch::HeadWatch;
 use crate::{Admission, ClientLedger, ClientLimits, ClosureReason, ConnectionKey};
 
 #[derive(Debug)]
@@ -40,6 +41,7 @@
     shared: Arc<GuardShared>,
     key: ConnectionKey,
     closed: CancellationToken,
+    head_watch: HeadWatch,
 }
 
 impl ClientGuard {
@@ -95,6 +97,7 @@
             shared: self.shared.clone(),
             key,
             closed,
+            head_watch: HeadWatch::new(),
         }))
     }
 }
@@ -164,6 +167,10 @@
         self.closed.cancelled().await;
     }
 
+    pub(crate) fn head_watch(&self) -> &HeadWatch {
+        &self.head_watch
+    }
+
     /// Returns what the connection waits for before it is polled, so that other tasks of the process run in between.
     pub(crate) fn turn_waiter(&self) -> TurnWaiter {
         self.shared.turns.waiter()
@@ -195,6 +202,15 @@
         self.shared.decide(|ledger, _| ledger.run(self.key))
     }
 
+    /// Records that a head with this many headers was read; returns whether there is room for them.
+    pub(crate) fn begin(&self, header_count: usize, has_body: bool) -> bool {
+        self.head_watch.begin_request(has_body);
+        let admitted = self
+            .shared
+            .decide(|ledger, now| ledger.begin(self.key, header_count, now));
+        self.count_refusal(admitted)
+    }
+
     /// Records that a request has a response of this size.
     pub fn respond(&self, bytes: usize, is_served: bool) {
         self.shared
@@ -208,6 +224,7 @@
 
     /// Records that everything was sent.
     pub fn finish(&self) {
+        self.head_watch.end_request();
         self.shared.decide(|ledger, now| ledger.finish(self.key, now));
     }
 
--- a/crates/server/src/client_ledger.rs
+++ b/crates/server/src/client_ledger.rs
@@ -13,6 +13,10 @@
 
 /// Largest request that may use the part of the memory that is reserved for small requests, in bytes.
 const SMALL_REQUEST_BYTES: usize = 16 * 1024;
+/// Number of headers that the memory of a connection covers.
+const COMMON_HEADERS: usize = 90;
+/// Memory of each further header of a request, in bytes: an entry of the table of headers and its name.
+const HEADER_BYTES: usize = 160;
 /// Part of the memory that is reserved for small requests and new connections, as a divisor.
 const SMALL_REQUEST_DIVISOR: usize = 8;
 
@@ -146,6 +150,12 @@
         true
     }
 
+    /// Records that a head with this many headers was read; returns whether there is room for them.
+    pub fn begin(&mut self, key: ConnectionKey, header_count: usize, now: ClockTime) -> bool {
+        let bytes = header_count.saturating_sub(COMMON_HEADERS) * HEADER_BYTES;
+        (bytes == 0 || self.reserve(key, bytes, now)) && self.run(key)
+    }
+
     /// Records the client account of the current request.
     pub fn identify(&mut self, key: ConnectionKey, account: Option<Arc<str>>) {
         if let Some(entry) = self.open_entry(key) {
--- a/crates/server/src/http_server.rs
+++ b/crates/server/src/http_server.rs
@@ -1,16 +1,18 @@
-use std::convert::Infallible;
 use std::error::Error;
 use std::future::{Future, poll_fn};
+use std::pin::Pin;
 use std::sync::Arc;
-use std::task::ready;
+use std::task::{Poll, ready};
 use std::time::Duration;
 
 use bytes::Bytes;
 use hyper::body::{Body, Incoming};
+use hyper::header::{CONNECTION, HeaderValue};
 use hyper::server::conn::http1;
-use hyper::service::service_fn;
+use hyper::service::{HttpService, service_fn};
 use hyper::{Request, Response};
 use hyper_util::rt::{TokioIo, TokioTimer};
+use snafu::Snafu;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::JoinSet;
 use tokio_util::sync::CancellationToken;
@@ -20,6 +22,8 @@
 
 /// Maximum size of a head in bytes; configurations permit 16 KB.
 pub const MAX_HEAD_BYTES: usize = 24 * 1024;
+/// Maximum number of headers; a head consists of so many if each is as short as possible.
+const MAX_HEADERS: usize = MAX_HEAD_BYTES / "a:\r\n".len();
 /// Timeout for the headers of the next request on a connection, in seconds.
 const HEADER_TIMEOUT_S: u64 = 20;
 /// Interval at which a server that stops closes the connections that it does not wait for, in milliseconds.
@@ -27,6 +31,13 @@
 /// Delay after a failed accept, in milliseconds; file descriptors may be exhausted.
 const ACCEPT_RETRY_DELAY_MS: u64 = 50;
 
+type HttpConnection<S> = http1::Connection<TokioIo<ClientStream>, S>;
+
+/// There is no room for the headers of a request. Its connection is closed without a response.
+#[derive(Debug, Snafu)]
+#[snafu(display("there is no room for the headers of the request"))]
+struct NoRoomError;
+
 /// Serves connections until `shutdown` is cancelled, then completes the requests that were received.
 ///
 /// A client that stalls in the middle of a request or of reading a response is not waited for.
@@ -74,6 +85,30 @@
     }
 }
 
+fn http_builder() -> http1::Builder {
+    let mut builder = http1::Builder::new();
+    builder
+        .timer(TokioTimer::new())
+        .header_read_timeout(Duration::from_secs(HEADER_TIMEOUT_S))
+        .max_buf_size(MAX_HEAD_BYTES);
+    builder
+}
+
+/// Replaces a connection of which no more than part of a head was read by one that takes as many headers as fit a head.
+fn with_many_headers<S, B>(connection: HttpConnection<S>) -> HttpConnection<S>
+where
+    S: HttpService<Incoming, ResBody = B>,
+    S::Error: Into<Box<dyn Error + Send + Sync>>,
+    B: Body + 'static,
+    B::Error: Into<Box<dyn Error + Send + Sync>>,
+{
+    let mut parts = connection.into_parts();
+    parts.io.inner_mut().put_back(&parts.read_buf);
+    http_builder()
+        .max_headers(MAX_HEADERS)
+        .serve_connection(parts.io, parts.service)
+}
+
 async fn serve_connection<H, F, B>(
     stream: TcpStream,
     lease: Arc<ConnectionLease>,
@@ -91,37 +126,52 @@
     let service = service_fn(|request: Request<Incoming>| {
         let (handler, lease) = (handler.clone(), lease.clone());
         async move {
-            lease.run();
+            let has_body = !request.body().is_end_stream();
+            if !lease.begin(request.headers().len(), has_body) {
+                return Err(NoRoomError);
+            }
             let request = request.map(|incoming| ClientBody::new(incoming, lease.clone()));
-            let response = handler(request).await;
+            let mut response = handler(request).await;
+            if lease.head_watch().has_many_headers() {
+                let headers = response.headers_mut();
+                headers.insert(CONNECTION, HeaderValue::from_static("close"));
+            }
             let size = response.body().size_hint().lower();
             lease.respond(
                 usize::try_from(size).unwrap_or(usize::MAX),
                 response.status().is_success(),
             );
-            Ok::<_, Infallible>(response)
+            Ok(response)
         }
     });
     let stream = ClientStream::new(stream, lease.clone());
-    let connection = http1::Builder::new()
-        .timer(TokioTimer::new())
-        .header_read_timeout(Duration::from_secs(HEADER_TIMEOUT_S))
-        .max_buf_size(MAX_HEAD_BYTES)
-        .serve_connection(TokioIo::new(stream), service);
-    tokio::pin!(connection);
+    let mut connection = http_builder().serve_connection(TokioIo::new(stream), service);
+    let mut takes_many_headers = false;
     let mut turn_waiter = lease.turn_waiter();
     let served = async {
         let mut is_stopping = false;
         loop {
             let turn = poll_fn(|context| {
                 ready!(turn_waiter.poll_turn(context));
-                connection.as_mut().poll(context)
+                match Pin::new(&mut connection).poll(context) {
+                    Poll::Ready(result) => Poll::Ready(Some(result)),
+                    Poll::Pending if lease.head_watch().has_many_headers() != takes_many_headers => {
+                        Poll::Ready(None)
+                    }
+                    Poll::Pending => Poll::Pending,
+                }
             });
             tokio::select! {
-                result = turn => return result,
+                result = turn => match result {
+                    Some(result) => return result,
+                    None => {
+                        takes_many_headers = true;
+                        connection = with_many_headers(connection);
+                    }
+                },
                 () = shutdown.cancelled(), if !is_stopping => {
                     is_stopping = true;
-                    connection.as_mut().graceful_shutdown();
+                    Pin::new(&mut connection).graceful_shutdown();
                 }
             }
         }
--- a/crates/server/src/lib.rs
+++ b/crates/server/src/lib.rs
@@ -12,6 +12,7 @@
 mod client_turns;
 mod connection_entry;
 mod frame_reader;
+mod head_watch;
 mod http_server;
 
 pub use client_body::{BodyError, ClientBody};
