Test the entry daemon against crowds at both of its listeners

The entry daemon got the limits on what clients can hold, but no test sent a crowd to it. The test starts the daemon with 64 MB and 360 descriptors in its settings and sends small crowds to the listeners for callers and for peers. It checks that the daemon lives, that its peak memory is under 64 MB and its sockets under 160, and that a new caller is answered.

The crowd moves from the tests of the edge process to the stand-ins, so that both use it; what it sends is unchanged. wait_settled takes any IPv4 address.

--- a/crates/entry/tests/harness/mod.rs
+++ b/crates/entry/tests/harness/mod.rs
@@ -43,6 +43,8 @@
     pub(crate) upstreams: usize,
     /// Accounts: name, home data centre, accelerators of a guaranteed cell, and number of cells.
     pub(crate) accounts: Vec<(&'static str, &'static str, u32, u32)>,
+    /// Limits in the settings of the entry VMs; `null` for the defaults.
+    pub(crate) limits: Value,
 }
 
 impl Default for PoolOptions {
@@ -52,6 +54,7 @@
             workers: 4,
             upstreams: 2,
             accounts: vec![("parks", "trent", 0, 0)],
+            limits: Value::Null,
         }
     }
 }
@@ -61,6 +64,7 @@
     pub(crate) name: String,
     pub(crate) centre: &'static str,
     pub(crate) http: SocketAddr,
+    pub(crate) peer: SocketAddr,
     settings: PathBuf,
     child: Option<Child>,
 }
@@ -80,6 +84,17 @@
         self.child = Some(child);
     }
 
+    /// Returns the id of the process.
+    pub(crate) fn process_id(&self) -> u32 {
+        self.child.as_ref().expect("the daemon runs").id()
+    }
+
+    /// Returns whether the process has not ended.
+    pub(crate) fn is_running(&mut self) -> bool {
+        let child = self.child.as_mut().expect("the daemon runs");
+        child.try_wait().unwrap().is_none()
+    }
+
     /// Kills the process at once.
     pub(crate) fn kill(&mut self) {
         if let Some(mut child) = self.child.take() {
@@ -397,6 +412,7 @@
                 name,
                 centre,
                 http,
+                peer,
                 settings,
                 child: None,
             });
@@ -409,7 +425,7 @@
             .filter(|(j, _)| *j != i)
             .map(|(_, peer)| peer)
             .collect();
-        let settings = json!({
+        let mut settings = json!({
             "vm": entry.name,
             "data_centre": entry.centre,
             "http_listen": entry.http.to_string(),
@@ -422,6 +438,9 @@
             "auth": "off",
             "owners": ["north", "south"],
         });
+        if !options.limits.is_null() {
+            settings["limits"] = options.limits.clone();
+        }
         // JSON is valid YAML.
         fs::write(&entry.settings, serde_json::to_string_pretty(&settings).unwrap()).unwrap();
     }
--- a/platform/tests/support/client_crowd.rs
+++ b/crates/standins/src/client_crowd.rs
@@ -1,15 +1,12 @@
 //! Clients outside the limits on loopback, and the figures of the process that they meet.
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
-use tokio::sync::watch;
 use tokio::task::JoinSet;
 
-use super::edge_under_test::{EdgeUnderTest, HOST, KEY, PREFIX};
-
 /// Time after which a member of a crowd stops sending, since the process may no longer read from it.
 const SEND_TIMEOUT: Duration = Duration::from_secs(20);
 /// Time for which a returning member waits to be refused; afterwards it stays connected.
@@ -19,20 +16,21 @@
 
 /// What each member of a crowd does.
 #[derive(Clone, Debug)]
-pub(crate) struct CrowdPlan {
-    pub(crate) members: usize,
+pub struct CrowdPlan {
+    /// Number of members.
+    pub members: usize,
     /// Bytes that each member sends; every tenth member also sends `rest`.
-    pub(crate) bytes: Vec<u8>,
+    pub bytes: Vec<u8>,
     /// End of the request.
-    pub(crate) rest: Vec<u8>,
+    pub rest: Vec<u8>,
     /// Size of the single writes.
-    pub(crate) piece: usize,
+    pub piece: usize,
     /// Number of times that a member connects again after its connection was closed.
-    pub(crate) returns: usize,
+    pub returns: usize,
 }
 
 /// Sends the requests of a crowd; returns the connections, which stay open.
-pub(crate) async fn send_crowd(address: SocketAddr, plan: &CrowdPlan) -> Vec<TcpStream> {
+pub async fn send_crowd(address: SocketAddr, plan: &CrowdPlan) -> Vec<TcpStream> {
     let mut members = JoinSet::new();
     for number in 0..plan.members {
         let plan = plan.clone();
@@ -69,10 +67,13 @@
 }
 
 /// Waits until no socket of the process at this address has bytes that it has not read.
-pub(crate) async fn wait_settled(address: SocketAddr) {
-    let local = format!("0100007F:{:04X}", address.port());
+pub async fn wait_settled(address: SocketAddr) {
+    let IpAddr::V4(ip) = address.ip() else {
+        return;
+    };
+    let local = format!("{:08X}:{:04X}", u32::from_le_bytes(ip.octets()), address.port());
     for _ in 0..MAX_SETTLE_ROUNDS {
-        let table = std::fs::read_to_string("/proc/net/tcp").unwrap();
+        let table = std::fs::read_to_string("/proc/net/tcp").expect("cannot read the socket table");
         let unread = table.lines().any(|line| {
             let fields: Vec<&str> = line.split_whitespace().collect();
             let queues = fields.get(4).and_then(|queues| queues.split_once(':'));
@@ -89,16 +90,17 @@
 }
 
 /// Returns the largest resident memory that the process has had, in kilobytes.
-pub(crate) fn peak_memory_kb(edge: &EdgeUnderTest) -> u64 {
-    let status = std::fs::read_to_string(format!("/proc/{}/status", edge.child.id())).unwrap();
+pub fn peak_memory_kb(process: u32) -> u64 {
+    let status = std::fs::read_to_string(format!("/proc/{process}/status")).expect("the process has ended");
     let line = status.lines().find(|line| line.starts_with("VmHWM:"));
     let value = line.and_then(|line| line.split_whitespace().nth(1));
-    value.expect("the process has ended").parse().unwrap()
+    let value = value.and_then(|value| value.parse().ok());
+    value.expect("the process has ended")
 }
 
 /// Returns the number of open sockets and pipes of the process.
-pub(crate) fn open_sockets(edge: &EdgeUnderTest) -> usize {
-    let folder = std::fs::read_dir(format!("/proc/{}/fd", edge.child.id())).unwrap();
+pub fn open_sockets(process: u32) -> usize {
+    let folder = std::fs::read_dir(format!("/proc/{process}/fd")).expect("the process has ended");
     let targets = folder.filter_map(|entry| std::fs::read_link(entry.ok()?.path()).ok());
     targets
         .filter(|target| {
@@ -107,64 +109,3 @@
         })
         .count()
 }
-
-/// Connections of callers that stay open and are in use for as long as a crowd is there.
-#[derive(Debug)]
-pub(crate) struct OrdinaryCallers {
-    stop: watch::Sender<bool>,
-    callers: JoinSet<std::io::Result<()>>,
-}
-
-impl OrdinaryCallers {
-    pub(crate) async fn start(address: SocketAddr, count: usize) -> Self {
-        let stop = watch::Sender::new(false);
-        let mut callers = JoinSet::new();
-        for _ in 0..count {
-            let mut stream = TcpStream::connect(address).await.unwrap();
-            read_queue(&mut stream).await.unwrap();
-            let mut stopped = stop.subscribe();
-            callers.spawn(async move {
-                while !*stopped.borrow_and_update() {
-                    let _ = tokio::time::timeout(Duration::from_millis(250), stopped.changed()).await;
-                    read_queue(&mut stream).await?;
-                }
-                Ok(())
-            });
-        }
-        Self { stop, callers }
-    }
-
-    /// Makes a last request on each connection; returns the errors of all.
-    pub(crate) async fn finish(self) -> Vec<std::io::Error> {
-        self.stop.send_replace(true);
-        let results = self.callers.join_all().await;
-        results.into_iter().filter_map(Result::err).collect()
-    }
-}
-
-/// Reads the number of pending jobs of the queue over an open connection.
-async fn read_queue(stream: &mut TcpStream) -> std::io::Result<()> {
-    let response = request_over(stream, PREFIX, KEY).await?;
-    if !response.starts_with(b"HTTP/1.1 200") {
-        return Err(std::io::Error::other(String::from_utf8_lossy(&response)));
-    }
-    Ok(())
-}
-
-/// Sends a GET request over an open connection and returns the response, whose body is empty or a JSON object without
-/// nested objects.
-pub(crate) async fn request_over(stream: &mut TcpStream, path: &str, key: &str) -> std::io::Result<Vec<u8>> {
-    let request = format!("GET {path} HTTP/1.1\r\nhost: {HOST}\r\nauthorization: Token {key}\r\n\r\n");
-    stream.write_all(request.as_bytes()).await?;
-    let mut response = Vec::new();
-    loop {
-        let text = String::from_utf8_lossy(&response).to_lowercase();
-        let is_empty = text.contains("content-length: 0\r\n");
-        if text.ends_with('}') || (is_empty && text.ends_with("\r\n\r\n")) {
-            return Ok(response);
-        }
-        if stream.read_buf(&mut response).await? == 0 {
-            return Err(std::io::ErrorKind::UnexpectedEof.into());
-        }
-    }
-}
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod call_stats;
 mod checkpoint_store;
+mod client_crowd;
 mod control_client;
 pub mod drive;
 mod http_server;
@@ -25,6 +26,7 @@
 mod worker_standin;
 
 pub use call_stats::CallStats;
+pub use client_crowd::{CrowdPlan, open_sockets, peak_memory_kb, send_crowd, wait_settled};
 pub use control_client::{ControlClient, ControlError};
 pub use platform_control::{PlatformControl, PlatformSettings, VmKey, WriteDelay};
 pub use platform_standin::{PlatformOptions, PlatformStandin};
