--- a/crates/entry/tests/config_in_force.rs
+++ b/crates/entry/tests/config_in_force.rs
@@ -24,7 +24,7 @@
         centres: vec![("trent", 2), ("severn", 2)],
         workers: 2,
         upstreams: 1,
-        accounts: vec![("parks", "trent", 0, 0)],
+        ..PoolOptions::default()
     })
     .await
 }
