Permit heads of the size that the configuration says

What callers saw: a configuration that permits heads of 60,000 bytes is in force, and a request with such a head gets 431.

Cause: the limit of the server was 24 KB whatever the configuration said.

Fix: each connection takes the limit of the newest configuration when it is admitted, and 8 KB more, from 24 KB to 128 KB. With 16,384 bytes the limit is 24 KB as before. The ledger counts the read buffer of the connection by its limit, so longer heads come out of the same memory.

Ruled out: changing the limit of open connections, whose buffers are counted.

Heads above 120 KB are still refused.

--- a/crates/server/src/client_guard.rs
+++ b/crates/server/src/client_guard.rs
@@ -1,3 +1,4 @@
+use std::fmt::{Debug, Formatter};
 use std::future::poll_fn;
 use std::sync::Arc;
 
@@ -8,6 +9,7 @@
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
+use crate::client_limits::head_limit;
 use crate::client_turns::{ClientTurns, TurnWaiter};
 use crate::head_watch::HeadWatch;
 use crate::{Admission, ClientLedger, ClientLimits, ClosureReason, ConnectionKey};
@@ -33,6 +35,17 @@
 #[derive(Clone, Debug)]
 pub struct ClientGuard {
     shared: Arc<GuardShared>,
+    permitted_head: PermittedHead,
+}
+
+/// Returns the size of a head that the configuration permits, in bytes.
+#[derive(Clone)]
+struct PermittedHead(Arc<dyn Fn() -> usize + Send + Sync>);
+
+impl Debug for PermittedHead {
+    fn fmt(&self, formatter: &mut Formatter<'_>) -> std::fmt::Result {
+        formatter.write_str("PermittedHead")
+    }
 }
 
 /// A connection that is admitted; its memory is returned when the lease is dropped.
@@ -42,6 +55,8 @@
     key: ConnectionKey,
     closed: CancellationToken,
     head_watch: HeadWatch,
+    /// Maximum size of a head, in bytes.
+    head_limit: usize,
 }
 
 impl ClientGuard {
@@ -66,9 +81,20 @@
         };
         Self {
             shared: Arc::new(shared),
+            permitted_head: PermittedHead(Arc::new(|| 0)),
         }
     }
 
+    /// Sets what returns the size of a head that the configuration permits, in bytes; it is asked for each connection.
+    #[must_use]
+    pub fn with_permitted_head<F>(mut self, permitted_bytes: F) -> Self
+    where
+        F: Fn() -> usize + Send + Sync + 'static,
+    {
+        self.permitted_head = PermittedHead(Arc::new(permitted_bytes));
+        self
+    }
+
     /// Returns the number of open connections and the memory that they hold, in bytes.
     pub fn load(&self) -> (usize, usize) {
         let state = self.shared.state.lock();
@@ -86,7 +112,11 @@
     /// Admits a connection, or returns `None` if there is no room for it.
     pub fn connect(&self) -> Option<Arc<ConnectionLease>> {
         let closed = CancellationToken::new();
-        let admission = self.shared.decide(ClientLedger::connect);
+        let head_limit = head_limit((self.permitted_head.0)());
+        let admission = self.shared.decide(|ledger, now| {
+            ledger.set_head_limit(head_limit);
+            ledger.connect(now)
+        });
         let Admission::Admitted(key) = admission else {
             self.shared.record_refusal("connections");
             return None;
@@ -98,6 +128,7 @@
             key,
             closed,
             head_watch: HeadWatch::new(),
+            head_limit,
         }))
     }
 }
@@ -167,6 +198,11 @@
         self.closed.cancelled().await;
     }
 
+    /// Returns the maximum size of a head, in bytes.
+    pub(crate) fn head_limit(&self) -> usize {
+        self.head_limit
+    }
+
     pub(crate) fn head_watch(&self) -> &HeadWatch {
         &self.head_watch
     }
--- a/crates/server/src/client_ledger.rs
+++ b/crates/server/src/client_ledger.rs
@@ -4,12 +4,11 @@
 use arbutuspick_model::ClockTime;
 use slotmap::SlotMap;
 
-use crate::ClientLimits;
 pub use crate::connection_entry::ClosureReason;
 use crate::connection_entry::{
-    CONNECTION_BYTES, ConnectionEntry, ConnectionKey, ConnectionPhase, FIRST_BUFFER_BYTES,
-    GROWN_BUFFER_BYTES, STALL_MS,
+    CONNECTION_BYTES, ConnectionEntry, ConnectionKey, ConnectionPhase, FIRST_BUFFER_BYTES, STALL_MS,
 };
+use crate::{ClientLimits, MIN_HEAD_LIMIT_BYTES};
 
 /// Largest request that may use the part of the memory that is reserved for small requests, in bytes.
 const SMALL_REQUEST_BYTES: usize = 16 * 1024;
@@ -52,6 +51,8 @@
 #[derive(Debug)]
 pub struct ClientLedger {
     limits: ClientLimits,
+    /// Memory that the read buffer of a new connection takes once it has grown, in bytes.
+    grown_buffer_bytes: usize,
     connections: SlotMap<ConnectionKey, ConnectionEntry>,
     /// Connections that are not being closed.
     open_connections: usize,
@@ -68,6 +69,7 @@
     pub fn new(limits: ClientLimits) -> Self {
         Self {
             limits,
+            grown_buffer_bytes: grown_buffer_bytes(MIN_HEAD_LIMIT_BYTES),
             connections: SlotMap::with_key(),
             open_connections: 0,
             held_bytes: 0,
@@ -91,6 +93,11 @@
         std::mem::take(&mut self.closures)
     }
 
+    /// Sets the maximum size of a head on connections that are admitted from now on, in bytes.
+    pub fn set_head_limit(&mut self, bytes: usize) {
+        self.grown_buffer_bytes = grown_buffer_bytes(bytes);
+    }
+
     /// Decides on a new connection.
     pub fn connect(&mut self, now: ClockTime) -> Admission {
         while self.open_connections >= self.limits.max_connections {
@@ -103,7 +110,8 @@
         }
         self.open_connections += 1;
         self.held_bytes += CONNECTION_BYTES;
-        Admission::Admitted(self.connections.insert(ConnectionEntry::new(now)))
+        let entry = ConnectionEntry::new(self.grown_buffer_bytes, now);
+        Admission::Admitted(self.connections.insert(entry))
     }
 
     /// Records bytes that were received; returns whether the connection may receive more.
@@ -121,12 +129,13 @@
         if entry.has_grown || entry.received_bytes < FIRST_BUFFER_BYTES {
             return true;
         }
-        if !self.make_room(Some(key), GROWN_BUFFER_BYTES, now) {
+        let grown_bytes = entry.grown_buffer_bytes;
+        if !self.make_room(Some(key), grown_bytes, now) {
             return false;
         }
         if let Some(entry) = self.connections.get_mut(key) {
             entry.has_grown = true;
-            self.held_bytes += GROWN_BUFFER_BYTES;
+            self.held_bytes += grown_bytes;
         }
         true
     }
@@ -312,3 +321,8 @@
 fn group(entry: &ConnectionEntry) -> (bool, Option<&Arc<str>>) {
     (entry.has_responded, entry.account.as_ref())
 }
+
+/// Returns the memory of a read buffer that has grown: a head, and room for the next read.
+fn grown_buffer_bytes(head_limit: usize) -> usize {
+    head_limit + head_limit / 3
+}
--- a/crates/server/src/client_limits.rs
+++ b/crates/server/src/client_limits.rs
@@ -15,6 +15,19 @@
 /// Least number of connections of a listener.
 const MIN_CONNECTIONS: usize = 8;
 
+/// Smallest limit for the size of a head, in bytes.
+pub const MIN_HEAD_LIMIT_BYTES: usize = 24 * 1024;
+/// Largest limit for the size of a head, in bytes; the memory of a listener has to hold several.
+pub const MAX_HEAD_LIMIT_BYTES: usize = 128 * 1024;
+/// Room in the read buffer besides a head of the largest permitted size, in bytes.
+const READ_AHEAD_BYTES: usize = 8 * 1024;
+
+/// Returns the limit for the size of a head where a configuration permits heads of this size, in bytes.
+pub(crate) fn head_limit(permitted_bytes: usize) -> usize {
+    let limit = permitted_bytes.saturating_add(READ_AHEAD_BYTES);
+    limit.clamp(MIN_HEAD_LIMIT_BYTES, MAX_HEAD_LIMIT_BYTES)
+}
+
 /// Returns the number of descriptors that the system lets the process open.
 pub fn descriptor_limit() -> usize {
     let limit = rustix::process::getrlimit(rustix::process::Resource::Nofile).current;
--- a/crates/server/src/connection_entry.rs
+++ b/crates/server/src/connection_entry.rs
@@ -6,8 +6,6 @@
 pub(crate) const CONNECTION_BYTES: usize = 16 * 1024;
 /// Bytes of a request that the first read buffer takes.
 pub(crate) const FIRST_BUFFER_BYTES: usize = 8 * 1024;
-/// Additional memory of a connection whose request exceeds the first read buffer, in bytes.
-pub(crate) const GROWN_BUFFER_BYTES: usize = 32 * 1024;
 /// Time without progress after which a connection may be closed to make room, in milliseconds.
 pub(crate) const STALL_MS: u64 = 1_000;
 /// Time without a request after which the connection of a served client may be closed, in milliseconds.
@@ -53,7 +51,9 @@
     pub(crate) request_bytes: usize,
     /// Bytes of the current request that were received.
     pub(crate) received_bytes: usize,
-    /// Whether the read buffer has grown; it does not shrink.
+    /// Memory of the read buffer once it has grown, in bytes; it does not shrink.
+    pub(crate) grown_buffer_bytes: usize,
+    /// Whether the read buffer has grown.
     pub(crate) has_grown: bool,
     /// Time at which bytes were last received or sent.
     pub(crate) progressed_at: ClockTime,
@@ -70,8 +70,9 @@
 }
 
 impl ConnectionEntry {
-    pub(crate) fn new(now: ClockTime) -> Self {
+    pub(crate) fn new(grown_buffer_bytes: usize, now: ClockTime) -> Self {
         Self {
+            grown_buffer_bytes,
             phase: ConnectionPhase::Idle,
             request_bytes: 0,
             received_bytes: 0,
@@ -86,8 +87,12 @@
     }
 
     pub(crate) fn held_bytes(&self) -> usize {
-        let grown = if self.has_grown { GROWN_BUFFER_BYTES } else { 0 };
-        CONNECTION_BYTES + grown + self.request_bytes
+        let grown_bytes = if self.has_grown {
+            self.grown_buffer_bytes
+        } else {
+            0
+        };
+        CONNECTION_BYTES + grown_bytes + self.request_bytes
     }
 
     /// Returns why and since when the connection may be closed to make room, or `None` if it must not be.
--- a/crates/server/src/http_server.rs
+++ b/crates/server/src/http_server.rs
@@ -20,10 +20,8 @@
 use crate::client_stream::ClientStream;
 use crate::{ClientBody, ClientGuard, ConnectionLease};
 
-/// Maximum size of a head in bytes; configurations permit 16 KB.
-pub const MAX_HEAD_BYTES: usize = 24 * 1024;
-/// Maximum number of headers; a head consists of so many if each is as short as possible.
-const MAX_HEADERS: usize = MAX_HEAD_BYTES / "a:\r\n".len();
+/// Length of the shortest header, in bytes.
+const SHORTEST_HEADER_BYTES: usize = "a:\r\n".len();
 /// Timeout for the headers of the next request on a connection, in seconds.
 const HEADER_TIMEOUT_S: u64 = 20;
 /// Interval at which a server that stops closes the connections that it does not wait for, in milliseconds.
@@ -85,17 +83,17 @@
     }
 }
 
-fn http_builder() -> http1::Builder {
+fn http_builder(head_limit: usize) -> http1::Builder {
     let mut builder = http1::Builder::new();
     builder
         .timer(TokioTimer::new())
         .header_read_timeout(Duration::from_secs(HEADER_TIMEOUT_S))
-        .max_buf_size(MAX_HEAD_BYTES);
+        .max_buf_size(head_limit);
     builder
 }
 
 /// Replaces a connection of which no more than part of a head was read by one that takes as many headers as fit a head.
-fn with_many_headers<S, B>(connection: HttpConnection<S>) -> HttpConnection<S>
+fn with_many_headers<S, B>(connection: HttpConnection<S>, head_limit: usize) -> HttpConnection<S>
 where
     S: HttpService<Incoming, ResBody = B>,
     S::Error: Into<Box<dyn Error + Send + Sync>>,
@@ -104,8 +102,8 @@
 {
     let mut parts = connection.into_parts();
     parts.io.inner_mut().put_back(&parts.read_buf);
-    http_builder()
-        .max_headers(MAX_HEADERS)
+    http_builder(head_limit)
+        .max_headers(head_limit / SHORTEST_HEADER_BYTES)
         .serve_connection(parts.io, parts.service)
 }
 
@@ -145,7 +143,7 @@
         }
     });
     let stream = ClientStream::new(stream, lease.clone());
-    let mut connection = http_builder().serve_connection(TokioIo::new(stream), service);
+    let mut connection = http_builder(lease.head_limit()).serve_connection(TokioIo::new(stream), service);
     let mut takes_many_headers = false;
     let mut turn_waiter = lease.turn_waiter();
     let served = async {
@@ -166,7 +164,7 @@
                     Some(result) => return result,
                     None => {
                         takes_many_headers = true;
-                        connection = with_many_headers(connection);
+                        connection = with_many_headers(connection, lease.head_limit());
                     }
                 },
                 () = shutdown.cancelled(), if !is_stopping => {
