Split the handling of a request from its connection

Reading the change as a newcomer: serve_connection mixed the service with the connection and its replacement, and two limits were public without a user.

--- a/crates/server/src/client_guard.rs
+++ b/crates/server/src/client_guard.rs
@@ -85,7 +85,7 @@
         }
     }
 
-    /// Sets what returns the size of a head that the configuration permits, in bytes; it is asked for each connection.
+    /// Sets what returns the size of a head that the configuration permits, in bytes; it is called for each connection.
     #[must_use]
     pub fn with_permitted_head<F>(mut self, permitted_bytes: F) -> Self
     where
@@ -228,7 +228,7 @@
         self.count_refusal(admitted)
     }
 
-    /// Records the client account of the current request.
+    /// Records the client account of the current request; `None` if it needs none.
     pub fn identify(&self, account: Option<Arc<str>>) {
         self.shared.decide(|ledger, _| ledger.identify(self.key, account));
     }
--- a/crates/server/src/client_ledger.rs
+++ b/crates/server/src/client_ledger.rs
@@ -4,11 +4,12 @@
 use arbutuspick_model::ClockTime;
 use slotmap::SlotMap;
 
+use crate::ClientLimits;
+use crate::client_limits::MIN_HEAD_LIMIT_BYTES;
 pub use crate::connection_entry::ClosureReason;
 use crate::connection_entry::{
     CONNECTION_BYTES, ConnectionEntry, ConnectionKey, ConnectionPhase, FIRST_BUFFER_BYTES, STALL_MS,
 };
-use crate::{ClientLimits, MIN_HEAD_LIMIT_BYTES};
 
 /// Largest request that may use the part of the memory that is reserved for small requests, in bytes.
 const SMALL_REQUEST_BYTES: usize = 16 * 1024;
@@ -165,7 +166,7 @@
         (bytes == 0 || self.reserve(key, bytes, now)) && self.run(key)
     }
 
-    /// Records the client account of the current request.
+    /// Records the client account of the current request; `None` if it needs none.
     pub fn identify(&mut self, key: ConnectionKey, account: Option<Arc<str>>) {
         if let Some(entry) = self.open_entry(key) {
             entry.account = account;
--- a/crates/server/src/client_limits.rs
+++ b/crates/server/src/client_limits.rs
@@ -16,9 +16,9 @@
 const MIN_CONNECTIONS: usize = 8;
 
 /// Smallest limit for the size of a head, in bytes.
-pub const MIN_HEAD_LIMIT_BYTES: usize = 24 * 1024;
+pub(crate) const MIN_HEAD_LIMIT_BYTES: usize = 24 * 1024;
 /// Largest limit for the size of a head, in bytes; the memory of a listener has to hold several.
-pub const MAX_HEAD_LIMIT_BYTES: usize = 128 * 1024;
+const MAX_HEAD_LIMIT_BYTES: usize = 128 * 1024;
 /// Room in the read buffer besides a head of the largest permitted size, in bytes.
 const READ_AHEAD_BYTES: usize = 8 * 1024;
 
--- a/crates/server/src/connection_entry.rs
+++ b/crates/server/src/connection_entry.rs
@@ -63,7 +63,7 @@
     pub(crate) is_served: bool,
     /// Whether a request was responded to on this connection, even if it was refused.
     pub(crate) has_responded: bool,
-    /// Client account of the last request with a valid key; `None` if there was none.
+    /// Client account of the last request that was admitted; `None` if there was none, or it needs none.
     pub(crate) account: Option<Arc<str>>,
     /// Whether the connection was told to close.
     pub(crate) is_closing: bool,
--- a/crates/server/src/http_server.rs
+++ b/crates/server/src/http_server.rs
@@ -107,6 +107,35 @@
         .serve_connection(parts.io, parts.service)
 }
 
+/// Passes a request to the handler; fails if there is no room for its headers, or its connection is being closed.
+async fn handle_request<H, F, B>(
+    handler: Arc<H>,
+    lease: Arc<ConnectionLease>,
+    request: Request<Incoming>,
+) -> Result<Response<B>, NoRoomError>
+where
+    H: Fn(Request<ClientBody>) -> F,
+    F: Future<Output = Response<B>>,
+    B: Body,
+{
+    let has_body = !request.body().is_end_stream();
+    if !lease.begin(request.headers().len(), has_body) {
+        return Err(NoRoomError);
+    }
+    let request = request.map(|incoming| ClientBody::new(incoming, lease.clone()));
+    let mut response = handler(request).await;
+    if lease.head_watch().has_many_headers() {
+        let headers = response.headers_mut();
+        headers.insert(CONNECTION, HeaderValue::from_static("close"));
+    }
+    let size = response.body().size_hint().lower();
+    lease.respond(
+        usize::try_from(size).unwrap_or(usize::MAX),
+        response.status().is_success(),
+    );
+    Ok(response)
+}
+
 async fn serve_connection<H, F, B>(
     stream: TcpStream,
     lease: Arc<ConnectionLease>,
@@ -121,29 +150,10 @@
     if let Err(error) = stream.set_nodelay(true) {
         log::debug!("[server] cannot set TCP_NODELAY: {error}");
     }
-    let service = service_fn(|request: Request<Incoming>| {
-        let (handler, lease) = (handler.clone(), lease.clone());
-        async move {
-            let has_body = !request.body().is_end_stream();
-            if !lease.begin(request.headers().len(), has_body) {
-                return Err(NoRoomError);
-            }
-            let request = request.map(|incoming| ClientBody::new(incoming, lease.clone()));
-            let mut response = handler(request).await;
-            if lease.head_watch().has_many_headers() {
-                let headers = response.headers_mut();
-                headers.insert(CONNECTION, HeaderValue::from_static("close"));
-            }
-            let size = response.body().size_hint().lower();
-            lease.respond(
-                usize::try_from(size).unwrap_or(usize::MAX),
-                response.status().is_success(),
-            );
-            Ok(response)
-        }
-    });
+    let service = service_fn(|request| handle_request(handler.clone(), lease.clone(), request));
     let stream = ClientStream::new(stream, lease.clone());
     let mut connection = http_builder(lease.head_limit()).serve_connection(TokioIo::new(stream), service);
+    // Whether the connection was replaced by one that takes many headers.
     let mut takes_many_headers = false;
     let mut turn_waiter = lease.turn_waiter();
     let served = async {
--- a/crates/server/src/lib.rs
+++ b/crates/server/src/lib.rs
@@ -18,10 +18,7 @@
 pub use client_body::{BodyError, ClientBody};
 pub use client_guard::{ClientGuard, ConnectionLease};
 pub use client_ledger::{Admission, ClientLedger, Closure, ClosureReason};
-pub use client_limits::{
-    CLIENT_MEMORY_PERCENT, ClientLimits, ListenerLimits, MAX_HEAD_LIMIT_BYTES, MIN_HEAD_LIMIT_BYTES,
-    descriptor_limit,
-};
+pub use client_limits::{CLIENT_MEMORY_PERCENT, ClientLimits, ListenerLimits, descriptor_limit};
 pub use connection_entry::ConnectionKey;
 pub use frame_reader::read_frame;
 pub use http_server::serve;
