Bound responses that nobody reads on connections that are open

What callers saw: 16 clients at the metrics address that are connected already request a state dump each and do not read it. The process holds all of them, whatever the limit of the listener.

Cause: a response takes the place of its request in the ledger without a limit, since it is not refused. The limit was checked when a connection opened or a body arrived, not when a request without a body began.

Evidence: unread_responses on the code before: 268,697,600 bytes are held with a limit of 2 MB and responses of 16 MB.

Fix: a request begins only while the listener is within its limit.

Result: at most one response beyond the limit, and an ordinary request is served while the others stay. The dump of a real pool was not measured.

--- a/crates/server/src/client_guard.rs
+++ b/crates/server/src/client_guard.rs
@@ -238,7 +238,7 @@
         self.shared.decide(|ledger, _| ledger.run(self.key))
     }
 
-    /// Records that a head with this many headers was read; returns whether there is room for them.
+    /// Records that a head with this many headers was read; returns whether there is room for its request.
     pub(crate) fn begin(&self, header_count: usize, has_body: bool) -> bool {
         self.head_watch.begin_request(has_body);
         let admitted = self
@@ -247,6 +247,12 @@
         self.count_refusal(admitted)
     }
 
+    /// Returns whether responses that are not read leave room for another one.
+    pub fn has_room(&self) -> bool {
+        let has_room = self.shared.decide(|ledger, now| ledger.has_room(self.key, now));
+        self.count_refusal(has_room)
+    }
+
     /// Records that a request has a response of this size.
     pub fn respond(&self, bytes: usize, is_served: bool) {
         self.shared
--- a/crates/server/src/client_ledger.rs
+++ b/crates/server/src/client_ledger.rs
@@ -160,10 +160,15 @@
         true
     }
 
-    /// Records that a head with this many headers was read; returns whether there is room for them.
+    /// Records that a head with this many headers was read; returns whether there is room for its request.
     pub fn begin(&mut self, key: ConnectionKey, header_count: usize, now: ClockTime) -> bool {
         let bytes = header_count.saturating_sub(COMMON_HEADERS) * HEADER_BYTES;
-        (bytes == 0 || self.reserve(key, bytes, now)) && self.run(key)
+        self.reserve(key, bytes, now) && self.run(key)
+    }
+
+    /// Returns whether responses that are not read leave room for another one; closes connections that have stalled.
+    pub fn has_room(&mut self, key: ConnectionKey, now: ClockTime) -> bool {
+        self.make_room(Some(key), 0, now)
     }
 
     /// Records the client account of the current request; `None` if it needs none.
--- a/crates/server/src/http_server.rs
+++ b/crates/server/src/http_server.rs
@@ -31,9 +31,9 @@
 
 type HttpConnection<S> = http1::Connection<TokioIo<ClientStream>, S>;
 
-/// There is no room for the headers of a request. Its connection is closed without a response.
+/// There is no room for a request. Its connection is closed without a response.
 #[derive(Debug, Snafu)]
-#[snafu(display("there is no room for the headers of the request"))]
+#[snafu(display("there is no room for the request"))]
 struct NoRoomError;
 
 /// Serves connections until `shutdown` is cancelled, then completes the requests that were received.
@@ -107,7 +107,7 @@
         .serve_connection(parts.io, parts.service)
 }
 
-/// Passes a request to the handler; fails if there is no room for its headers, or its connection is being closed.
+/// Passes a request to the handler; fails if there is no room for it, or its connection is being closed.
 async fn handle_request<H, F, B>(
     handler: Arc<H>,
     lease: Arc<ConnectionLease>,
