Do not close served clients for refused ones of the same account

Cause: counts all clients of an account together. Requests that are refused make their account the largest; those connections are writing or about to end, so the callers that wait for their next request were closed for newcomers.

Evidence: client_ledger::refused_crowd replays it in virtual time and fails on the code before.

Fix: clients that were served and clients that were only refused are counted apart. Served ones make room only where they are the largest group.

--- a/crates/server/src/client_ledger.rs
+++ b/crates/server/src/client_ledger.rs
@@ -102,7 +102,7 @@
     /// Decides on a new connection.
     pub fn connect(&mut self, now: ClockTime) -> Admission {
         while self.open_connections >= self.limits.max_connections {
-            if !self.close_one(None, now) && !self.close_of_largest_account() {
+            if !self.close_one(None, now) && !self.close_of_largest_group() {
                 return Admission::Refused;
             }
         }
@@ -286,10 +286,11 @@
         true
     }
 
-    /// Closes a connection of the client account that has the most: the one that has waited longest for its next request.
+    /// Closes a connection of the largest group: the one that has waited longest for its next request.
     ///
-    /// Clients without an account count as one, and so do those that have not made a request yet, of which none is closed.
-    fn close_of_largest_account(&mut self) -> bool {
+    /// A group is a client account; its clients that were served, those that were only refused, and those that have not made
+    /// a request yet are groups of their own. None of the last kind is closed.
+    fn close_of_largest_group(&mut self) -> bool {
         let open = || self.connections.iter().filter(|(_, entry)| !entry.is_closing);
         let mut counts: HashMap<_, usize> = HashMap::new();
         for (_, entry) in open() {
@@ -323,9 +324,9 @@
     }
 }
 
-/// Returns what a connection is counted with when the connections of client accounts are compared.
-fn group(entry: &ConnectionEntry) -> (bool, Option<&Arc<str>>) {
-    (entry.has_responded, entry.account.as_ref())
+/// Returns what a connection is counted with: whether it has responded, whether it was served, and its client account.
+fn group(entry: &ConnectionEntry) -> (bool, bool, Option<&Arc<str>>) {
+    (entry.has_responded, entry.is_served, entry.account.as_ref())
 }
 
 /// Returns the memory of a read buffer that has grown: a head, and room for the next read.
--- a/crates/server/tests/client_ledger.rs
+++ b/crates/server/tests/client_ledger.rs
@@ -178,6 +178,26 @@
     assert!(ledger.take_closures().is_empty());
 }
 
+/// Guards against closing clients that are served for those of the same account whose requests are refused.
+#[test]
+fn refused_crowd() {
+    let mut ledger = ClientLedger::new(LIMITS);
+    for number in 0..40 {
+        let key = connect(&mut ledger, number).unwrap();
+        ledger.identify(key, Some("north".into()));
+        assert!(ledger.receive(key, 300, ClockTime(number)) && ledger.run(key));
+        ledger.respond(key, 100, number < 3, ClockTime(number));
+        // The other refusals are being written.
+        if number < 3 || number == 39 {
+            ledger.finish(key, ClockTime(number));
+        }
+    }
+    assert!(connect(&mut ledger, 100).is_some(), "a refused client makes room");
+    assert_eq!(connect(&mut ledger, 100), None, "only served clients are waiting");
+    let closures = ledger.take_closures();
+    assert_eq!(closures.len(), 1);
+}
+
 /// Guards against a stop that waits for clients that have stalled, and against one that cuts a request in process or that
 /// leaves no time to requests that are arriving.
 #[test]
