--- a/review/standin-3/src/cases.rs
+++ b/review/standin-3/src/cases.rs
@@ -11,6 +11,7 @@
     match name {
         "hopeless-gang" => hopeless_gang(trouble, record),
         "remote-failure" => remote_failure(trouble, record),
+        "long-listing" => long_listing(trouble, record),
         "full-rack" => full_rack(trouble, record),
         _ => Outcome::NotRun,
     }
@@ -193,6 +194,44 @@
     }
 }
 
+/// Jobs of many small tasks that last come at once, and one worker gets them all.
+fn long_listing(trouble: bool, record: &Record) -> Outcome {
+    let jobs = if trouble { 7 } else { 3 };
+    let Some(deployment) = Deployment::start(record.clone(), &common_workers(8), &["trent", "severn"]) else {
+        return Outcome::NotRun;
+    };
+    for number in 0..jobs {
+        let job = Job {
+            id: job_id(number),
+            prefix: PREFIXES[1],
+            body: "{\"spec\":\"serve\",\"steps\":[{\"count\":1200,\"cpu\":5,\"mem_mb\":5,\"estimate_ms\":2000,\"long_running\":true}]}".to_owned(),
+            steps: vec![StepWork { work: Duration::from_secs(100_000), gang: None, data_rack: None }],
+        };
+        deployment.fleet.sum_runs(&job.id, 0);
+        if !deployment.submit(&job) {
+            return Outcome::NotRun;
+        }
+        std::thread::sleep(Duration::from_millis(4_000 / jobs as u64));
+    }
+    for _ in 0..45 {
+        std::thread::sleep(Duration::from_secs(1));
+        deployment.fleet.record_sums();
+    }
+    let (longest, away) = deployment.fleet.longest_away();
+    record.line(&format!(
+        "{} starts of {} tasks; some task was without a run for {:.1} s on end, {away} are now",
+        deployment.fleet.starts(),
+        1_200 * jobs,
+        longest.as_secs_f64(),
+    ));
+    // Six seconds after a last run and three more, with a second for the look at it.
+    if longest > Duration::from_secs(10) {
+        Outcome::Broken
+    } else {
+        Outcome::Held
+    }
+}
+
 /// LOST: long after the traffic, a job isn't done although nothing runs and all workers are free.
 fn judge_lost(
     deployment: &Deployment,
--- a/review/standin-3/src/fleet.rs
+++ b/review/standin-3/src/fleet.rs
@@ -1,6 +1,6 @@
 //! Workers (minions) that run tasks as the pages say, and a record of what ran.
 
-use std::collections::{HashMap, HashSet};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -81,6 +81,14 @@
 
 #[derive(Default)]
 struct FleetState {
+    /// Steps whose runs are recorded as sums only.
+    summed: HashSet<(String, u64)>,
+    /// Runs that began and ended since the last sums, by worker, job and kind.
+    sums: BTreeMap<(String, String, &'static str), usize>,
+    /// When the latest run of a task ended otherwise than as done.
+    away_since: HashMap<String, Instant>,
+    /// The longest time between two runs of a task.
+    longest_away: Duration,
     workers: Vec<Worker>,
     steps: HashMap<(String, u64), StepWork>,
     /// Number of starts.
@@ -219,6 +227,37 @@
         self.state.lock().unwrap().workers[worker].leaves_at = Some(Instant::now() + after);
     }
 
+    /// Records the runs of a step as sums only.
+    pub fn sum_runs(&self, job: &str, step: u64) {
+        self.state.lock().unwrap().summed.insert((job.to_owned(), step));
+    }
+
+    /// Records the sums since the last call.
+    pub fn record_sums(&self) {
+        let sums = std::mem::take(&mut self.state.lock().unwrap().sums);
+        for ((worker, job, what), count) in sums {
+            let what = if what == "starts" {
+                what.to_owned()
+            } else {
+                format!("ends as {what}")
+            };
+            self.record
+                .line(&format!("worker {worker} {what} {count} tasks of job {job}"));
+        }
+    }
+
+    /// Returns the longest time for which a task that had run was without a run, and how many are now.
+    pub fn longest_away(&self) -> (Duration, usize) {
+        let state = self.state.lock().unwrap();
+        let open = state
+            .away_since
+            .values()
+            .map(Instant::elapsed)
+            .max()
+            .unwrap_or_default();
+        (state.longest_away.max(open), state.away_since.len())
+    }
+
     /// Returns the number of starts so far.
     pub fn starts(&self) -> usize {
         self.state.lock().unwrap().starts
@@ -373,11 +412,28 @@
             work,
         });
         let id = worker.id.clone();
-        record.line(&format!("worker {id} starts {task} run {run}"));
+        if let Some(since) = self.away_since.remove(&task) {
+            self.longest_away = self.longest_away.max(since.elapsed());
+        }
+        if !self.add_to_sums(&id, &task, "starts") {
+            record.line(&format!("worker {id} starts {task} run {run}"));
+        }
         self.starts += 1;
         (200, format!("{{\"clock_ms\":{clock}}}"))
     }
 
+    /// Adds to the sums what is recorded that way; returns whether it is.
+    fn add_to_sums(&mut self, worker: &str, task: &str, what: &'static str) -> bool {
+        let Some((job, _, step, _)) = task_parts(task) else {
+            return false;
+        };
+        let is_summed = self.summed.contains(&(job.clone(), step));
+        if is_summed {
+            *self.sums.entry((worker.to_owned(), job, what)).or_default() += 1;
+        }
+        is_summed
+    }
+
     fn stop(&mut self, number: usize, body: &Json) -> (u16, String) {
         let (task, run) = (body.text("task"), body.number("run").unwrap_or(0));
         let worker = &mut self.workers[number];
@@ -478,7 +534,13 @@
             how,
         });
         worker.next_end += 1;
-        record.line(&format!("worker {} ends {task} run {run}: {how}", worker.id));
+        let id = worker.id.clone();
+        if how != "done" {
+            self.away_since.insert(task.to_owned(), Instant::now());
+        }
+        if !self.add_to_sums(&id, task, how) {
+            record.line(&format!("worker {id} ends {task} run {run}: {how}"));
+        }
     }
 
     /// Ends the other members of a gang of which one has ended.
