--- a/review/standin-3/src/cases.rs
+++ b/review/standin-3/src/cases.rs
@@ -60,6 +60,7 @@
                 work,
                 gang: Some(MEMBERS),
                 data_rack: None,
+                saves: false,
             }],
         };
         if !deployment.submit(&job) {
@@ -99,6 +100,7 @@
             work: Duration::from_millis(work_ms),
             gang: None,
             data_rack,
+            saves: false,
         }],
     };
     // Another job takes the whole worker for seventeen seconds.
@@ -147,7 +149,7 @@
             body: format!(
                 "{{\"spec\":\"serve\",\"steps\":[{{\"count\":{count},\"cpu\":8000,\"mem_mb\":1000,\"gpu\":4,\"estimate_ms\":60000,\"affinity\":\"{rack}\",\"long_running\":true}}]}}"
             ),
-            steps: vec![StepWork { work: Duration::from_secs(100_000), gang: None, data_rack: Some(rack) }],
+            steps: vec![StepWork { work: Duration::from_secs(100_000), gang: None, data_rack: Some(rack), saves: false }],
         })
         .collect();
     for job in &jobs {
@@ -204,8 +206,8 @@
         let job = Job {
             id: job_id(number),
             prefix: PREFIXES[1],
-            body: "{\"spec\":\"serve\",\"steps\":[{\"count\":1200,\"cpu\":5,\"mem_mb\":5,\"estimate_ms\":2000,\"long_running\":true}]}".to_owned(),
-            steps: vec![StepWork { work: Duration::from_secs(100_000), gang: None, data_rack: None }],
+            body: "{\"spec\":\"serve\",\"steps\":[{\"count\":1200,\"cpu\":5,\"mem_mb\":5,\"estimate_ms\":2000,\"long_running\":true,\"checkpointable\":true}]}".to_owned(),
+            steps: vec![StepWork { work: Duration::from_secs(100_000), gang: None, data_rack: None, saves: true }],
         };
         deployment.fleet.sum_runs(&job.id, 0);
         if !deployment.submit(&job) {
--- a/review/standin-3/src/fleet.rs
+++ b/review/standin-3/src/fleet.rs
@@ -40,6 +40,8 @@
     pub gang: Option<usize>,
     /// Rack of its data; elsewhere it works longer.
     pub data_rack: Option<&'static str>,
+    /// Whether it saves its progress.
+    pub saves: bool,
 }
 
 struct Run {
@@ -52,6 +54,7 @@
     fails_at: Option<Instant>,
     /// How long it works here.
     work: Duration,
+    saves: bool,
 }
 
 struct End {
@@ -343,7 +346,13 @@
         let running = self.runs.iter().map(|run| {
             let worked = run.works_since.map_or(0, |since| since.elapsed().as_millis());
             let percent = (worked * 100 / run.work.as_millis().max(1)).min(100);
-            format!("[{},{},\"\",{percent},0]", quote(&run.task), run.run)
+            let seconds = if run.saves { worked / 1_000 } else { 0 };
+            let saved = if seconds == 0 {
+                String::new()
+            } else {
+                format!("{:08x}{seconds:08x}", run.run)
+            };
+            format!("[{},{},\"{saved}\",{percent},0]", quote(&run.task), run.run)
         });
         let finished = self.ended.iter().take(LISTED_ENDS);
         let finished = finished.map(|end| {
@@ -410,6 +419,7 @@
             stops_at: None,
             fails_at: fails.map(|after| now + after),
             work,
+            saves: step.is_some_and(|step| step.saves),
         });
         let id = worker.id.clone();
         if let Some(since) = self.away_since.remove(&task) {
