Compare units by all that decides where they can start

Units with equal needs share one answer of a decision. PlacementNeed was copied by hand from what the searches read and left out the spread limit. It now contains the whole TaskNeed, and the searches take it instead of the unit, so nothing outside the key can decide.

The same key serves two answers. Gangs with an unknown label or too many members did no harm before. Ruled out: capacity that is left to gangs, and account caps.

--- a/crates/pool/src/placement/contested_workers.rs
+++ b/crates/pool/src/placement/contested_workers.rs
@@ -3,7 +3,7 @@
 use arbutuspick_model::ClockTime;
 
 use crate::placement::capacity_forecast::CapacityForecast;
-use crate::placement::waiting_unit::WaitingUnit;
+use crate::placement::placement_need::PlacementNeed;
 use crate::placement::worker_search::{WorkerCandidate, rack_capacities};
 
 /// Time beyond its expected start for which capacity is left to a gang, in milliseconds.
@@ -48,14 +48,13 @@
 /// an end: what is left to it stays idle. Gangs of low rank whose start is not estimated any more are left all free
 /// capacity, as if they could start at any moment. Returns whether the gang waits for any worker.
 pub(crate) fn mark_contested(
-    unit: &WaitingUnit,
+    need: &PlacementNeed,
     candidates: &mut [WorkerCandidate],
     forecast: &mut CapacityForecast,
     claim: &mut Option<GangClaim>,
-    pool_busy: bool,
 ) -> bool {
-    let count = unit.tasks.len();
-    let is_open = |candidate: &WorkerCandidate| unit.need.allows(candidate) && unit.accepts(candidate);
+    let count = need.members.unwrap_or(1);
+    let is_open = |candidate: &WorkerCandidate| need.task.allows(candidate) && need.accepts(candidate);
     if candidates
         .iter()
         .all(|candidate| candidate.contested_until.is_some() || !is_open(candidate))
@@ -64,26 +63,26 @@
             .iter()
             .any(|candidate| candidate.contested_until.is_some());
     }
-    let holding: Vec<_> = if unit.same_rack {
-        let racks = rack_capacities(candidates, &unit.need, count, is_open).into_iter();
-        let holding = racks.filter(|(rack, tasks)| *tasks >= count && unit.need.is_local_rack(*rack));
+    let holding: Vec<_> = if need.same_rack {
+        let racks = rack_capacities(candidates, &need.task, count, is_open).into_iter();
+        let holding = racks.filter(|(rack, tasks)| *tasks >= count && need.task.is_local_rack(*rack));
         holding.map(|(rack, _)| Some(rack)).collect()
     } else {
         Vec::new()
     };
     let is_local = |candidate: &WorkerCandidate| {
         if holding.is_empty() {
-            unit.need.is_local(candidate)
+            need.task.is_local(candidate)
         } else {
             holding.contains(&candidate.rack)
         }
     };
     // A gang that fits into no rack runs across racks.
-    let anywhere = unit.allows_remote(pool_busy) || unit.same_rack && holding.is_empty();
+    let anywhere = need.allows_remote || need.same_rack && holding.is_empty();
     let may_hold = |candidate: &WorkerCandidate| is_open(candidate) && (anywhere || is_local(candidate));
     let open = candidates.iter().filter(|candidate| may_hold(candidate));
     let fitting: usize = open
-        .map(|candidate| candidate.capacity.count_fitting(&unit.need.amount, count))
+        .map(|candidate| candidate.capacity.count_fitting(&need.task.amount, count))
         .sum();
     if fitting < count {
         return false;
@@ -93,7 +92,7 @@
     let start_on = |allowed: &dyn Fn(&WorkerCandidate) -> bool| {
         let numbered = candidates.iter().enumerate();
         let open = numbered.filter(|(_, candidate)| may_hold(candidate) && allowed(candidate));
-        forecast.gang_start(&unit.need, count, open)
+        forecast.gang_start(&need.task, count, open)
     };
     let start: Option<ClockTime> = if !may_estimate {
         Some(forecast.now)
--- a/crates/pool/src/placement/mod.rs
+++ b/crates/pool/src/placement/mod.rs
@@ -4,6 +4,7 @@
 pub(crate) mod capacity_forecast;
 pub(crate) mod contested_workers;
 pub(crate) mod free_bounds;
+pub(crate) mod placement_need;
 pub(crate) mod placement_pass;
 pub(crate) mod search_budget;
 pub(crate) mod unit_order;
--- a/crates/pool/src/placement/placement_pass.rs
+++ b/crates/pool/src/placement/placement_pass.rs
@@ -5,8 +5,9 @@
 use crate::accounts::account_ledger::AccountLedger;
 use crate::jobs::job_entry::{PlacementStage, RunProgress, TaskPlacement};
 use crate::keys::JobKey;
-use crate::placement::blocked_needs::{BlockedNeeds, PlacementNeed};
+use crate::placement::blocked_needs::BlockedNeeds;
 use crate::placement::contested_workers::mark_contested;
+use crate::placement::placement_need::PlacementNeed;
 use crate::placement::search_budget::SearchBudget;
 use crate::placement::unit_order::Lateness;
 use crate::placement::urgent_room::mark_urgent_room;
@@ -63,7 +64,8 @@
                 }
                 continue;
             }
-            let unplaced = self.place_unit(unit, &mut candidates, &mut ledger, &mut blocked, pool_busy, now);
+            let need = unit.placement_need(pool_busy);
+            let unplaced = self.place_unit(unit, &need, &mut candidates, &mut ledger, &mut blocked, now);
             if unplaced == 0 {
                 continue;
             }
@@ -81,7 +83,7 @@
             let mut outcome = PreemptionOutcome::Excluded;
             if searches.allows(self.search_round_of(unit)) {
                 let work = placed_work.get_or_insert_with(|| self.placed_work(&candidates, &context, now));
-                outcome = self.preempt_for(unit, open, &mut candidates, work, pool_busy, now);
+                outcome = self.preempt_for(unit, &need, open, &mut candidates, work, now);
             }
             if outcome != PreemptionOutcome::Excluded {
                 searches.count();
@@ -100,7 +102,7 @@
                 let Some(step) = occurrence.map(|occurrence| &mut occurrence.steps[unit.step]) else {
                     continue;
                 };
-                let waits = mark_contested(unit, &mut candidates, forecast, &mut step.claim, pool_busy);
+                let waits = mark_contested(&need, &mut candidates, forecast, &mut step.claim);
                 if waits && gangs_wait.is_none() {
                     gangs_wait = Some(unit.key);
                 }
@@ -173,23 +175,22 @@
     fn place_unit(
         &mut self,
         unit: &WaitingUnit,
+        need: &PlacementNeed,
         candidates: &mut [WorkerCandidate],
         ledger: &mut AccountLedger,
         blocked: &mut BlockedNeeds,
-        pool_busy: bool,
         now: ClockTime,
     ) -> usize {
         let startable = ledger.startable(unit, unit.tasks.len());
         if startable == 0 {
             return unit.tasks.len();
         }
-        let need = PlacementNeed::of_unit(unit, pool_busy);
-        if blocked.contains(unit, &need, candidates) {
+        if blocked.contains(need, candidates) {
             return unit.tasks.len();
         }
         if unit.gang {
-            let Some(choice) = choose_gang(unit, candidates, pool_busy) else {
-                blocked.insert(need, &StepCounts::new(), false);
+            let Some(choice) = choose_gang(need, unit.preference, candidates) else {
+                blocked.insert(need.clone(), &StepCounts::new(), false);
                 return unit.tasks.len();
             };
             let run = self.next_gang_run(unit);
@@ -211,7 +212,8 @@
                 break;
             }
             let avoided_worker = self.avoided_worker(unit, *task);
-            let Some((index, remote)) = choose_worker(unit, candidates, &counts, avoided_worker, pool_busy)
+            let Some((index, remote)) =
+                choose_worker(need, unit.preference, candidates, &counts, avoided_worker)
             else {
                 blocked.insert(need.clone(), &counts, avoided_worker.is_some());
                 if avoided_worker.is_some() {
--- a/crates/pool/src/placement/waiting_unit.rs
+++ b/crates/pool/src/placement/waiting_unit.rs
@@ -11,6 +11,7 @@
 use crate::jobs::job_value::JobValue;
 use crate::keys::JobKey;
 use crate::keys::RackId;
+use crate::placement::placement_need::PlacementNeed;
 use crate::placement::unit_order::{Lateness, UnitRank, UnitTiming, unit_rank};
 use crate::placement::worker_search::{TaskNeed, WorkerCandidate};
 use crate::pool_core::PoolCore;
@@ -70,7 +71,7 @@
     /// A remote run takes several times as long (see `remote_factor` in [`CoreOptions`](crate::CoreOptions)).
     /// It waits for a local worker while that can still meet the objective, but only briefly while less than
     /// half of the pool is in use, or while no local worker can be expected.
-    pub(crate) fn allows_remote(&self, pool_busy: bool) -> bool {
+    fn allows_remote(&self, pool_busy: bool) -> bool {
         if pool_busy && self.fits_locally {
             self.waited_ms > self.max_local_wait_ms
         } else {
@@ -105,26 +106,33 @@
         if self.gang { self.tasks.len() } else { 1 }
     }
 
+    /// Returns what decides where the unit may be placed at this moment.
+    pub(crate) fn placement_need(&self, pool_busy: bool) -> PlacementNeed {
+        PlacementNeed {
+            task: self.need.clone(),
+            members: self.gang.then_some(self.tasks.len()),
+            same_rack: self.same_rack,
+            allows_remote: self.allows_remote(pool_busy),
+            accepts_suspect: self.accepts_suspect(),
+            accepts_slow: self.accepts_slow(),
+            avoids_empty_workers: self.avoids_empty_workers(),
+            yields_until: self.yields_until,
+            leaves_urgent_room: self.leaves_urgent_room,
+        }
+    }
+
     /// Returns whether the unit has waited long enough to use a suspect worker.
-    pub(crate) fn accepts_suspect(&self) -> bool {
+    fn accepts_suspect(&self) -> bool {
         self.waited_ms > SUSPECT_WAIT_MS
     }
 
     /// Returns whether the unit has waited long enough to use a slow worker.
-    pub(crate) fn accepts_slow(&self) -> bool {
+    fn accepts_slow(&self) -> bool {
         self.waited_ms > SLOW_WAIT_MS
     }
 
-    /// Returns whether the unit may use the worker: not a slow one at first, nor one that it leaves to gangs.
-    pub(crate) fn accepts(&self, candidate: &WorkerCandidate) -> bool {
-        let overlaps = |start: ClockTime| self.yields_until.is_some_and(|end| end > start);
-        let is_left_to_gangs = candidate.contested_until.is_some_and(overlaps);
-        let is_left_to_urgent = candidate.urgent_room && self.leaves_urgent_room;
-        !is_left_to_gangs && !is_left_to_urgent && (!candidate.slow || self.accepts_slow())
-    }
-
     /// Returns whether the unit leaves the last empty workers to others: its priority is low and it has time.
-    pub(crate) fn avoids_empty_workers(&self) -> bool {
+    fn avoids_empty_workers(&self) -> bool {
         let early = self.rank.lateness == Lateness::OnTime && self.waited_ms < EMPTY_WORKER_WAIT_MS;
         self.rank.priority >= LOW_PRIORITY && early
     }
--- a/crates/pool/src/placement/worker_choice.rs
+++ b/crates/pool/src/placement/worker_choice.rs
@@ -4,11 +4,12 @@
 
 use crate::WorkerKey;
 use crate::keys::RackId;
-use crate::placement::waiting_unit::WaitingUnit;
+use crate::placement::placement_need::PlacementNeed;
 use crate::placement::worker_search::{
     StepCounts, WorkerCandidate, best_candidate, gang_candidates, rack_capacities, rack_fits,
 };
 use crate::preemption::preemption_plan::{PreemptionPlan, VictimIndex, choose_victims};
+use crate::preemption::victim_list::PreemptionRight;
 use crate::workers::worker_speed::{SpeedPreference, SpeedTier};
 
 /// One in this many workers is kept empty for urgent work and gangs while others have free capacity.
@@ -22,38 +23,38 @@
 
 /// Chooses a candidate for one task; returns its index and whether the task runs remotely there.
 pub(crate) fn choose_worker(
-    unit: &WaitingUnit,
+    need: &PlacementNeed,
+    preference: SpeedPreference,
     candidates: &[WorkerCandidate],
     counts: &StepCounts,
     avoided_worker: Option<WorkerKey>,
-    pool_busy: bool,
 ) -> Option<(usize, bool)> {
     let empty = || candidates.iter().filter(|candidate| candidate.is_empty()).count();
-    let keeps_empty = unit.avoids_empty_workers() && empty() * EMPTY_WORKER_DIVISOR <= candidates.len();
+    let keeps_empty = need.avoids_empty_workers && empty() * EMPTY_WORKER_DIVISOR <= candidates.len();
     let usable = |candidate: &WorkerCandidate| !(keeps_empty && candidate.is_empty());
     let local = |candidate: &WorkerCandidate| {
-        unit.need.is_local(candidate)
+        need.task.is_local(candidate)
             && avoided_worker != Some(candidate.worker)
-            && unit.accepts(candidate)
+            && need.accepts(candidate)
             && usable(candidate)
     };
-    if let Some(index) = best_candidate(candidates, &unit.need, counts, unit.preference, local) {
+    if let Some(index) = best_candidate(candidates, &need.task, counts, preference, local) {
         return Some((index, false));
     }
-    if unit.need.data_rack.is_some() && unit.allows_remote(pool_busy) {
+    if need.task.data_rack.is_some() && need.allows_remote {
         let elsewhere = |candidate: &WorkerCandidate| {
-            avoided_worker != Some(candidate.worker) && unit.accepts(candidate) && usable(candidate)
+            avoided_worker != Some(candidate.worker) && need.accepts(candidate) && usable(candidate)
         };
-        if let Some(index) = best_candidate(candidates, &unit.need, counts, unit.preference, elsewhere) {
+        if let Some(index) = best_candidate(candidates, &need.task, counts, preference, elsewhere) {
             return Some((index, true));
         }
     }
     avoided_worker?;
     // Nothing else fits: the worker on which the task failed before is better than none.
-    let fallback = best_candidate(candidates, &unit.need, counts, unit.preference, |candidate| {
-        unit.need.is_local(candidate)
-            && unit.accepts(candidate)
-            && (!candidate.suspect || unit.accepts_suspect())
+    let fallback = best_candidate(candidates, &need.task, counts, preference, |candidate| {
+        need.task.is_local(candidate)
+            && need.accepts(candidate)
+            && (!candidate.suspect || need.accepts_suspect)
             && usable(candidate)
     });
     fallback.map(|index| (index, false))
@@ -64,40 +65,40 @@
 /// Suspect workers are left out if the gang fits without them. A gang that may run remotely, or that fits
 /// into no rack even when the rack is empty, falls back to any workers.
 pub(crate) fn choose_gang(
-    unit: &WaitingUnit,
+    need: &PlacementNeed,
+    preference: SpeedPreference,
     candidates: &[WorkerCandidate],
-    pool_busy: bool,
 ) -> Option<GangChoice> {
-    let count = unit.tasks.len();
+    let count = need.members.unwrap_or(1);
     // Without the conditions that only state a preference.
-    let accepted = local_gang(unit, candidates, |candidate| unit.accepts(candidate));
-    let trusted = |candidate: &WorkerCandidate| unit.accepts(candidate) && !candidate.suspect;
+    let accepted = local_gang(need, candidates, |candidate| need.accepts(candidate));
+    let trusted = |candidate: &WorkerCandidate| need.accepts(candidate) && !candidate.suspect;
     let in_tiers = |tiers: &RangeInclusive<SpeedTier>| {
-        local_gang(unit, candidates, |candidate| {
+        local_gang(need, candidates, |candidate| {
             trusted(candidate) && tiers.contains(&candidate.tier)
         })
     };
     if let Some(accepted) = accepted {
-        let preferred = preferred_tiers(unit.preference)
+        let preferred = preferred_tiers(preference)
             .iter()
             .find_map(in_tiers)
-            .or_else(|| local_gang(unit, candidates, trusted));
+            .or_else(|| local_gang(need, candidates, trusted));
         return Some(GangChoice {
             candidates: preferred.unwrap_or(accepted),
             remote: false,
         });
     }
-    if !(unit.same_rack || unit.need.data_rack.is_some()) {
+    if !(need.same_rack || need.task.data_rack.is_some()) {
         return None;
     }
-    let anywhere = gang_candidates(candidates, &unit.need, count, |candidate| unit.accepts(candidate))?;
+    let anywhere = gang_candidates(candidates, &need.task, count, |candidate| need.accepts(candidate))?;
     let never_local = || {
-        unit.same_rack
-            && !rack_capacities(candidates, &unit.need, count, |_| true)
+        need.same_rack
+            && !rack_capacities(candidates, &need.task, count, |_| true)
                 .iter()
-                .any(|(rack, tasks)| unit.need.is_local_rack(*rack) && *tasks >= count)
+                .any(|(rack, tasks)| need.task.is_local_rack(*rack) && *tasks >= count)
     };
-    (unit.allows_remote(pool_busy) || never_local()).then_some(GangChoice {
+    (need.allows_remote || never_local()).then_some(GangChoice {
         candidates: anywhere,
         remote: true,
     })
@@ -115,23 +116,23 @@
 }
 
 /// Chooses candidates near the data of the gang, and in one rack if it is `same_rack`.
-fn local_gang<F>(unit: &WaitingUnit, candidates: &[WorkerCandidate], allowed: F) -> Option<Vec<usize>>
+fn local_gang<F>(need: &PlacementNeed, candidates: &[WorkerCandidate], allowed: F) -> Option<Vec<usize>>
 where
     F: Fn(&WorkerCandidate) -> bool,
 {
-    let count = unit.tasks.len();
-    if !unit.same_rack {
-        return gang_candidates(candidates, &unit.need, count, |candidate| {
-            unit.need.is_local(candidate) && allowed(candidate)
+    let count = need.members.unwrap_or(1);
+    if !need.same_rack {
+        return gang_candidates(candidates, &need.task, count, |candidate| {
+            need.task.is_local(candidate) && allowed(candidate)
         });
     }
-    let racks = rack_fits(candidates, &unit.need, count, &allowed);
+    let racks = rack_fits(candidates, &need.task, count, &allowed);
     let local = racks
         .iter()
-        .filter(|(rack, tasks)| unit.need.is_local_rack(*rack) && *tasks >= count);
+        .filter(|(rack, tasks)| need.task.is_local_rack(*rack) && *tasks >= count);
     // Best fit: the rack with the least capacity left over, so that the other racks stay empty.
     let (tightest, _) = local.min_by_key(|(_, tasks)| *tasks)?;
-    gang_candidates(candidates, &unit.need, count, |candidate| {
+    gang_candidates(candidates, &need.task, count, |candidate| {
         candidate.rack == Some(*tightest) && allowed(candidate)
     })
 }
@@ -141,42 +142,41 @@
 /// A `same_rack` gang is placed in one rack, unless no rack can be freed and it may run remotely or is within
 /// a guarantee.
 pub(crate) fn choose_preemption(
-    unit: &WaitingUnit,
-    unplaced: usize,
+    need: &PlacementNeed,
+    right: PreemptionRight,
+    count: usize,
     candidates: &[WorkerCandidate],
     index: &VictimIndex,
     counts: &StepCounts,
-    pool_busy: bool,
 ) -> Option<(PreemptionPlan, bool)> {
-    let count = if unit.gang { unit.tasks.len() } else { unplaced };
     let plan_for_rack = |rack: RackId| {
-        choose_victims(candidates, index, &unit.need, count, counts, |candidate| {
-            candidate.rack == Some(rack) && unit.accepts(candidate)
+        choose_victims(candidates, index, &need.task, count, counts, |candidate| {
+            candidate.rack == Some(rack) && need.accepts(candidate)
         })
     };
-    if unit.same_rack {
-        let racks = rack_capacities(candidates, &unit.need, count, |candidate| unit.accepts(candidate));
+    if need.same_rack {
+        let racks = rack_capacities(candidates, &need.task, count, |candidate| need.accepts(candidate));
         let local = racks
             .iter()
-            .filter(|(rack, tasks)| *tasks >= count && unit.need.is_local_rack(*rack));
+            .filter(|(rack, tasks)| *tasks >= count && need.task.is_local_rack(*rack));
         let plans = local.filter_map(|(rack, _)| plan_for_rack(*rack));
         if let Some(plan) = plans.min_by_key(|plan| plan.cost) {
             return Some((plan, false));
         }
     } else {
-        let local = choose_victims(candidates, index, &unit.need, count, counts, |candidate| {
-            unit.need.is_local(candidate) && unit.accepts(candidate)
+        let local = choose_victims(candidates, index, &need.task, count, counts, |candidate| {
+            need.task.is_local(candidate) && need.accepts(candidate)
         });
         if let Some(plan) = local {
             return Some((plan, false));
         }
     }
-    let remote_ok = unit.allows_remote(pool_busy) || unit.rank.inside_guarantee();
+    let remote_ok = need.allows_remote || right.inside_guarantee;
     if !remote_ok {
         return None;
     }
-    let plan = choose_victims(candidates, index, &unit.need, count, counts, |candidate| {
-        unit.accepts(candidate)
+    let plan = choose_victims(candidates, index, &need.task, count, counts, |candidate| {
+        need.accepts(candidate)
     });
     plan.map(|plan| (plan, true))
 }
--- a/crates/pool/src/placement/worker_search.rs
+++ b/crates/pool/src/placement/worker_search.rs
@@ -48,7 +48,7 @@
 }
 
 /// Resources and constraints of a task.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub(crate) struct TaskNeed {
     pub(crate) amount: ResourceAmount,
     pub(crate) service: Arc<str>,
--- a/crates/pool/src/preemption/preemption_pass.rs
+++ b/crates/pool/src/preemption/preemption_pass.rs
@@ -10,7 +10,7 @@
 use crate::jobs::job_entry::PlacementStage;
 use crate::jobs::loss_ledger::LossCause;
 use crate::keys::JobKey;
-use crate::placement::blocked_needs::PlacementNeed;
+use crate::placement::placement_need::PlacementNeed;
 use crate::placement::unit_order::Lateness;
 use crate::placement::waiting_unit::WaitingUnit;
 use crate::placement::worker_choice::choose_preemption;
@@ -62,10 +62,10 @@
     pub(crate) fn preempt_for(
         &mut self,
         unit: &WaitingUnit,
+        need: &PlacementNeed,
         unplaced: usize,
         candidates: &mut [WorkerCandidate],
         placed_work: &mut PlacedWork,
-        pool_busy: bool,
         now: ClockTime,
     ) -> PreemptionOutcome {
         let urgent = unit.rank.priority == 0;
@@ -82,7 +82,7 @@
         };
         let count = if unit.gang { unit.tasks.len() } else { unplaced };
         let search = PreemptionSearch {
-            need: PlacementNeed::of_unit(unit, pool_busy),
+            need: need.clone(),
             count,
             right: PreemptionRight {
                 priority: unit.rank.priority,
@@ -98,12 +98,12 @@
         let list = placed_work.victims(search.right);
         if !list
             .index
-            .may_free(candidates, &unit.need, count, |candidate| unit.accepts(candidate))
+            .may_free(candidates, &need.task, count, |candidate| need.accepts(candidate))
         {
             placed_work.record_failed(search);
             return PreemptionOutcome::Excluded;
         }
-        let plan = choose_preemption(unit, unplaced, candidates, &list.index, &counts, pool_busy);
+        let plan = choose_preemption(need, search.right, count, candidates, &list.index, &counts);
         let worthwhile = plan.filter(|(plan, _)| unit.rank.inside_guarantee() || plan.cost <= unit.gain());
         let Some((plan, remote)) = worthwhile else {
             // Where the step runs already decides only for this unit.
--- a/crates/pool/src/preemption/victim_list.rs
+++ b/crates/pool/src/preemption/victim_list.rs
@@ -7,7 +7,7 @@
 use crate::jobs::job_entry::{JobEntry, OccurrenceEntry, PlacementStage, TaskEntry};
 use crate::jobs::job_value::{JobValue, lost_work_cost};
 use crate::keys::JobKey;
-use crate::placement::blocked_needs::PlacementNeed;
+use crate::placement::placement_need::PlacementNeed;
 use crate::placement::unit_order::UnitTiming;
 use crate::placement::waiting_unit::{UnitContext, job_value, remaining_ms};
 use crate::placement::worker_search::WorkerCandidate;
