Count gangs with their spread limit wherever their fit decides

A gang that could never start for its spread limit counted as one that fits. Callers of the same account lost their guarantee to it, and single tasks and gangs waited beside idle workers. Operators were told that it waits for capacity.

Six places counted the tasks that a worker can hold by their size only: the fit of a step with the known workers, the fit with the rack of its data, the capacity that is left to gangs, the forecast of their start, the check before a preemption, and the capacity of racks. They now share TaskNeed::count_on, and the fit of a step is decided by its TaskNeed.

On the code before, these fail: hopeless_gang, unused_guarantee, mean_work (each more_than_one_each), wait_reasons::too_spread, spread_over_endless_run and narrow_rack. The check before a preemption has no test of its own: it only saves a search.

--- a/crates/pool/src/placement/capacity_forecast.rs
+++ b/crates/pool/src/placement/capacity_forecast.rs
@@ -40,11 +40,11 @@
         let mut gains: Vec<(ClockTime, usize)> = Vec::new();
         for (index, candidate) in candidates {
             let mut free = candidate.free;
-            let mut fits = free.count_fitting(&need.amount, count);
+            let mut fits = need.count_on(&free, count);
             gains.push((self.now, fits));
             for (end, amount) in &self.ends[index] {
                 free += *amount;
-                let next = free.count_fitting(&need.amount, count);
+                let next = need.count_on(&free, count);
                 gains.push((*end, next.saturating_sub(fits)));
                 fits = fits.max(next);
             }
--- a/crates/pool/src/placement/contested_workers.rs
+++ b/crates/pool/src/placement/contested_workers.rs
@@ -82,7 +82,7 @@
     let may_hold = |candidate: &WorkerCandidate| is_open(candidate) && (anywhere || is_local(candidate));
     let open = candidates.iter().filter(|candidate| may_hold(candidate));
     let fitting: usize = open
-        .map(|candidate| candidate.capacity.count_fitting(&need.task.amount, count))
+        .map(|candidate| need.task.count_on(&candidate.capacity, count))
         .sum();
     if fitting < count {
         return false;
--- a/crates/pool/src/placement/wait_reason.rs
+++ b/crates/pool/src/placement/wait_reason.rs
@@ -20,7 +20,7 @@
 pub enum WaitReason {
     /// No known worker of the service has the required label.
     NoWorker,
-    /// Too large for every known worker with the label; a gang also for all of them together.
+    /// Too large for every known worker with the label; a gang also for all of them together, with its spread limit.
     TooLarge,
     /// The workers that could run the tasks are in use, or take no new work.
     NoCapacity,
--- a/crates/pool/src/placement/waiting_unit.rs
+++ b/crates/pool/src/placement/waiting_unit.rs
@@ -5,7 +5,6 @@
 
 use arbutuspick_model::ClockTime;
 
-use crate::ResourceAmount;
 use crate::accounts::account_share::ShareClass;
 use crate::jobs::job_entry::JobEntry;
 use crate::jobs::job_value::JobValue;
@@ -15,8 +14,10 @@
 use crate::placement::unit_order::{Lateness, UnitRank, UnitTiming, unit_rank};
 use crate::placement::worker_search::{TaskNeed, WorkerCandidate};
 use crate::pool_core::PoolCore;
-use crate::workers::label_index::RequiredLabel;
+use crate::workers::label_index::{LabelIndex, RequiredLabel};
+use crate::workers::rack_index::RackIndex;
 use crate::workers::worker_speed::SpeedPreference;
+use crate::{QueueRule, ResourceAmount, StepBody};
 
 /// Wait after which a task may return to a suspect worker on which it failed, in milliseconds.
 const SUSPECT_WAIT_MS: u64 = 600;
@@ -96,7 +97,7 @@
             .map(|index| &candidates[*index])
             .filter(|candidate| self.need.allows(candidate));
         let fitting: usize = open
-            .map(|candidate| candidate.capacity.count_fitting(&self.need.amount, needed))
+            .map(|candidate| self.need.count_on(&candidate.capacity, needed))
             .sum();
         self.fits_locally = fitting >= needed;
     }
@@ -157,6 +158,15 @@
     pub(crate) required_label: RequiredLabel,
 }
 
+impl PlaceNeed {
+    pub(crate) fn of_step(body: &StepBody, racks: &RackIndex, labels: &LabelIndex) -> Self {
+        Self {
+            data_rack: racks.data_rack(&body.data_rack),
+            required_label: labels.required(&body.required_label),
+        }
+    }
+}
+
 /// What the units of one decision are compared by.
 #[derive(Debug)]
 pub(crate) struct UnitContext {
@@ -200,10 +210,7 @@
             for number in numbers {
                 for step in 0..job.body.steps.len() {
                     let body = &job.body.steps[step];
-                    let place = PlaceNeed {
-                        data_rack: self.racks.data_rack(&body.data_rack),
-                        required_label: self.labels.required(&body.required_label),
-                    };
+                    let place = PlaceNeed::of_step(body, &self.racks, &self.labels);
                     units.extend(waiting_unit(key, job, (number, step), place, context, now));
                 }
             }
@@ -269,6 +276,18 @@
     }
 }
 
+/// Returns what each task of a step needs.
+pub(crate) fn task_need(rule: &QueueRule, body: &StepBody, place: PlaceNeed) -> TaskNeed {
+    TaskNeed {
+        amount: body.amount(),
+        service: rule.service.clone(),
+        required_label: place.required_label,
+        data_rack: place.data_rack,
+        spread_limit: (body.spread_limit > 0).then_some(body.spread_limit as usize),
+        urgent: rule.priority == 0,
+    }
+}
+
 /// Returns the unit of a step if it is ready to start.
 pub(crate) fn waiting_unit(
     key: JobKey,
@@ -296,14 +315,7 @@
     let (gang, same_rack) = (body.gang, body.gang && body.same_rack);
     let estimate_ms = body.estimate_ms;
     let account = job.account.clone();
-    let need = TaskNeed {
-        amount: body.amount(),
-        service: job.rule.service.clone(),
-        required_label: place.required_label,
-        data_rack: place.data_rack,
-        spread_limit: (body.spread_limit > 0).then_some(body.spread_limit as usize),
-        urgent: job.rule.priority == 0,
-    };
+    let need = task_need(&job.rule, body, place);
     let remaining_ms = remaining_ms(job, step);
     let remaining_worker_us = remaining_worker_us(job, number, &context.largest);
     let timing = UnitTiming {
--- a/crates/pool/src/placement/worker_search.rs
+++ b/crates/pool/src/placement/worker_search.rs
@@ -63,9 +63,18 @@
 impl TaskNeed {
     /// Returns whether the worker could run the task if it were empty.
     pub(crate) fn allows(&self, candidate: &WorkerCandidate) -> bool {
-        candidate.capacity.covers(&self.amount)
-            && self.required_label.is_met_by(&candidate.labels)
-            && candidate.service == self.service
+        candidate.capacity.covers(&self.amount) && self.is_served_by(&candidate.service, &candidate.labels)
+    }
+
+    /// Returns whether a worker of the service with these labels may run the task, whatever its size.
+    pub(crate) fn is_served_by(&self, service: &Arc<str>, labels: &[LabelId]) -> bool {
+        self.required_label.is_met_by(labels) && *service == self.service
+    }
+
+    /// Returns how many tasks of the step a worker with `amount` free can hold, at most `limit`, if it has none of
+    /// them yet.
+    pub(crate) fn count_on(&self, amount: &ResourceAmount, limit: usize) -> usize {
+        amount.count_fitting(&self.amount, self.spread_limit.unwrap_or(limit).min(limit))
     }
 
     pub(crate) fn is_local(&self, candidate: &WorkerCandidate) -> bool {
@@ -200,10 +209,9 @@
 where
     F: Fn(&WorkerCandidate) -> bool,
 {
-    let limit = need.spread_limit.unwrap_or(count).min(count);
     sum_by_rack(candidates, |candidate| {
         if need.allows(candidate) && allowed(candidate) {
-            candidate.capacity.count_fitting(&need.amount, limit)
+            need.count_on(&candidate.capacity, count)
         } else {
             0
         }
--- a/crates/pool/src/preemption/preemption_plan.rs
+++ b/crates/pool/src/preemption/preemption_plan.rs
@@ -67,7 +67,7 @@
     }
 
     /// Returns whether `count` tasks would fit on allowed candidates if all groups were freed, wherever the data
-    /// is and however many tasks of the step each worker may have.
+    /// is and however many tasks of the step run already.
     pub(crate) fn may_free<F>(
         &mut self,
         candidates: &[WorkerCandidate],
@@ -89,7 +89,7 @@
         for (candidate, freeable) in candidates.iter().zip(&self.freeable) {
             let free = candidate.free + *freeable;
             if free.covers(&need.amount) && need.allows(candidate) && allowed(candidate) {
-                possible += free.count_fitting(&need.amount, count);
+                possible += need.count_on(&free, count);
                 if possible >= count {
                     return true;
                 }
--- a/crates/pool/src/workers/worker_kind.rs
+++ b/crates/pool/src/workers/worker_kind.rs
@@ -3,10 +3,12 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 
+use crate::ResourceAmount;
 use crate::jobs::job_entry::JobEntry;
+use crate::placement::waiting_unit::{PlaceNeed, task_need};
+use crate::placement::worker_search::TaskNeed;
 use crate::pool_core::PoolCore;
-use crate::workers::label_index::{LabelId, RequiredLabel};
-use crate::{ResourceAmount, StepBody};
+use crate::workers::label_index::LabelId;
 
 /// Whether the known workers could run a step if they were empty.
 ///
@@ -16,7 +18,7 @@
     Fits,
     /// No worker of the service has the required label.
     NoWorker,
-    /// No worker that has the label is large enough, or a gang is wider than all of them together.
+    /// No worker that has the label is large enough, or a gang is wider than all of them together, with its spread limit.
     TooLarge,
 }
 
@@ -45,17 +47,16 @@
         self.changed = true;
     }
 
-    fn fit(&self, service: &str, required_label: RequiredLabel, step: &StepBody) -> StepFit {
-        let need = step.amount();
-        let count = if step.gang { step.count as usize } else { 1 };
+    /// Returns whether the workers could hold `count` tasks together.
+    fn fit(&self, need: &TaskNeed, count: usize) -> StepFit {
         let mut fit = StepFit::NoWorker;
         let mut fitting = 0;
         for (kind, workers) in &self.counts {
-            if !required_label.is_met_by(&kind.labels) || kind.service.as_ref() != service {
+            if !need.is_served_by(&kind.service, &kind.labels) {
                 continue;
             }
             fit = StepFit::TooLarge;
-            fitting += kind.capacity.count_fitting(&need, count) * workers;
+            fitting += need.count_on(&kind.capacity, count) * workers;
             if fitting >= count {
                 return StepFit::Fits;
             }
@@ -107,8 +108,9 @@
                 continue;
             }
             let fits = job.body.steps.iter().map(|step| {
-                let required_label = self.labels.required(&step.required_label);
-                kinds.fit(&job.rule.service, required_label, step)
+                let place = PlaceNeed::of_step(step, &self.racks, &self.labels);
+                let together = if step.gang { step.count as usize } else { 1 };
+                kinds.fit(&task_need(&job.rule, step, place), together)
             });
             job.step_fits = fits.collect();
             job.fits_version = Some(kinds.version);
--- a/crates/pool/tests/blocked_units.rs
+++ b/crates/pool/tests/blocked_units.rs
@@ -164,6 +164,7 @@
     other_workers = { StepBody { required_label: "scarce".into(), ..gang(2, 4) } },
     wider_than_pool = { gang(80, 8) },
     larger_than_workers = { gang(2, 9) },
+    more_than_one_each = { StepBody { spread_limit: 1, ..gang(6, 1) } },
 )]
 fn hopeless_gang(step_of_gang: StepBody) {
     let mut pool = pool_with_scarce_worker(8);
@@ -183,6 +184,7 @@
     unknown_label = { labelled("none", 8) },
     larger_than_workers = { step(1, 9) },
     wider_than_pool = { gang(9, 2) },
+    more_than_one_each = { StepBody { spread_limit: 1, ..gang(3, 2) } },
 )]
 fn unused_guarantee(impossible: StepBody) {
     let mut pool = TestPool::new(2);
@@ -213,12 +215,15 @@
 
 /// Guards against jobs that no worker can run and that change the value of jobs that can: a queue of small jobs
 /// beside huge impossible ones keeps its order against other queues.
-#[test]
-fn mean_work() {
+#[parameterized(
+    unknown_label = { labelled("none", 8) },
+    more_than_one_each = { StepBody { spread_limit: 1, ..gang(2, 4) } },
+)]
+fn mean_work(impossible: StepBody) {
     let mut pool = TestPool::new(1);
     let huge = StepBody {
         estimate_ms: 10_000_000,
-        ..labelled("none", 8)
+        ..impossible
     };
     pool.submit("huge", body("normal", "south", vec![huge]));
     pool.submit("normal", body("normal", "south", vec![step(1, 8)]));
@@ -266,6 +271,7 @@
     unknown_label = { labelled("none", 1), WaitReason::NoWorker },
     too_large = { step(1, 9), WaitReason::TooLarge },
     too_wide = { gang(80, 8), WaitReason::TooLarge },
+    too_spread = { StepBody { spread_limit: 1, ..gang(6, 1) }, WaitReason::TooLarge },
     scarce_label = { labelled("scarce", 8), WaitReason::NoCapacity },
 )]
 fn wait_reasons(waiting: StepBody, expected: WaitReason) {
--- a/crates/pool/tests/gang_turns.rs
+++ b/crates/pool/tests/gang_turns.rs
@@ -173,3 +173,37 @@
         "the gang has no claim after the pause"
     );
 }
+
+/// Guards against capacity that is kept for a gang that could start at once without its spread limit, and with it waits
+/// for a run without an end.
+#[test]
+fn spread_over_endless_run() {
+    let mut pool = TestPool::new(4);
+    let endless = StepBody {
+        endless: true,
+        ..step(1, 8)
+    };
+    pool.submit("endless", body("normal", "south", vec![endless]));
+    pool.submit(
+        "long",
+        body("normal", "south", vec![lasting(step(8, 1), 600_000)]),
+    );
+    pool.run_decision();
+    let gang = StepBody {
+        gang: true,
+        spread_limit: 1,
+        ..step(4, 1)
+    };
+    pool.submit("gang", body("normal", "south", vec![gang]));
+    pool.submit(
+        "single",
+        body("bulk", "north", vec![lasting(step(8, 1), 150_000)]),
+    );
+    pool.run_decision();
+    assert_eq!(pool.running_count("gang"), 0);
+    assert_eq!(
+        pool.running_count("single"),
+        8,
+        "left to a gang that cannot start"
+    );
+}
--- a/crates/pool/tests/remote_runs.rs
+++ b/crates/pool/tests/remote_runs.rs
@@ -41,6 +41,25 @@
     }
 }
 
+/// Guards against a gang that waits for the rack of its data until its slack has passed, though that rack has fewer
+/// workers than the gang needs for its spread.
+#[test]
+fn narrow_rack() {
+    let mut pool = pool_with_job(true, 7, false);
+    pool.submit("other", body("normal", "south", vec![step(1, 5)]));
+    pool.run_decision();
+    let wide = StepBody {
+        data_rack: "r0".into(),
+        estimate_ms: 300_000,
+        gang: true,
+        spread_limit: 1,
+        ..step(5, 1)
+    };
+    pool.submit("wide", body("normal", "north", vec![wide]));
+    wait(&mut pool, 2_000);
+    assert_eq!(pool.running_count("wide"), 5);
+}
+
 /// How the workers of the first rack take no new work.
 #[derive(Clone, Copy)]
 enum Closing {
