Return to the avoided worker wherever a task may run

choose_worker searched near the data, then anywhere if the task may run remotely, then the avoided worker, but that one only near the data. Now one search, near and then anywhere, is made without the avoided worker and then with it.

avoided_workers::only_worker fails on the code before in 4 of 8 cases, all overdue and remote: after a failed run, a refused start and a start that was not sent. So the fault needs no failed run.

--- a/crates/pool/src/placement/worker_choice.rs
+++ b/crates/pool/src/placement/worker_choice.rs
@@ -32,32 +32,27 @@
     let empty = || candidates.iter().filter(|candidate| candidate.is_empty()).count();
     let keeps_empty = need.avoids_empty_workers && empty() * EMPTY_WORKER_DIVISOR <= candidates.len();
     let usable = |candidate: &WorkerCandidate| !(keeps_empty && candidate.is_empty());
-    let local = |candidate: &WorkerCandidate| {
-        need.task.is_local(candidate)
-            && avoided_worker != Some(candidate.worker)
-            && need.accepts(candidate)
-            && usable(candidate)
+    let best = |allowed: &dyn Fn(&WorkerCandidate) -> bool| {
+        best_candidate(candidates, &need.task, counts, preference, |candidate| {
+            need.accepts(candidate) && usable(candidate) && allowed(candidate)
+        })
     };
-    if let Some(index) = best_candidate(candidates, &need.task, counts, preference, local) {
-        return Some((index, false));
-    }
-    if need.task.data_rack.is_some() && need.allows_remote {
-        let elsewhere = |candidate: &WorkerCandidate| {
-            avoided_worker != Some(candidate.worker) && need.accepts(candidate) && usable(candidate)
-        };
-        if let Some(index) = best_candidate(candidates, &need.task, counts, preference, elsewhere) {
-            return Some((index, true));
-        }
-    }
-    avoided_worker?;
-    // Nothing else fits: the worker on which the task failed before is better than none.
-    let fallback = best_candidate(candidates, &need.task, counts, preference, |candidate| {
-        need.task.is_local(candidate)
-            && need.accepts(candidate)
-            && (!candidate.suspect || need.accepts_suspect)
-            && usable(candidate)
-    });
-    fallback.map(|index| (index, false))
+    let may_leave_rack = need.task.data_rack.is_some() && need.allows_remote;
+    // From the strictest condition to the most lenient one, with and without the worker to avoid.
+    let local_or_remote = |allowed: &dyn Fn(&WorkerCandidate) -> bool| {
+        let local = best(&|candidate| need.task.is_local(candidate) && allowed(candidate));
+        let remote = || may_leave_rack.then(|| best(allowed)).flatten();
+        local
+            .map(|index| (index, false))
+            .or_else(|| remote().map(|index| (index, true)))
+    };
+    let other = local_or_remote(&|candidate| avoided_worker != Some(candidate.worker));
+    // The worker on which the task failed before is better than none.
+    let fallback = || {
+        avoided_worker?;
+        local_or_remote(&|candidate| !candidate.suspect || need.accepts_suspect)
+    };
+    other.or_else(fallback)
 }
 
 /// Chooses candidates for a gang: in one rack if it is `same_rack`, otherwise anywhere near its data.
