Start tasks that last beside waiting gangs

A task that runs until its job is cancelled left free capacity to a waiting gang until half of its slack had passed, minutes by its estimate, in a pool more than half in use. The rule for such tasks holds however full the pool is.

The yield to gangs ended after a second only in a pool less than half in use. It now does so for tasks that last in any pool.

ending_preferences::task_beside_gang fails before in 2 of 3 cases.

--- a/crates/pool/src/placement/waiting_unit.rs
+++ b/crates/pool/src/placement/waiting_unit.rs
@@ -49,6 +49,8 @@
     pub(crate) tasks: Vec<usize>,
     pub(crate) gang: bool,
     pub(crate) same_rack: bool,
+    /// Whether the tasks run until their job is cancelled.
+    pub(crate) endless: bool,
     pub(crate) need: TaskNeed,
     pub(crate) rank: UnitRank,
     pub(crate) value: JobValue,
@@ -80,9 +82,10 @@
         }
     }
 
-    /// Ends the yield to gangs early while less than half of the pool is in use: what is left to them would be idle.
+    /// Ends the yield to gangs early while less than half of the pool is in use, as what is left to them would be idle, and
+    /// for work without an end, which has to run beside free capacity however full the pool is.
     pub(crate) fn limit_yield(&mut self, pool_busy: bool) {
-        if !pool_busy && self.waited_ms > IDLE_YIELD_MS {
+        if (!pool_busy || self.endless) && self.waited_ms > IDLE_YIELD_MS {
             self.yields_until = None;
         }
         self.leaves_urgent_room &= pool_busy;
@@ -313,7 +316,7 @@
     }
     let due_at = occurrence.due_at;
     let (gang, same_rack) = (body.gang, body.gang && body.same_rack);
-    let estimate_ms = body.estimate_ms;
+    let (estimate_ms, endless) = (body.estimate_ms, body.endless);
     let account = job.account.clone();
     let need = task_need(&job.rule, body, place);
     let remaining_ms = remaining_ms(job, step);
@@ -339,6 +342,7 @@
         tasks,
         gang,
         same_rack,
+        endless,
         need,
         rank,
         value,
