Use the last empty workers after a second in a half-empty pool

Work of low priority that needs whole workers waited 4 s beside empty ones, with less than half of the pool in use, a second longer than callers are promised.

It leaves the last eighth of empty workers to others for a while. That while is now a second unless more than half of the pool is in use.

ending_preferences::empty_workers fails before in 2 of 2 cases. empty_workers of load_patterns, for a busy pool, is unchanged.

--- a/crates/pool/src/placement/waiting_unit.rs
+++ b/crates/pool/src/placement/waiting_unit.rs
@@ -27,14 +27,14 @@
 const SLOW_SLACK_FACTOR: u64 = 2;
 /// Smallest number of a low priority; low-priority units leave the last empty workers to others.
 const LOW_PRIORITY: u32 = 2;
-/// Wait after which low-priority work may use the last empty workers, in milliseconds.
+/// Wait after which low-priority work may use the last empty workers of a busy pool, in milliseconds.
 const EMPTY_WORKER_WAIT_MS: u64 = 4_000;
 /// Part of the initial slack above which single tasks leave free capacity to waiting gangs, in percent.
 const YIELD_SLACK_PERCENT: u64 = 50;
 /// Part of the initial slack above which a unit leaves room to urgent work, in percent; a gang needs the rest to find
 /// its workers.
 const LEAVE_ROOM_SLACK_PERCENT: u64 = 25;
-/// Time for which a unit yields to gangs while less than half of the pool is in use, in milliseconds.
+/// Time for which a unit leaves capacity to others while less than half of the pool is in use, in milliseconds.
 const IDLE_YIELD_MS: u64 = 1_000;
 /// Wait after which a unit may run remotely while less than half of the pool is in use, or no local worker takes new
 /// work, in milliseconds.
@@ -119,7 +119,7 @@
             allows_remote: self.allows_remote(pool_busy),
             accepts_suspect: self.accepts_suspect(),
             accepts_slow: self.accepts_slow(),
-            avoids_empty_workers: self.avoids_empty_workers(),
+            avoids_empty_workers: self.avoids_empty_workers(pool_busy),
             yields_until: self.yields_until,
             leaves_urgent_room: self.leaves_urgent_room,
         }
@@ -136,8 +136,13 @@
     }
 
     /// Returns whether the unit leaves the last empty workers to others: its priority is low and it has time.
-    fn avoids_empty_workers(&self) -> bool {
-        let early = self.rank.lateness == Lateness::OnTime && self.waited_ms < EMPTY_WORKER_WAIT_MS;
+    fn avoids_empty_workers(&self, pool_busy: bool) -> bool {
+        let wait_ms = if pool_busy {
+            EMPTY_WORKER_WAIT_MS
+        } else {
+            IDLE_YIELD_MS
+        };
+        let early = self.rank.lateness == Lateness::OnTime && self.waited_ms < wait_ms;
         self.rank.priority >= LOW_PRIORITY && early
     }
 
--- a/crates/pool/tests/ending_preferences.rs
+++ b/crates/pool/tests/ending_preferences.rs
@@ -52,3 +52,23 @@
     assert_eq!(pool.running_count("gang"), 0);
     assert_eq!(pool.running_count("lasting"), 1);
 }
+
+/// Guards against work of low priority that leaves empty workers to others for longer than callers are promised, with
+/// less than half of the pool in use.
+#[parameterized(
+    task = { step(1, 8) },
+    task_that_lasts = { lasting(8) },
+)]
+fn empty_workers(work: StepBody) {
+    let mut pool = TestPool::new(16);
+    let spread = StepBody {
+        spread_limit: 1,
+        estimate_ms: 100_000,
+        ..step(14, 1)
+    };
+    pool.submit("spread", body("normal", "south", vec![spread]));
+    pool.run_decision();
+    pool.submit("bulk", body("bulk", "south", vec![work]));
+    wait(&mut pool, START_BOUND_MS);
+    assert_eq!(pool.running_count("bulk"), 1);
+}
