Measure for each service whether it is busy

Work waited for its rack, for gangs or for the last empty workers until its slack had passed, with most workers of its service idle, while another service of the pool was full.

Whether more than half is in use was measured over the workers of all services, and is now measured for those of the unit's service. Pools of one service are unaffected.

ending_preferences::busy_service fails before in 3 of 3 cases.

--- a/crates/pool/src/placement/placement_pass.rs
+++ b/crates/pool/src/placement/placement_pass.rs
@@ -1,5 +1,8 @@
 //! Places waiting units on workers, in the order of [`unit_order`](crate::placement::unit_order).
 
+use std::collections::{HashMap, HashSet};
+use std::sync::Arc;
+
 use arbutuspick_model::ClockTime;
 
 use crate::accounts::account_ledger::AccountLedger;
@@ -36,7 +39,7 @@
         }
         units.sort_by_key(|unit| unit.rank);
         let mut candidates = self.worker_candidates(now);
-        let pool_busy = is_busy(&candidates);
+        let busy_services = busy_services(&candidates);
         for (service, demand) in &mut self.urgent_demand {
             mark_urgent_room(&mut candidates, service, demand.expected_workers(now));
         }
@@ -47,7 +50,7 @@
         let racks = rack_members(&candidates);
         for unit in &mut units {
             unit.check_local_fit(&candidates, &racks);
-            unit.limit_yield(pool_busy);
+            unit.limit_yield(busy_services.contains(&unit.need.service));
         }
         let mut ledger = self.account_ledger(now);
         self.serve_reservations(&mut units, &mut candidates, &mut ledger, now);
@@ -64,7 +67,7 @@
                 }
                 continue;
             }
-            let need = unit.placement_need(pool_busy);
+            let need = unit.placement_need(busy_services.contains(&unit.need.service));
             let unplaced = self.place_unit(unit, &need, &mut candidates, &mut ledger, &mut blocked, now);
             if unplaced == 0 {
                 continue;
@@ -401,12 +404,16 @@
     racks
 }
 
-/// Returns whether more than half of the accelerators or processors are in use.
-fn is_busy(candidates: &[WorkerCandidate]) -> bool {
-    let (mut free, mut capacity) = (ResourceAmount::default(), ResourceAmount::default());
+/// Returns the services of which more than half of the accelerators or processors are in use.
+fn busy_services(candidates: &[WorkerCandidate]) -> HashSet<Arc<str>> {
+    let mut sums: HashMap<&Arc<str>, (ResourceAmount, ResourceAmount)> = HashMap::new();
     for candidate in candidates {
-        free += candidate.free;
-        capacity += candidate.capacity;
+        let (free, capacity) = sums.entry(&candidate.service).or_default();
+        *free += candidate.free;
+        *capacity += candidate.capacity;
     }
-    free.accelerators * 2 < capacity.accelerators || free.millicores * 2 < capacity.millicores
+    let busy = sums.into_iter().filter(|(_, (free, capacity))| {
+        free.accelerators * 2 < capacity.accelerators || free.millicores * 2 < capacity.millicores
+    });
+    busy.map(|(service, _)| service.clone()).collect()
 }
--- a/crates/pool/src/placement/waiting_unit.rs
+++ b/crates/pool/src/placement/waiting_unit.rs
@@ -27,16 +27,16 @@
 const SLOW_SLACK_FACTOR: u64 = 2;
 /// Smallest number of a low priority; low-priority units leave the last empty workers to others.
 const LOW_PRIORITY: u32 = 2;
-/// Wait after which low-priority work may use the last empty workers of a busy pool, in milliseconds.
+/// Wait after which low-priority work may use the last empty workers of a busy service, in milliseconds.
 const EMPTY_WORKER_WAIT_MS: u64 = 4_000;
 /// Part of the initial slack above which single tasks leave free capacity to waiting gangs, in percent.
 const YIELD_SLACK_PERCENT: u64 = 50;
 /// Part of the initial slack above which a unit leaves room to urgent work, in percent; a gang needs the rest to find
 /// its workers.
 const LEAVE_ROOM_SLACK_PERCENT: u64 = 25;
-/// Time for which a unit leaves capacity to others while less than half of the pool is in use, in milliseconds.
+/// Time for which a unit leaves capacity to others while less than half of the service is in use, in milliseconds.
 const IDLE_YIELD_MS: u64 = 1_000;
-/// Wait after which a unit may run remotely while less than half of the pool is in use, or no local worker takes new
+/// Wait after which a unit may run remotely while less than half of the service is in use, or no local worker takes new
 /// work, in milliseconds.
 const REMOTE_IDLE_WAIT_MS: u64 = 1_000;
 
@@ -73,22 +73,22 @@
     ///
     /// A remote run takes several times as long (see `remote_factor` in [`CoreOptions`](crate::CoreOptions)).
     /// It waits for a local worker while that can still meet the objective, but only briefly while less than
-    /// half of the pool is in use, or while no local worker can be expected.
-    fn allows_remote(&self, pool_busy: bool) -> bool {
-        if pool_busy && self.fits_locally {
+    /// half of its service is in use, or while no local worker can be expected.
+    fn allows_remote(&self, service_busy: bool) -> bool {
+        if service_busy && self.fits_locally {
             self.waited_ms > self.max_local_wait_ms
         } else {
             self.waited_ms > self.max_local_wait_ms.min(REMOTE_IDLE_WAIT_MS)
         }
     }
 
-    /// Ends the yield to gangs early while less than half of the pool is in use, as what is left to them would be idle, and
+    /// Ends the yield to gangs early while less than half of the service is in use, as what is left to them would be idle, and
     /// for work without an end, which has to run beside free capacity however full the pool is.
-    pub(crate) fn limit_yield(&mut self, pool_busy: bool) {
-        if (!pool_busy || self.endless) && self.waited_ms > IDLE_YIELD_MS {
+    pub(crate) fn limit_yield(&mut self, service_busy: bool) {
+        if (!service_busy || self.endless) && self.waited_ms > IDLE_YIELD_MS {
             self.yields_until = None;
         }
-        self.leaves_urgent_room &= pool_busy;
+        self.leaves_urgent_room &= service_busy;
     }
 
     /// Looks up whether the workers near the data of the unit could run it.
@@ -111,15 +111,15 @@
     }
 
     /// Returns what decides where the unit may be placed at this moment.
-    pub(crate) fn placement_need(&self, pool_busy: bool) -> PlacementNeed {
+    pub(crate) fn placement_need(&self, service_busy: bool) -> PlacementNeed {
         PlacementNeed {
             task: self.need.clone(),
             members: self.gang.then_some(self.tasks.len()),
             same_rack: self.same_rack,
-            allows_remote: self.allows_remote(pool_busy),
+            allows_remote: self.allows_remote(service_busy),
             accepts_suspect: self.accepts_suspect(),
             accepts_slow: self.accepts_slow(),
-            avoids_empty_workers: self.avoids_empty_workers(pool_busy),
+            avoids_empty_workers: self.avoids_empty_workers(service_busy),
             yields_until: self.yields_until,
             leaves_urgent_room: self.leaves_urgent_room,
         }
@@ -136,8 +136,8 @@
     }
 
     /// Returns whether the unit leaves the last empty workers to others: its priority is low and it has time.
-    fn avoids_empty_workers(&self, pool_busy: bool) -> bool {
-        let wait_ms = if pool_busy {
+    fn avoids_empty_workers(&self, service_busy: bool) -> bool {
+        let wait_ms = if service_busy {
             EMPTY_WORKER_WAIT_MS
         } else {
             IDLE_YIELD_MS
--- a/crates/pool/tests/ending_preferences.rs
+++ b/crates/pool/tests/ending_preferences.rs
@@ -2,8 +2,8 @@
 
 mod support;
 
-use arbutuspick_pool::StepBody;
-use support::{TestPool, body, step};
+use arbutuspick_pool::{JobBody, StepBody, WorkerReport};
+use support::{TestPool, body, empty_listing, report, step};
 use yare::parameterized;
 
 /// Time within which work starts beside free capacity for it twice over, in milliseconds.
@@ -72,3 +72,61 @@
     wait(&mut pool, START_BOUND_MS);
     assert_eq!(pool.running_count("bulk"), 1);
 }
+
+/// Adds workers of another service, all in use, so that more than half of the pool is.
+fn add_busy_service(pool: &mut TestPool, workers: usize) {
+    let now = pool.now;
+    for number in 0..workers {
+        let report = WorkerReport {
+            service: "tiles".into(),
+            ..report(100 + number, &format!("r{}", 100 + number / 4), "severn")
+        };
+        let key = pool.core.update_worker(report, now);
+        pool.core.apply_listing(key, &empty_listing(now), now);
+        pool.workers.push(key);
+    }
+    let long = StepBody {
+        estimate_ms: 600_000,
+        ..step(u32::try_from(workers).unwrap_or(0), 8)
+    };
+    let tiles = JobBody {
+        service: "tiles".into(),
+        ..body("tiles", "south", vec![long])
+    };
+    pool.submit("tiles", tiles);
+    pool.run_decision();
+    assert_eq!(pool.running_count("tiles"), workers);
+}
+
+/// Guards against work that waits beside idle workers of its service because those of another service are busy.
+#[parameterized(
+    empty_worker = { step(1, 8) },
+    remote = { StepBody { data_rack: "r0".into(), estimate_ms: 60_000, ..step(1, 2) } },
+    behind_gang = { StepBody { estimate_ms: 150_000, ..step(1, 1) } },
+)]
+fn busy_service(work: StepBody) {
+    let mut pool = TestPool::new(16);
+    // Fills one rack, and leaves two workers empty.
+    let filler = StepBody {
+        data_rack: "r0".into(),
+        estimate_ms: 600_000,
+        ..step(4, 8)
+    };
+    let spread = StepBody {
+        spread_limit: 1,
+        estimate_ms: 100_000,
+        ..step(10, 1)
+    };
+    pool.submit("spread", body("normal", "south", vec![filler, spread]));
+    pool.run_decision();
+    add_busy_service(&mut pool, 32);
+    let gang = StepBody {
+        gang: true,
+        ..step(12, 8)
+    };
+    pool.submit("gang", body("urgent", "south", vec![gang]));
+    pool.submit("work", body("bulk", "south", vec![work]));
+    wait(&mut pool, START_BOUND_MS);
+    assert_eq!(pool.running_count("gang"), 0);
+    assert_eq!(pool.running_count("work"), 1);
+}
