Move slow runs only for workers that can run them

A run on a slow worker was stopped for the sake of free workers without its label, of another service, or full by its spread limit. It then started anew where it had been, and its work was lost.

The speeds elsewhere were those of all workers with room by size and rack. TargetNeed now contains the TaskNeed of the step and counts only workers that can run it.

--- a/crates/pool/src/workers/progress_check.rs
+++ b/crates/pool/src/workers/progress_check.rs
@@ -11,7 +11,7 @@
 use crate::jobs::loss_ledger::LossCause;
 use crate::jobs::run_release::RunRelease;
 use crate::keys::JobKey;
-use crate::placement::waiting_unit::remaining_ms;
+use crate::placement::waiting_unit::{PlaceNeed, remaining_ms, task_need};
 use crate::pool_core::PoolCore;
 use crate::workers::departure_check::must_leave;
 use crate::workers::move_target::{FreeWorkers, TargetNeed};
@@ -309,7 +309,9 @@
         }
         let started_at = task.progress.work_started_at?;
         let work = self.run_work(place, task, signs)?;
-        let need = TargetNeed::of_step(place.step, place.body, |worker| {
+        let place_need = PlaceNeed::of_step(place.body, &self.racks, &self.labels);
+        let task_need = task_need(&self.jobs[place.key].rule, place.body, place_need);
+        let need = TargetNeed::of_step(task_need, place.step, place.body, |worker| {
             let view = self.workers.get(worker)?;
             Some((view.speed.log_speed(), view.rack))
         });
