Start tasks that last in other racks when theirs is full

In a busy pool a unit waits for its rack while that can still meet its objective, which grows with its estimate.

--- a/crates/pool/src/placement/waiting_unit.rs
+++ b/crates/pool/src/placement/waiting_unit.rs
@@ -73,9 +73,10 @@
     ///
     /// A remote run takes several times as long (see `remote_factor` in [`CoreOptions`](crate::CoreOptions)).
     /// It waits for a local worker while that can still meet the objective, but only briefly while less than
-    /// half of its service is in use, or while no local worker can be expected.
+    /// half of its service is in use, while no local worker can be expected, or if the tasks have no end: those that fill
+    /// the rack may have none either.
     fn allows_remote(&self, service_busy: bool) -> bool {
-        if service_busy && self.fits_locally {
+        if service_busy && self.fits_locally && !self.endless {
             self.waited_ms > self.max_local_wait_ms
         } else {
             self.waited_ms > self.max_local_wait_ms.min(REMOTE_IDLE_WAIT_MS)
--- a/crates/pool/tests/ending_preferences.rs
+++ b/crates/pool/tests/ending_preferences.rs
@@ -73,6 +73,30 @@
     assert_eq!(pool.running_count("bulk"), 1);
 }
 
+/// Guards against a task that lasts and waits for the rack of its data as long as its estimate lasts, while tasks without
+/// an end fill that rack, in a pool more than half in use.
+#[parameterized(
+    urgent = { "urgent" },
+    bulk = { "bulk" },
+)]
+fn full_rack(queue: &str) {
+    let mut pool = TestPool::new(8);
+    let in_rack = |rack: &str, count| StepBody {
+        count,
+        data_rack: rack.into(),
+        ..lasting(4)
+    };
+    pool.submit(
+        "full",
+        body("urgent", "north", vec![in_rack("r0", 8), in_rack("r1", 4)]),
+    );
+    pool.run_decision();
+    assert_eq!(pool.running_count("full"), 12);
+    pool.submit("lasting", body(queue, "south", vec![in_rack("r0", 2)]));
+    wait(&mut pool, START_BOUND_MS);
+    assert_eq!(pool.running_count("lasting"), 2);
+}
+
 /// Adds workers of another service, all in use, so that more than half of the pool is.
 fn add_busy_service(pool: &mut TestPool, workers: usize) {
     let now = pool.now;
