Draw constraints of steps in pairs in the random histories of the pool

It now draws for each step a label (of no worker yet, of all, of a rack, of one worker), an unknown rack, and spread limits of gangs as well, and submits pairs of jobs that differ in one constraint, of which one can often not run.

Jobs that no worker can run stay until all others have ended, checked by a count of their own in the simulation; then they are cancelled. The bound of 120 s for all others is unchanged, but for jobs with the label of a single worker, which runs their tasks one after the other: 600 s.

While the test was written, it failed twice for its own sake: 40 spread tasks on one worker within 120 s, and a gang wider than the cap.

--- a/crates/pool/tests/random_pool.rs
+++ b/crates/pool/tests/random_pool.rs
@@ -16,8 +16,11 @@
 const WORKERS: usize = 16;
 /// Workers that join the pool at the end, so that all jobs can run.
 const RARE_WORKERS: usize = 6;
-/// Accelerators of the widest gang.
+/// Members of the widest gang, and its accelerators.
+const WIDEST_COUNT: u32 = 18;
 const WIDEST_GANG: i64 = 18 * 8;
+/// Label that only one worker has.
+const SINGLE_LABEL: &str = "single";
 /// Number of histories; PROPTEST_CASES overrides it.
 const HISTORIES: u32 = 160;
 
@@ -48,7 +51,7 @@
             },
             Self::WideGang => StepBody {
                 gang: true,
-                ..step(18, 8)
+                ..step(WIDEST_COUNT, 8)
             },
         };
         let queue = ["urgent", "normal", "bulk"][(number % 3) as usize];
@@ -56,9 +59,52 @@
     }
 }
 
+/// Constraint in which two steps differ that are alike otherwise.
+#[derive(Clone, Copy, Debug)]
+enum TwinChange {
+    Spread,
+    Label,
+    DataRack,
+    SameRack,
+    Gang,
+    Memory,
+    Width,
+}
+
+impl TwinChange {
+    const ALL: [Self; 7] = [
+        Self::Spread,
+        Self::Label,
+        Self::DataRack,
+        Self::SameRack,
+        Self::Gang,
+        Self::Memory,
+        Self::Width,
+    ];
+
+    /// Returns the step with another value of the constraint; the other step can often run where this one cannot.
+    fn apply(self, step: &StepBody) -> StepBody {
+        let mut twin = step.clone();
+        match self {
+            Self::Spread => twin.spread_limit = u32::from(step.spread_limit != 1),
+            Self::Label if step.required_label.is_empty() => twin.required_label = "none".into(),
+            Self::Label => twin.required_label.clear(),
+            Self::DataRack if step.data_rack.is_empty() => twin.data_rack = "r9".into(),
+            Self::DataRack => twin.data_rack.clear(),
+            Self::SameRack => twin.same_rack = !step.same_rack,
+            Self::Gang => twin.gang = !step.gang,
+            Self::Memory => twin.memory_mb = 1_000_000,
+            Self::Width => (twin.count, twin.gang) = (WIDEST_COUNT, true),
+        }
+        twin
+    }
+}
+
 #[derive(Clone, Debug)]
 enum Action {
     Submit(JobBody),
+    /// A job with a change of its steps, and the job itself behind it.
+    SubmitTwins(JobBody, TwinChange),
     /// Jobs that no worker can run until others join the pool.
     SubmitBlocked(BlockedKind, u64),
     AddRareWorker,
@@ -82,12 +128,15 @@
 fn any_step() -> impl Strategy<Value = StepBody> {
     let size = (1u32..8, 0u64..=8, 400u64..3_000);
     let flags = (any::<bool>(), any::<bool>(), any::<bool>(), 0u32..4);
-    (size, flags, prop::option::of(0usize..4)).prop_map(|(size, flags, rack)| StepBody {
+    // All workers of a rack have its name as a label, and all have a common one; the last rack is not known.
+    let label = prop_oneof![5 => Just(""), 1 => Just("a"), 1 => Just("r0"), 1 => Just(SINGLE_LABEL), 1 => Just("rare")];
+    let rack = prop::option::of(0usize..5);
+    (size, flags, label, rack).prop_map(|(size, flags, label, rack)| StepBody {
         gang: flags.0,
         same_rack: flags.1,
         checkpoints: flags.2,
-        // The users give no gang a spread limit.
-        spread_limit: if flags.0 { 0 } else { flags.3 },
+        spread_limit: flags.3,
+        required_label: label.into(),
         data_rack: rack.map_or(String::new(), |rack| format!("r{rack}")),
         millicores: 4_000,
         estimate_ms: size.2,
@@ -110,6 +159,11 @@
     })
 }
 
+fn any_twins() -> impl Strategy<Value = Action> {
+    let change = prop::sample::select(TwinChange::ALL.to_vec());
+    (any_job(), change).prop_map(|(job, change)| Action::SubmitTwins(job, change))
+}
+
 fn any_blocked() -> impl Strategy<Value = (BlockedKind, u64)> {
     let kinds = [
         (BlockedKind::RareLabel, 50_u64),
@@ -130,6 +184,7 @@
 fn any_action() -> impl Strategy<Value = Action> {
     prop_oneof![
         8 => any_job().prop_map(Action::Submit),
+        3 => any_twins(),
         1 => any_blocked().prop_map(|(kind, count)| Action::SubmitBlocked(kind, count)),
         1 => Just(Action::AddRareWorker),
         1 => any::<usize>().prop_map(Action::Cancel),
@@ -175,14 +230,45 @@
     );
 }
 
+fn needs_single_worker(job: &JobBody) -> bool {
+    job.steps.iter().any(|step| step.required_label == SINGLE_LABEL)
+}
+
+fn has_possible_job(simulation: &PoolSimulation) -> bool {
+    let unfinished = simulation.unfinished_jobs();
+    let mut bodies = unfinished.iter().map(|job| &simulation.bodies[job]);
+    bodies.any(|body| !simulation.is_hopeless(body))
+}
+
+/// Checks that all jobs have ended, but for those that no worker can run and those that `may_last`.
+fn check_unfinished<F>(simulation: &PoolSimulation, may_last: F)
+where
+    F: Fn(&JobBody) -> bool,
+{
+    for job in simulation.unfinished_jobs() {
+        let body = &simulation.bodies[&job];
+        assert!(
+            simulation.is_hopeless(body) || may_last(body),
+            "job {job} has not ended: {body:?}\n{}",
+            simulation.core.dump(simulation.now)
+        );
+    }
+}
+
 fn replay(actions: &[Action]) {
-    let mut simulation = PoolSimulation::new(WORKERS);
+    let mut simulation = PoolSimulation::new(WORKERS, SINGLE_LABEL);
     let mut leaving = 0;
     for action in actions {
         match action {
             Action::Submit(job) => {
                 simulation.submit(job.clone());
             }
+            Action::SubmitTwins(job, change) => {
+                let mut twin = job.clone();
+                twin.steps = job.steps.iter().map(|step| change.apply(step)).collect();
+                simulation.submit(twin);
+                simulation.submit(job.clone());
+            }
             Action::SubmitBlocked(kind, count) => {
                 for number in 0..*count {
                     simulation.submit(kind.job(number));
@@ -233,8 +319,18 @@
         }
     }
     simulation.advance(120_000);
-    let unfinished = simulation.unfinished_jobs();
-    assert!(unfinished.is_empty(), "unfinished jobs: {unfinished:?}");
+    check_unfinished(&simulation, needs_single_worker);
+    // One worker runs all steps with its label, task by task if these are spread.
+    for _ in 0..8 {
+        if has_possible_job(&simulation) {
+            simulation.advance(60_000);
+        }
+    }
+    check_unfinished(&simulation, |_| false);
+    for job in simulation.unfinished_jobs() {
+        simulation.cancel_job(&job);
+    }
+    simulation.advance(10_000);
     for account in ["north", "south"] {
         assert_eq!(
             simulation.counted_usage(account),
--- a/crates/pool/tests/support/pool_simulation.rs
+++ b/crates/pool/tests/support/pool_simulation.rs
@@ -91,7 +91,8 @@
 const LEASE_MS: u64 = 9_000;
 
 impl PoolSimulation {
-    pub(crate) fn new(workers: usize) -> Self {
+    /// Returns a pool in which one worker has a label of its own.
+    pub(crate) fn new(workers: usize, single_label: &str) -> Self {
         let mut simulation = Self {
             core: PoolCore::new(Default::default()),
             policy: policy(16),
@@ -118,7 +119,10 @@
         simulation.core.apply_policy(Arc::new(simulation.policy.clone()));
         for number in 0..workers {
             let centre = if number / 4 % 2 == 0 { "trent" } else { "severn" };
-            let report = report(number, &format!("r{}", number / 4), centre);
+            let mut report = report(number, &format!("r{}", number / 4), centre);
+            if number == workers / 2 {
+                report.labels.insert(0, single_label.into());
+            }
             simulation.add_worker(report);
         }
         simulation
@@ -644,6 +648,30 @@
             .apply_stop_answer(&order.task, order.run, order.worker, now);
     }
 
+    /// Returns whether the present workers could not hold some step of the job if they were empty.
+    pub(crate) fn is_hopeless(&self, body: &JobBody) -> bool {
+        body.steps.iter().any(|step| {
+            let label = &step.required_label;
+            let fitting = self.workers.iter().map(|worker| {
+                let report = &worker.report;
+                let labelled = label.is_empty() || report.labels.iter().any(|own| own.as_ref() == label);
+                let limit = if step.spread_limit == 0 {
+                    step.count
+                } else {
+                    step.spread_limit
+                };
+                let mut free = report.capacity;
+                let mut held = 0;
+                while labelled && held < limit && free.covers(&step.amount()) {
+                    free -= step.amount();
+                    held += 1;
+                }
+                held
+            });
+            fitting.sum::<u32>() < if step.gang { step.count } else { 1 }
+        })
+    }
+
     /// Returns the jobs that have not ended.
     pub(crate) fn unfinished_jobs(&self) -> Vec<Arc<str>> {
         let unfinished = self.bodies.keys().filter(|id| !self.ended_jobs.contains(*id));
